--- /dev/null
+++ b/cmd/wigeonhill/main.go
@@ -0,0 +1,4 @@
+// Command wigeonhill is a multi-region inference gateway.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/admit/api.go
@@ -0,0 +1,45 @@
+package admit
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/grant"
+)
+
+// Request asks for admission.
+type Request struct {
+	Team   string
+	Weight float64
+	// Tokens is prompt plus output cap; 0 for requests that cost none.
+	Tokens float64
+	// Targets are the acceptable targets of this region in order of preference;
+	// nil if the request goes to another region and needs no slot here.
+	Targets []string
+	// Deadline is the latest time to start; a request that cannot start by then
+	// is refused at once.
+	Deadline time.Time
+	// Prepaid is set for a request forwarded by another instance, which has
+	// debited the tokens already.
+	Prepaid bool
+}
+
+// Ticket is an admitted request.
+type Ticket struct {
+	Admission grant.Admission
+	Slot      grant.Slot
+	HasSlot   bool
+	Waited    time.Duration
+}
+
+// Admitter admits requests. Errors are *result.Error and always not run.
+type Admitter interface {
+	Admit(ctx context.Context, r Request) (Ticket, error)
+	// Reslot obtains a slot for a further attempt of an admitted request.
+	Reslot(ctx context.Context, r Request) (grant.Slot, error)
+	// Spendable reports whether the ticket may still be used to send the
+	// request to its target.
+	Spendable(t Ticket) bool
+	// Done frees the slot and refunds tokens that were not used. Call it once.
+	Done(t Ticket, used float64)
+}
--- /dev/null
+++ b/internal/audit/api.go
@@ -0,0 +1,54 @@
+package audit
+
+import "time"
+
+// Kind is the kind of a change in the trail.
+type Kind string
+
+// Kinds of changes.
+const (
+	EditionTaken    Kind = "edition_taken"
+	EditionRejected Kind = "edition_rejected"
+	TermStarted     Kind = "term_started"
+	TermEnded       Kind = "term_ended"
+	MemberChanged   Kind = "member_changed"
+	KeyRemoved      Kind = "key_removed"
+	OrderGiven      Kind = "order_given"
+	StreamEnded     Kind = "stream_ended"
+	RequestBlocked  Kind = "request_blocked"
+	TargetChanged   Kind = "target_changed"
+	SlotsReclaimed  Kind = "slots_reclaimed"
+)
+
+// Change is one line of the trail. It never holds a key or request text.
+type Change struct {
+	At       time.Time `json:"at"`
+	Kind     Kind      `json:"kind"`
+	Subject  string    `json:"subject"`
+	Team     string    `json:"team,omitempty"`
+	Target   string    `json:"target,omitempty"`
+	Old      string    `json:"old,omitempty"`
+	New      string    `json:"new,omitempty"`
+	Reason   string    `json:"reason,omitempty"`
+	Revision int64     `json:"revision,omitempty"`
+}
+
+// Trail records changes.
+type Trail interface {
+	Add(c Change)
+}
+
+// Step is one decision about a request.
+type Step struct {
+	At       time.Duration `json:"at_ns"` // since the request arrived
+	Decision string        `json:"decision"`
+	Reason   string        `json:"reason"`
+}
+
+// Requests records the decisions about each request.
+type Requests interface {
+	// Note adds a step to the record of a request; the first one creates it.
+	Note(requestID, decision, reason string)
+	// End closes the record. code is 0 for success.
+	End(requestID, team string, code int, d time.Duration)
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,59 @@
+package event
+
+import (
+	"fmt"
+	"sort"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is a kind of log line. Numbers are never reused.
+type Event struct {
+	Number  int
+	Name    string
+	Level   zapcore.Level
+	Meaning string // one line for docs/EVENTS.md
+}
+
+var registry = map[int]Event{}
+
+// define registers an event; it panics on a duplicate number, which is a
+// programming error found by any test of this package.
+func define(number int, name string, level zapcore.Level, meaning string) Event {
+	if old, ok := registry[number]; ok {
+		panic(fmt.Sprintf("event %d is defined twice: %s and %s", number, old.Name, name))
+	}
+	e := Event{Number: number, Name: name, Level: level, Meaning: meaning}
+	registry[number] = e
+	return e
+}
+
+// Catalogue returns all events in ascending order.
+func Catalogue() []Event {
+	all := make([]Event, 0, len(registry))
+	for _, e := range registry {
+		all = append(all, e)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Number < all[j].Number })
+	return all
+}
+
+// Logger writes events.
+type Logger struct{ z *zap.Logger }
+
+// NewLogger wraps z.
+func NewLogger(z *zap.Logger) *Logger { return &Logger{z: z} }
+
+// Nop returns a Logger that writes nothing.
+func Nop() *Logger { return &Logger{z: zap.NewNop()} }
+
+// With returns a Logger that adds fields to each event.
+func (l *Logger) With(fields ...zap.Field) *Logger { return &Logger{z: l.z.With(fields...)} }
+
+// Emit writes one event.
+func (l *Logger) Emit(e Event, fields ...zap.Field) {
+	if ce := l.z.Check(e.Level, e.Name); ce != nil {
+		ce.Write(append([]zap.Field{zap.Int("event", e.Number)}, fields...)...)
+	}
+}
--- /dev/null
+++ b/internal/grant/api.go
@@ -0,0 +1,69 @@
+package grant
+
+import "time"
+
+// Validity is the lifetime of a grant. It must not exceed the term of a
+// grantor: a new grantor allows for the grants of one predecessor only.
+const Validity = 2 * time.Second
+
+// Admission is a debit of a team's tokens.
+type Admission struct {
+	Team   string
+	Tokens float64
+	// Source names the grantor's region, to which unused tokens are refunded.
+	Source string
+	// At is the holder's lower reading at the time of the debit.
+	At time.Duration
+	// ValidUntil is the holder's upper reading after which the request may no
+	// longer be sent to a target.
+	ValidUntil time.Duration
+}
+
+// Slot is the right to have one request in flight on a target.
+type Slot struct {
+	Target string
+	// ValidUntil is the holder's upper reading after which the request may no
+	// longer be sent to the target.
+	ValidUntil time.Duration
+	// ID is unique within the holder.
+	ID uint64
+}
+
+// Tokens is the holder as seen by admission.
+type Tokens interface {
+	// TryDebit takes n tokens of team from the local balances. It never blocks.
+	TryDebit(team string, n float64) (Admission, bool)
+	// WantTokens states the tokens that queued requests of team still need.
+	WantTokens(team string, n float64)
+	// Refund gives back what an admission did not use. Call it once.
+	Refund(a Admission, unused float64)
+	// Spendable reports whether a request with this admission may still be sent.
+	Spendable(a Admission) bool
+	// Changed is signalled after balances or slots rose.
+	Changed() <-chan struct{}
+}
+
+// Slots is the holder as seen by routing and dispatch.
+type Slots interface {
+	// TryTake takes an idle slot of the target. It never blocks.
+	TryTake(target string) (Slot, bool)
+	// WantSlots states how many queued requests could use the target.
+	WantSlots(target string, n int)
+	// Usable reports whether a request with this slot may still be sent.
+	Usable(s Slot) bool
+	// Release frees the slot after the request has ended on the target.
+	Release(s Slot)
+}
+
+// Load is the last known load of a target.
+type Load struct {
+	Running, Queued int
+	CachedTokens    float64
+	// SampledAt is the holder's lower reading of the sample; 0 if unknown.
+	SampledAt time.Duration
+}
+
+// Loads gives the load of targets in the instance's own region.
+type Loads interface {
+	Load(target string) (Load, bool)
+}
--- /dev/null
+++ b/internal/route/api.go
@@ -0,0 +1,70 @@
+package route
+
+import (
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+// Query is what a choice depends on besides the tables.
+type Query struct {
+	Team    string
+	Model   string // engines
+	Service string // plain services
+	// PrefixHashes of the prompt, shortest prefix first.
+	PrefixHashes []uint64
+	PromptTokens int
+	OutputTokens int
+	// Allowed regions by residency.
+	Allowed map[string]bool
+	// Exclude lists targets and regions that failed earlier attempts.
+	Exclude map[string]bool
+	// LocalOnly is set for forwarded requests: no other region is considered.
+	LocalOnly bool
+}
+
+// TargetView is what the instance believes about a target of its own region.
+type TargetView struct {
+	Target  *table.Target
+	Live    bool // neither leaving nor suspected
+	Running int  // last report plus own dispatches since
+	Queued  int
+	// CachedTokens of the query's prompt believed to be in the prefix cache.
+	CachedTokens int
+	// FreeSlots that the instance holds.
+	FreeSlots int
+}
+
+// RegionView is what the instance believes about another region.
+type RegionView struct {
+	Region string
+	// Reachable is true if a live instance there answers.
+	Reachable bool
+	Link      *table.Link
+	// FreeSlots and Capacity for the query's model or service, as last reported.
+	FreeSlots, Capacity int
+	// InFlight is the number of own requests forwarded there.
+	InFlight int
+	// LinkLoad is the use of the link's budget, from 0 to 1.
+	LinkLoad float64
+}
+
+// View is a snapshot of the instance's beliefs.
+type View struct {
+	Region  string
+	Targets []TargetView
+	Regions []RegionView
+	// LocalWait is the time a request for this model waits for a slot here.
+	LocalWait time.Duration
+}
+
+// Choice is the decision.
+type Choice struct {
+	// Targets of the own region in order of preference; empty if the request
+	// should go to Region.
+	Targets []string
+	// Region to forward to; empty for the own region.
+	Region string
+	// Reasons, one line per candidate, with the figures seen.
+	Reasons []string
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,71 @@
+package settings
+
+import "time"
+
+// Settings of one instance.
+type Settings struct {
+	Instance  Instance
+	Listen    Listen
+	Platform  Platform
+	Peers     Peers
+	Bounds    Bounds
+	Log       Log
+	Operators Operators
+}
+
+// Instance is the `[instance]` section.
+type Instance struct {
+	Name   string
+	Region string
+	Domain string // failure domain
+}
+
+// Listen is the `[listen]` section; all are IP:port.
+type Listen struct {
+	Callers   string
+	Peers     string
+	Operators string
+}
+
+// Platform is the `[platform]` section.
+type Platform struct {
+	// Config is the base URL of the configuration service.
+	Config string
+}
+
+// Peers is the `[peers]` section.
+type Peers struct {
+	// Bootstrap lists peer addresses to ask before the instance list is known.
+	Bootstrap []string
+	// Insecure allows plain text between instances.
+	Insecure                         bool
+	CertFile, KeyFile, AuthorityFile string
+}
+
+// Bounds is the `[bounds]` section.
+type Bounds struct {
+	MaxBody         int64 // bytes of a request body
+	MaxHeader       int   // bytes of request headers
+	MaxStreams      int   // requests at one time
+	StreamBuffer    int64 // bytes held for one slow reader
+	TeamBuffer      int64 // bytes held for one team
+	ProcessBuffer   int64 // bytes held for all callers
+	MaxEditionAge   time.Duration
+	RequestTimeout  time.Duration
+	ShutdownTimeout time.Duration
+	ReadTimeout     time.Duration // for a request's headers and body
+	WriteTimeout    time.Duration // without progress of a slow reader
+	IdleTimeout     time.Duration
+}
+
+// Log is the `[log]` section.
+type Log struct {
+	Format string // json or console
+	Level  string
+}
+
+// Operators is the `[operators]` section.
+type Operators struct {
+	AuditEntries   int
+	RequestRecords int
+}
