Add audit trail, request records, operators' server and page tests

Cause: operators need to see what the system does and why (audit trail of changes, per-request records, metrics, readiness and liveness). Ruled out: labels per team (2,400 teams x codes makes too many series); a sampler over audit lines, since an audit trail must be whole. Conclusion: the pages can be wired once the managers exist.

--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,53 @@
+package audit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/event"
+)
+
+func fixedNow() time.Time { return time.Unix(1000, 0) }
+
+// Guards against a ring that loses its newest entries or their order when it wraps.
+func TestRingKeepsNewestInOrder(t *testing.T) {
+	r := NewRing(3, event.Nop(), fixedNow)
+	for i := range 5 {
+		r.Add(Change{Kind: EditionTaken, Subject: fmt.Sprint(i)})
+	}
+	got := r.Select(Filter{})
+	if len(got) != 3 || got[0].Subject != "2" || got[2].Subject != "4" {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// Guards against a filter that returns another team's changes.
+func TestFilterByTeamAndTime(t *testing.T) {
+	r := NewRing(10, event.Nop(), fixedNow)
+	r.Add(Change{Team: "a", At: time.Unix(1, 0)})
+	r.Add(Change{Team: "b", At: time.Unix(2, 0)})
+	r.Add(Change{Team: "a", At: time.Unix(3, 0)})
+	got := r.Select(Filter{Team: "a", Since: time.Unix(2, 0)})
+	if len(got) != 1 || !got[0].At.Equal(time.Unix(3, 0)) {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// Guards against memory that grows with requests or with the steps of one request.
+func TestRecordsAreBounded(t *testing.T) {
+	r := NewRecords(2, fixedNow)
+	for i := range 3 {
+		r.Note(fmt.Sprint(i), "admit", "x")
+	}
+	if _, ok := r.Get("0"); ok {
+		t.Fatal("oldest record was kept")
+	}
+	for range 3 * maxSteps {
+		r.Note("2", "retry", "x")
+	}
+	rec, _ := r.Get("2")
+	if len(rec.Steps) != maxSteps || rec.Dropped != 2*maxSteps+1 {
+		t.Fatalf("steps %d, dropped %d", len(rec.Steps), rec.Dropped)
+	}
+}
--- /dev/null
+++ b/internal/audit/requests.go
@@ -0,0 +1,92 @@
+package audit
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// maxSteps bounds the record of one request. The first and the newest steps
+// say most, so the ones between are dropped.
+const maxSteps = 40
+
+// Record is what happened to one request.
+type Record struct {
+	RequestID string        `json:"request_id"`
+	Team      string        `json:"team,omitempty"`
+	Arrived   time.Time     `json:"arrived"`
+	Steps     []Step        `json:"steps"`
+	Dropped   int           `json:"dropped_steps,omitempty"`
+	Ended     bool          `json:"ended"`
+	Code      int           `json:"code"`
+	Duration  time.Duration `json:"duration_ns"`
+}
+
+// Records is a Requests that keeps the latest requests in memory.
+type Records struct {
+	size int
+	now  func() time.Time
+	mu   struct {
+		sync.Mutex
+		byID  map[string]*Record
+		order []string // ring of request ids in order of arrival
+		next  int
+	}
+}
+
+// NewRecords returns Records of at most size requests.
+func NewRecords(size int, now func() time.Time) *Records {
+	r := &Records{size: max(size, 1), now: now}
+	r.mu.byID = make(map[string]*Record)
+	r.mu.order = make([]string, r.size)
+	return r
+}
+
+// Note implements Requests.
+func (r *Records) Note(requestID, decision, reason string) {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.recordLocked(requestID, now)
+	if len(rec.Steps) == maxSteps {
+		rec.Steps = slices.Delete(rec.Steps, maxSteps/2, maxSteps/2+1)
+		rec.Dropped++
+	}
+	rec.Steps = append(rec.Steps, Step{At: now.Sub(rec.Arrived), Decision: decision, Reason: reason})
+}
+
+// End implements Requests.
+func (r *Records) End(requestID, team string, code int, d time.Duration) {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.recordLocked(requestID, now)
+	rec.Team, rec.Code, rec.Duration, rec.Ended = team, code, d, true
+}
+
+// Get returns a copy of the record of a request.
+func (r *Records) Get(requestID string) (Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec, ok := r.mu.byID[requestID]
+	if !ok {
+		return Record{}, false
+	}
+	c := *rec
+	c.Steps = slices.Clone(rec.Steps)
+	return c, true
+}
+
+func (r *Records) recordLocked(requestID string, now time.Time) *Record {
+	if rec, ok := r.mu.byID[requestID]; ok {
+		return rec
+	}
+	if old := r.mu.order[r.mu.next]; old != "" {
+		delete(r.mu.byID, old)
+	}
+	rec := &Record{RequestID: requestID, Arrived: now}
+	r.mu.byID[requestID] = rec
+	r.mu.order[r.mu.next] = requestID
+	r.mu.next = (r.mu.next + 1) % r.size
+	return rec
+}
--- /dev/null
+++ b/internal/event/audit.go
@@ -0,0 +1,10 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events 600 to 699: audit and operators.
+var (
+	AuditChange    = define(600, "audit", zapcore.InfoLevel, "one line of the audit trail: what changed, old and new value, reason, revision")
+	OpsFailed      = define(601, "operator server failed", zapcore.ErrorLevel, "the operators' HTTP server ended with an error")
+	AssertionFault = define(602, "assertion failed", zapcore.ErrorLevel, "an invariant was violated; report the line with its fields")
+)
--- /dev/null
+++ b/internal/ops/metrics.go
@@ -0,0 +1,135 @@
+package ops
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const namespace = "wigeonhill"
+
+// Metrics are the measures of one instance. No metric has a label per team or
+// per request: 2,400 teams would make too many series. The status pages give
+// the figures per team.
+type Metrics struct {
+	registry *prometheus.Registry
+	teams    *TeamStats
+
+	requests       *prometheus.CounterVec
+	duration       *prometheus.HistogramVec
+	firstToken     *prometheus.HistogramVec
+	queueWait      prometheus.Histogram
+	sentAway       *prometheus.CounterVec
+	refusedInRate  prometheus.Counter
+	linkCost       prometheus.Counter
+	tokens         *prometheus.CounterVec
+	prefill        *prometheus.CounterVec
+	attempts       prometheus.Counter
+	retriesRefused prometheus.Counter
+}
+
+// latencyBuckets reach from one hop inside a failure domain to a long answer;
+// 1.5 s, the bound for the first token, is one of them.
+var latencyBuckets = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30, 60}
+
+// NewMetrics returns Metrics on a registry of their own.
+func NewMetrics(teams *TeamStats) *Metrics {
+	counterVec := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+	}
+	histogramOpts := func(name, help string) prometheus.HistogramOpts {
+		return prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}
+	}
+	m := &Metrics{
+		registry:       prometheus.NewRegistry(),
+		teams:          teams,
+		requests:       counterVec("requests_total", "Requests of callers by result code (0: answered in full).", "code"),
+		duration:       prometheus.NewHistogramVec(histogramOpts("request_duration_seconds", "Time from arrival to the end of the answer."), []string{"class"}),
+		firstToken:     prometheus.NewHistogramVec(histogramOpts("first_token_seconds", "Time from arrival to the first byte of the answer."), []string{"class"}),
+		queueWait:      prometheus.NewHistogram(histogramOpts("queue_wait_seconds", "Time admitted requests waited for tokens and a slot.")),
+		sentAway:       counterVec("requests_sent_away_total", "Requests served in another region.", "region"),
+		refusedInRate:  counter("refused_within_rate_total", "Requests refused although their team was within its rate."),
+		linkCost:       counter("link_cost_total", "Cost of bytes sent to other regions, in the unit of the table."),
+		tokens:         counterVec("tokens_total", "Tokens by kind: debited, used, refunded.", "kind"),
+		prefill:        counterVec("prefill_tokens_total", "Prompt tokens by whether the choice expected them in a prefix cache.", "cached"),
+		attempts:       counter("target_attempts_total", "Attempts on targets."),
+		retriesRefused: counter("retries_refused_total", "Retries not made because the retry budget was used up."),
+	}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		m.requests, m.duration, m.firstToken, m.queueWait, m.sentAway, m.refusedInRate, m.linkCost,
+		m.tokens, m.prefill, m.attempts, m.retriesRefused,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "worst_team_served_ratio",
+			Help: "Smallest share of answered requests over teams with traffic in the last minute."}, teams.Worst))
+	return m
+}
+
+// Gauge registers a gauge that is read when metrics are collected.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Counter registers a counter that is read when metrics are collected.
+func (m *Metrics) Counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Finished describes one request of a caller after its end.
+type Finished struct {
+	Team         string
+	Code         int    // 0: answered in full
+	Class        string // chat, completion or service
+	Duration     time.Duration
+	FirstByte    time.Duration // 0 if there was none
+	ServedRegion string        // empty for the own region
+	BytesAway    int64
+	LinkCostGB   float64 // cost per gigabyte of the link used
+	TokensUsed   float64
+	Attempts     int
+}
+
+// RequestFinished counts a finished request.
+func (m *Metrics) RequestFinished(f Finished) {
+	m.requests.WithLabelValues(strconv.Itoa(f.Code)).Inc()
+	m.duration.WithLabelValues(f.Class).Observe(f.Duration.Seconds())
+	if f.FirstByte > 0 {
+		m.firstToken.WithLabelValues(f.Class).Observe(f.FirstByte.Seconds())
+	}
+	if f.ServedRegion != "" {
+		m.sentAway.WithLabelValues(f.ServedRegion).Inc()
+		m.linkCost.Add(float64(f.BytesAway) / bytesPerGB * f.LinkCostGB)
+	}
+	m.tokens.WithLabelValues("used").Add(f.TokensUsed)
+	m.attempts.Add(float64(f.Attempts))
+	m.teams.Finished(f.Team, f.Code == 0, f.TokensUsed)
+}
+
+const bytesPerGB = 1e9
+
+// QueueWait observes the waiting time of an admitted request.
+func (m *Metrics) QueueWait(team string, d time.Duration) {
+	m.queueWait.Observe(d.Seconds())
+	m.teams.Waited(team, d)
+}
+
+// RefusedWithinRate counts a refusal of a team that was within its rate.
+func (m *Metrics) RefusedWithinRate(team string) {
+	m.refusedInRate.Inc()
+	m.teams.RefusedWithinRate(team)
+}
+
+// Tokens counts tokens of a kind: debited or refunded.
+func (m *Metrics) Tokens(kind string, n float64) { m.tokens.WithLabelValues(kind).Add(n) }
+
+// Prefill counts prompt tokens by the expected state of the prefix cache.
+func (m *Metrics) Prefill(cached, uncached int) {
+	m.prefill.WithLabelValues("yes").Add(float64(cached))
+	m.prefill.WithLabelValues("no").Add(float64(uncached))
+}
+
+// RetryRefused counts a retry that the budget did not allow.
+func (m *Metrics) RetryRefused() { m.retriesRefused.Inc() }
--- /dev/null
+++ b/internal/ops/server.go
@@ -0,0 +1,111 @@
+package ops
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/wigeonhill/wigeonhill/internal/audit"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	writeTimeout      = 30 * time.Second
+	maxHeaderBytes    = 16 << 10
+	shutdownTimeout   = 2 * time.Second
+)
+
+// Config of the operators' server.
+type Config struct {
+	Listener net.Listener
+	Metrics  *Metrics
+	Teams    *TeamStats
+	Trail    *audit.Ring
+	Records  *audit.Records
+	// Status returns the overview of the instance, encoded as JSON.
+	Status func() any
+	// Team returns what the instance knows about one team.
+	Team func(name string) any
+	// Ready returns nil if callers may be sent to this instance.
+	Ready func() error
+	// Alive returns nil if the process works; a supervisor restarts it otherwise.
+	Alive func() error
+}
+
+// Server is the operators' HTTP server.
+type Server struct {
+	cfg  Config
+	http *http.Server
+}
+
+// NewServer builds the server.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(cfg.Metrics.registry, promhttp.HandlerOpts{})))
+	e.GET("/livez", check(cfg.Alive))
+	e.GET("/readyz", check(cfg.Ready))
+	e.GET("/status", func(c echo.Context) error { return c.JSONPretty(http.StatusOK, cfg.Status(), "  ") })
+	e.GET("/status/teams", func(c echo.Context) error { return c.JSONPretty(http.StatusOK, cfg.Teams.Figures(), "  ") })
+	e.GET("/status/teams/:name", func(c echo.Context) error {
+		return c.JSONPretty(http.StatusOK, cfg.Team(c.Param("name")), "  ")
+	})
+	e.GET("/status/audit", s.auditTrail)
+	e.GET("/status/requests/:id", s.request)
+	s.http = &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: readHeaderTimeout,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return s
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		_ = s.http.Shutdown(grace) // what is left ends with the process
+	})
+	defer stop()
+	if err := s.http.Serve(s.cfg.Listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "operator server")
+	}
+	return nil
+}
+
+func check(probe func() error) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if err := probe(); err != nil {
+			return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+		}
+		return c.String(http.StatusOK, "ok\n")
+	}
+}
+
+func (s *Server) auditTrail(c echo.Context) error {
+	f := audit.Filter{Team: c.QueryParam("team"), Target: c.QueryParam("target"), Kind: c.QueryParam("kind")}
+	if since := c.QueryParam("since"); since != "" {
+		t, err := time.Parse(time.RFC3339, since)
+		if err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, "since must be a time as in 2026-01-02T15:04:05Z")
+		}
+		f.Since = t
+	}
+	return c.JSONPretty(http.StatusOK, s.cfg.Trail.Select(f), "  ")
+}
+
+func (s *Server) request(c echo.Context) error {
+	rec, ok := s.cfg.Records.Get(c.Param("id"))
+	if !ok {
+		return echo.NewHTTPError(http.StatusNotFound, "no record of this request at this instance; ask the instance that answered it")
+	}
+	return c.JSONPretty(http.StatusOK, rec, "  ")
+}
