Add strict parsers of settings and table

Cause: ini.v1 merges repeated sections, lets a later key replace an earlier one and knows no line numbers, so a mistaken edit would be accepted silently.

Change: internal/strictini scans the lines, refuses duplicates, quotes, continuations and unprintable bytes, and collects all faults with lines; settings and table are built on it. table adds Diff, Hazards, Delta and Apply. RouteFor matches whole path segments only. Region gets PreviousShare and EffectiveShare.

Ruled out: rejecting an edition for a change made in one step (Hazards), because instances with different editions must accept the same texts.

--- /dev/null
+++ b/internal/table/delta.go
@@ -0,0 +1,96 @@
+package table
+
+import (
+	"bytes"
+)
+
+// SectionChange replaces, adds or removes one section of a text. A section
+// runs from its header to the next one, with the comments in it; the part
+// before the first header has the empty name.
+type SectionChange struct {
+	Name     string
+	Body     []byte // empty: the section is removed
+	Position int    // index of the section in the new text
+}
+
+type chunk struct {
+	name string
+	body []byte
+}
+
+// split cuts a text into its sections. Joined again they are the same text.
+func split(text []byte) []chunk {
+	out := []chunk{{}}
+	for len(text) > 0 {
+		end := bytes.IndexByte(text, '\n') + 1
+		if end == 0 {
+			end = len(text)
+		}
+		if line := bytes.TrimSpace(text[:end]); bytes.HasPrefix(line, []byte("[")) {
+			out = append(out, chunk{name: string(bytes.Trim(line, "[]"))})
+		}
+		last := &out[len(out)-1]
+		last.body = append(last.body, text[:end]...)
+		text = text[end:]
+	}
+	return out
+}
+
+// Delta returns the changes that turn old into new. ok is false if sections
+// changed their order, which the changes cannot express.
+func Delta(old, new []byte) (changes []SectionChange, ok bool) {
+	before, after := split(old), split(new)
+	bodies := make(map[string][]byte, len(before))
+	for _, c := range before {
+		bodies[c.name] = c.body
+	}
+	kept := make(map[string]bool, len(after))
+	for i, c := range after {
+		kept[c.name] = true
+		if body, found := bodies[c.name]; !found || !bytes.Equal(body, c.body) {
+			changes = append(changes, SectionChange{c.name, c.body, i})
+		}
+	}
+	for _, c := range before {
+		if !kept[c.name] {
+			changes = append(changes, SectionChange{Name: c.name})
+		}
+	}
+	return changes, bytes.Equal(Apply(old, changes), new)
+}
+
+// Apply makes the changes to a text. The caller checks the digest of the
+// result; changes made to another text than the one they were computed from
+// give a text without meaning.
+func Apply(old []byte, changes []SectionChange) []byte {
+	changed := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		changed[c.Name] = true
+	}
+	var kept []chunk
+	for _, c := range split(old) {
+		if !changed[c.name] {
+			kept = append(kept, c)
+		}
+	}
+	var out []byte
+	n := 0 // sections written
+	for _, c := range changes {
+		if len(c.Body) == 0 {
+			if c.Name == "" {
+				n++ // the part before the first header has an index even if empty
+			}
+			continue
+		}
+		for ; n < c.Position && len(kept) > 0; n++ {
+			out = append(out, kept[0].body...)
+			kept = kept[1:]
+		}
+		out = append(out, c.Body...)
+		n++
+	}
+	for _, c := range kept {
+		out = append(out, c.body...)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/table/diff.go
@@ -0,0 +1,129 @@
+package table
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/wigeonhill/wigeonhill/internal/strictini"
+)
+
+// hashDigits of a key hash are shown; the rest would let a reader of the trail
+// test guesses of a key.
+const hashDigits = 8
+
+// Change is one difference between two editions.
+type Change struct {
+	Section string // such as "team care"
+	Field   string
+	Old     string // empty if the field was not published before
+	New     string // empty if the field is no longer published
+}
+
+// Diff lists the fields that differ between two accepted editions, as they
+// are written in the text: removed sections first, then in the order of the
+// new text. A nil edition stands for an empty one. Key hashes are shortened.
+func Diff(old, new *Edition) []Change {
+	var out []Change
+	before, after := sectionsOf(old), sectionsOf(new)
+	added := make(map[string]*strictini.Section, len(after))
+	for _, sec := range after {
+		added[sec.Name] = sec
+	}
+	removed := make(map[string]*strictini.Section, len(before))
+	for _, sec := range before {
+		removed[sec.Name] = sec
+		if added[sec.Name] == nil {
+			out = appendChanges(out, sec.Name, sec, nil)
+		}
+	}
+	for _, sec := range after {
+		out = appendChanges(out, sec.Name, removed[sec.Name], sec)
+	}
+	return out
+}
+
+func sectionsOf(e *Edition) []*strictini.Section {
+	if e == nil {
+		return nil
+	}
+	return strictini.Scan(e.Text, MaxText, &strictini.Collector{})
+}
+
+func appendChanges(out []Change, name string, old, new *strictini.Section) []Change {
+	if old == nil {
+		old = &strictini.Section{}
+	}
+	if new == nil {
+		new = &strictini.Section{}
+	}
+	for _, k := range old.Keys {
+		if _, ok := new.Lookup(k.Name); !ok {
+			out = append(out, Change{name, k.Name, shown(k), ""})
+		}
+	}
+	for _, k := range new.Keys {
+		before, ok := old.Lookup(k.Name)
+		if ok && before.Value == k.Value {
+			continue
+		}
+		out = append(out, Change{name, k.Name, shown(before), shown(k)})
+	}
+	return out
+}
+
+func shown(k strictini.Key) string {
+	if k.Name == "sha256" && len(k.Value) > hashDigits {
+		return k.Value[:hashDigits] + "..."
+	}
+	return k.Value
+}
+
+// Hazards lists changes from old to new that the table can only make safely in
+// two steps but that were made in one. An edition is not rejected for them,
+// because instances that hold different editions must accept the same texts.
+func Hazards(old, new *Edition) []Change {
+	if old == nil || new == nil {
+		return nil
+	}
+	var out []Change
+	// While instances hold different editions, a region may use the larger of
+	// its old and new share.
+	sum := 0.0
+	for _, name := range sortedNames(new.Regions) {
+		sum += max(shareOf(old, name), shareOf(new, name))
+	}
+	for _, name := range sortedNames(old.Regions) {
+		if new.Regions[name] == nil {
+			sum += shareOf(old, name)
+		}
+	}
+	for _, name := range sortedNames(new.Regions) {
+		before, after := old.Regions[name], new.Regions[name]
+		if was, is := shareOf(old, name), shareOf(new, name); is > was && sum > 1+shareTolerance {
+			out = append(out, Change{"region " + name, "share", formatShare(was), formatShare(is)})
+		}
+		if before != nil && !sameSeats(before.Seats, after.Seats) && !sameSeats(after.PreviousSeats, before.Seats) {
+			out = append(out, Change{"region " + name, "seats", strings.Join(before.Seats, ", "), strings.Join(after.Seats, ", ")})
+		}
+	}
+	for _, name := range sortedNames(new.Targets) {
+		if before, after := old.Targets[name], new.Targets[name]; before != nil && before.Region != after.Region {
+			out = append(out, Change{"target " + name, "region", before.Region, after.Region})
+		}
+	}
+	return out
+}
+
+func shareOf(e *Edition, region string) float64 {
+	if r := e.Regions[region]; r != nil {
+		return r.EffectiveShare()
+	}
+	return 0
+}
+
+func formatShare(share float64) string { return strconv.FormatFloat(share, 'g', -1, 64) }
+
+func sameSeats(a, b []string) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+}
--- a/internal/table/edition.go
+++ b/internal/table/edition.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"strings"
 	"time"
 )
 
@@ -36,6 +37,9 @@
 	Name string
 	// Share of every team's rate and burst; the sum over regions is at most 1.
 	Share float64
+	// PreviousShare is set while Share is being changed, else nil. It may be
+	// 0, for a region that was not published before.
+	PreviousShare *float64
 	// Seats are the peer addresses (IP:port) that vote in this region.
 	Seats []string
 	// PreviousSeats is set while Seats is being changed; a grantor then needs
@@ -45,6 +49,16 @@
 	Shards int
 }
 
+// EffectiveShare is the share in force: the smaller of Share and PreviousShare,
+// so that a region that has heard of a change and one that has not never add
+// up to more than the whole.
+func (r *Region) EffectiveShare() float64 {
+	if r.PreviousShare != nil {
+		return min(r.Share, *r.PreviousShare)
+	}
+	return r.Share
+}
+
 // LinkID names the pair of regions of a link, in lexical order.
 type LinkID struct{ A, B string }
 
@@ -162,10 +176,12 @@
 	HopSlots int
 }
 
-// RouteFor returns the route with the longest prefix of path.
+// RouteFor returns the route with the longest prefix of path. A prefix ends
+// where a path segment ends: /orders is no prefix of /orders-internal.
 func (e *Edition) RouteFor(path string) *Route {
 	for _, r := range e.Routes {
-		if len(path) >= len(r.Prefix) && path[:len(r.Prefix)] == r.Prefix {
+		rest, ok := strings.CutPrefix(path, r.Prefix)
+		if ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(r.Prefix, "/")) {
 			return r
 		}
 	}
