Add admission: fair queue by tokens with early refusal

Cause: the thin path needs an admit.Admitter over the holder's tokens and slots. Ruled out: taking rights under the queue's lock, which would break the lock order (grant before admit); debiting before taking the slot, because a refund returns to the balance only after a renewal. Figures: go test -race ./internal/admit passes; no load figures yet. Conclusion: usable by the path; proof under load follows.

--- /dev/null
+++ b/internal/admit/admit.go
@@ -0,0 +1,244 @@
+package admit
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/grant"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+)
+
+var _ Admitter = (*Manager)(nil)
+
+// rights are what a request needs to run.
+type rights struct {
+	admission grant.Admission
+	debited   bool
+	slot      grant.Slot
+	hasSlot   bool
+}
+
+// outcome ends the wait of a queued request.
+type outcome struct {
+	rights
+	err *result.Error
+}
+
+// Admit implements Admitter.
+func (m *Manager) Admit(ctx context.Context, r Request) (Ticket, error) {
+	within, err := m.arrive(r)
+	if err == nil {
+		var got rights
+		var waited time.Duration
+		if got, waited, err = m.obtain(ctx, r, false); err == nil {
+			m.outstanding.Add(1)
+			m.cfg.Observer.Admitted(r.Team, waited)
+			return Ticket{
+				Admission: got.admission, Slot: got.slot, HasSlot: got.hasSlot,
+				Waited: waited, ended: new(atomic.Bool),
+			}, nil
+		}
+	}
+	m.cfg.Observer.Refused(r.Team, err.Code, within)
+	return Ticket{}, err
+}
+
+// arrive counts the demand of r and refuses what can never be admitted.
+func (m *Manager) arrive(r Request) (within bool, err *result.Error) {
+	if m.cfg.Limits == nil || r.Tokens <= 0 || r.Prepaid {
+		return m.cfg.Limits != nil, nil
+	}
+	rate, burst, ok := m.cfg.Limits(r.Team)
+	if !ok {
+		return false, nil
+	}
+	if r.Tokens > burst {
+		return false, result.New(result.TooLargeForTeam, result.NotRun, "the request needs %.0f tokens, the team's burst is %.0f", r.Tokens, burst)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mu.shadow.arrive(r.Team, r.Tokens, rate, burst, m.now()), nil
+}
+
+// Reslot implements Admitter. It debits nothing and goes before the team's
+// other requests, since what the request has used so far would be lost.
+func (m *Manager) Reslot(ctx context.Context, r Request) (grant.Slot, error) {
+	r.Prepaid = true
+	got, _, err := m.obtain(ctx, r, true)
+	if err != nil {
+		return grant.Slot{}, err
+	}
+	return got.slot, nil
+}
+
+// obtain takes the rights of r, at once or after a wait in the queue.
+func (m *Manager) obtain(ctx context.Context, r Request, urgent bool) (rights, time.Duration, *result.Error) {
+	now := m.now()
+	e := &entry{team: r.Team, at: now, urgent: urgent, heapIndex: -1, cost: max(r.Tokens, leastCost)}
+	if !r.Prepaid {
+		e.tokens = max(r.Tokens, 0)
+	}
+	e.deadline = now + m.cfg.MaxWait
+	if !r.Deadline.IsZero() {
+		e.deadline = min(e.deadline, r.Deadline.Sub(m.start))
+	}
+	switch {
+	case ctx.Err() != nil:
+		return rights{}, 0, left(ctx)
+	case r.Targets != nil && len(r.Targets) == 0:
+		return rights{}, 0, result.New(result.NoTarget, result.NotRun, "no live target")
+	case e.deadline <= now:
+		return rights{}, 0, result.New(result.DeadlineTooNear, result.NotRun, "the deadline has passed")
+	}
+	free, stopped := m.mayPass(r)
+	if stopped {
+		return rights{}, 0, errStopped()
+	}
+	if free {
+		if got, v := m.take(e.team, e.tokens, r.Targets, nil); v == served {
+			m.charge(r, e)
+			return got, 0, nil
+		}
+	}
+	if err := m.enqueue(r, e); err != nil {
+		return rights{}, 0, err
+	}
+	m.serve()
+	select {
+	case out := <-e.done:
+		return out.rights, m.now() - now, out.err
+	case <-ctx.Done():
+		m.abandon(e)
+		return rights{}, 0, left(ctx)
+	}
+}
+
+// mayPass reports whether r may take rights without going through the queue,
+// because nothing that is queued waits for the same.
+func (m *Manager) mayPass(r Request) (free, stopped bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mu.q.clear(r.Team, r.Targets), m.mu.stopped
+}
+
+func (m *Manager) charge(r Request, e *entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mu.q.pass(e.at, r.Team, r.Weight, r.Targets, e.cost)
+}
+
+func (m *Manager) enqueue(r Request, e *entry) *result.Error {
+	e.done = make(chan outcome, 1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.mu.stopped {
+		return errStopped()
+	}
+	e.targets = m.mu.q.lookup(r.Targets)
+	dropped, err := m.mu.q.push(e.at, e, r.Weight)
+	if dropped != nil {
+		dropped.done <- outcome{err: result.New(result.QueueFull, result.NotRun, "the queue is full and the team has the most requests in it for its weight")}
+	}
+	if err == nil && len(m.timer) == 0 {
+		select {
+		case m.timer <- struct{}{}:
+		default:
+		}
+	}
+	return err
+}
+
+// abandon takes a request whose caller has gone out of the queue and gives
+// back what it was given meanwhile.
+func (m *Manager) abandon(e *entry) {
+	m.mu.Lock()
+	queued := m.mu.q.cancel(m.now(), e)
+	m.mu.Unlock()
+	if !queued {
+		// The outcome was sent under mu, before the entry left the queue.
+		if out := <-e.done; out.err == nil {
+			m.giveBack(out.rights, 0)
+		}
+	}
+	m.serve()
+}
+
+// take takes a slot of the first target that has one, then the tokens. The
+// slot comes first because it can be returned at once, while a refund reaches
+// the balance only after the grantor has confirmed it. failed is called for
+// each target without a slot.
+func (m *Manager) take(team string, tokens float64, targets []string, failed func(i int)) (rights, verdict) {
+	var r rights
+	for i, name := range targets {
+		if r.slot, r.hasSlot = m.cfg.Slots.TryTake(name); r.hasSlot {
+			break
+		}
+		if failed != nil {
+			failed(i)
+		}
+	}
+	if !r.hasSlot && len(targets) > 0 {
+		return rights{}, noSlot
+	}
+	if tokens > 0 {
+		if r.admission, r.debited = m.cfg.Tokens.TryDebit(team, tokens); !r.debited {
+			if r.hasSlot {
+				m.cfg.Slots.Release(r.slot)
+			}
+			return rights{}, noTokens
+		}
+	}
+	return r, served
+}
+
+// giveBack frees the slot and refunds what was not used.
+func (m *Manager) giveBack(r rights, used float64) {
+	if r.debited {
+		m.cfg.Tokens.Refund(r.admission, min(max(r.admission.Tokens-used, 0), r.admission.Tokens))
+	}
+	if !r.hasSlot {
+		return
+	}
+	m.cfg.Slots.Release(r.slot)
+	m.mu.Lock()
+	m.mu.q.freed(r.slot.Target)
+	waiting := m.mu.q.total > 0
+	m.mu.Unlock()
+	if waiting {
+		m.serve()
+	}
+}
+
+// Spendable implements Admitter.
+func (m *Manager) Spendable(t Ticket) bool {
+	if t.Admission.Team != "" && !m.cfg.Tokens.Spendable(t.Admission) {
+		return false
+	}
+	return !t.HasSlot || m.cfg.Slots.Usable(t.Slot)
+}
+
+// Done implements Admitter. A second call for the same ticket is a fault of
+// the caller; it is reported and changes nothing.
+func (m *Manager) Done(t Ticket, used float64) {
+	if t.ended != nil {
+		if t.ended.Swap(true) {
+			m.cfg.Log.Emit(event.TicketEndedTwice, zap.String("team", t.Admission.Team), zap.String("target", t.Slot.Target))
+			return
+		}
+		m.outstanding.Add(-1)
+	}
+	m.giveBack(rights{t.Admission, t.Admission.Team != "", t.Slot, t.HasSlot}, used)
+}
+
+// left is the refusal of a request whose caller did not wait.
+func left(ctx context.Context) *result.Error {
+	return result.New(result.DeadlineTooNear, result.NotRun, "the caller stopped waiting").WithCause(ctx.Err())
+}
+
+func errStopped() *result.Error {
+	return result.New(result.ShuttingDown, result.NotRun, "the instance is shutting down")
+}
--- a/internal/admit/api.go
+++ b/internal/admit/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/grant"
@@ -30,6 +31,8 @@
 	Slot      grant.Slot
 	HasSlot   bool
 	Waited    time.Duration
+	// ended is shared by all copies of the ticket and set by Done.
+	ended *atomic.Bool
 }
 
 // Admitter admits requests. Errors are *result.Error and always not run.
