Add routing: choice of targets and regions, and the beliefs behind it

Cause: the thin path needs a choice of target or region with its reasons. TargetView gains PendingTokens, RegionView Spilling, View Salt, Choice Ask and Breach. Ruled out: a view of caches shared by all targets in one index, since beliefs about targets heal and decay apart; dropping all beliefs at a gap, since one lost event can make at most one entry wrong.

--- a/internal/route/api.go
+++ b/internal/route/api.go
@@ -31,7 +31,10 @@
 	Queued  int
 	// CachedTokens of the query's prompt believed to be in the prefix cache.
 	CachedTokens int
-	// FreeSlots that the instance holds.
+	// PendingTokens are prompt tokens that the instance sent there and that the
+	// target has probably not processed yet.
+	PendingTokens int
+	// FreeSlots that the instance holds; negative if unknown.
 	FreeSlots int
 }
 
@@ -41,8 +44,13 @@
 	// Reachable is true if a live instance there answers.
 	Reachable bool
 	Link      *table.Link
-	// FreeSlots and Capacity for the query's model or service, as last reported.
+	// Capacity for the query's model or service, and the part of the free slots
+	// that this instance may count on; FreeSlots is negative if the region's
+	// status is unknown or old.
 	FreeSlots, Capacity int
+	// Spilling is true while requests of this model or service go there because
+	// the own region is short. It is then enough that the region is no worse.
+	Spilling bool
 	// InFlight is the number of own requests forwarded there.
 	InFlight int
 	// LinkLoad is the use of the link's budget, from 0 to 1.
@@ -56,6 +64,9 @@
 	Regions []RegionView
 	// LocalWait is the time a request for this model waits for a slot here.
 	LocalWait time.Duration
+	// Salt differs from view to view; it separates instances that see the same
+	// old figures.
+	Salt uint64
 }
 
 // Choice is the decision.
@@ -65,6 +76,11 @@
 	Targets []string
 	// Region to forward to; empty for the own region.
 	Region string
+	// Ask lists regions whose status would have mattered but is not known.
+	Ask []string
+	// Breach is set if the choice was outside the allowed regions and was
+	// dropped. It is never set unless Choose has a fault.
+	Breach bool
 	// Reasons, one line per candidate, with the figures seen.
 	Reasons []string
 }
--- /dev/null
+++ b/internal/route/choose_test.go
@@ -0,0 +1,137 @@
+package route
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+var testPolicy = table.Policy{CostWeight: 1, SentAwayWeight: 1, LatencyWeight: 1, WorstTeamWeight: 1, QueueWait: 10 * time.Second, HopSlots: 8}
+
+func engine(name, region string, capacity int) *table.Target {
+	return &table.Target{Name: name, Kind: table.Engine, Region: region, Models: map[string]bool{"m": true}, Capacity: capacity}
+}
+
+// randomView builds a view of n targets and three other regions from bits.
+func randomView(n int, bits uint64) View {
+	next := func(k uint64) int {
+		bits = mix(bits)
+		return int(bits % k)
+	}
+	v := View{Region: "home", Salt: bits, LocalWait: time.Duration(next(4)) * 3 * time.Second}
+	for i := range n {
+		v.Targets = append(v.Targets, TargetView{
+			Target: engine("t"+string(rune('a'+i)), []string{"home", "home", "home", "r0"}[next(4)], 4),
+			Live:   next(4) > 0, Running: next(6), Queued: next(3), CachedTokens: next(900), FreeSlots: next(3) - 1,
+		})
+	}
+	for _, name := range []string{"r0", "r1", "r2"} {
+		v.Regions = append(v.Regions, RegionView{
+			Region: name, Reachable: next(4) > 0, Link: &table.Link{Bandwidth: 140e6, Delay: 55 * time.Millisecond, Cost: 1},
+			FreeSlots: next(6) - 1, Capacity: next(3) * 8, InFlight: next(10), Spilling: next(2) == 0, LinkLoad: float64(next(12)) / 10,
+		})
+	}
+	return v
+}
+
+// Guards I1 and I2: a choice outside the allowed regions, an excluded or
+// unreachable place, a hop of a forwarded request, or a choice that the final
+// check had to drop.
+func TestChooseKeepsRules(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(11)
+	params.MinSuccessfulTests = 20000
+	p := gopter.NewProperties(params)
+	p.Property("allowed, live, not excluded", prop.ForAll(func(n int, bits uint64, mask uint8, localOnly bool) bool {
+		q := Query{Model: "m", PromptTokens: 1000, LocalOnly: localOnly, Allowed: map[string]bool{}, Exclude: map[string]bool{}}
+		for i, name := range []string{"home", "r0", "r1", "r2"} {
+			q.Allowed[name] = mask>>i&1 == 1
+		}
+		q.Exclude["ta"], q.Exclude["r1"] = mask>>4&1 == 1, mask>>5&1 == 1
+		v := randomView(n, bits)
+		c := Choose(q, v, testPolicy)
+		if c.Breach || c.Region != "" && (localOnly || !q.Allowed[c.Region] || q.Exclude[c.Region] || len(c.Targets) > 0) {
+			return false
+		}
+		for _, r := range v.Regions {
+			if r.Region == c.Region && (!r.Reachable || r.InFlight >= testPolicy.HopSlots) {
+				return false
+			}
+		}
+		for _, name := range c.Targets {
+			i := slices.IndexFunc(v.Targets, func(x TargetView) bool { return x.Target.Name == name })
+			if !q.Allowed["home"] || q.Exclude[name] || !v.Targets[i].Live || v.Targets[i].Target.Region != "home" {
+				return false
+			}
+		}
+		return true
+	}, gen.IntRange(0, 12), gen.UInt64(), gen.UInt8(), gen.Bool()))
+	p.TestingRun(t)
+}
+
+// Guards against a final check that lets a wrong choice pass.
+func TestCheckDropsBreach(t *testing.T) {
+	v := View{Region: "home", Targets: []TargetView{{Target: engine("x", "r0", 1)}}}
+	for _, c := range []Choice{{Region: "r0"}, {Targets: []string{"x"}}, {Targets: []string{"unknown"}}} {
+		c.check(Query{Allowed: map[string]bool{"home": true}}, &v)
+		if !c.Breach || c.Region != "" || c.Targets != nil {
+			t.Errorf("passed: %+v", c)
+		}
+	}
+	c := Choice{Region: "r0"}
+	if c.check(Query{Allowed: map[string]bool{"r0": true}, LocalOnly: true}, &v); !c.Breach {
+		t.Error("a second hop passed")
+	}
+}
+
+// Guards against hashes that differ from those of the engines.
+func TestPrefixHashes(t *testing.T) {
+	text := strings.Repeat("abcdefgh", 100) // 3 full blocks and a rest
+	got := PrefixHashes(text)
+	if len(got) != 3 {
+		t.Fatalf("%d hashes", len(got))
+	}
+	for i, h := range got {
+		if want := xxhash.Sum64String(text[:(i+1)*256]); h != want {
+			t.Errorf("block %d: %x, want %x", i, h, want)
+		}
+	}
+	if Tokens(9) != 3 || PrefixHashes("short") != nil {
+		t.Error("wrong token count or hash of a short prompt")
+	}
+}
+
+// Guards against a hop while the own region has room, against no hop when the
+// own queue is long, and against a threshold without hysteresis.
+func TestSpill(t *testing.T) {
+	q := Query{Model: "m", PromptTokens: 800, Allowed: map[string]bool{"home": true, "r0": true}}
+	view := func(running int, wait time.Duration, spilling bool) View {
+		return View{
+			Region: "home", LocalWait: wait,
+			Targets: []TargetView{{Target: engine("x", "home", 4), Live: true, Running: running}},
+			Regions: []RegionView{{Region: "r0", Reachable: true, Capacity: 8, FreeSlots: 4, Spilling: spilling,
+				Link: &table.Link{Bandwidth: 140e6, Delay: 55 * time.Millisecond}}},
+		}
+	}
+	for _, c := range []struct {
+		running  int
+		wait     time.Duration
+		spilling bool
+		away     bool
+	}{
+		{2, 0, false, false}, {4, 0, false, false}, {4, 200 * time.Millisecond, false, false},
+		{4, 5 * time.Second, false, true}, {4, 650 * time.Millisecond, false, false}, {4, 650 * time.Millisecond, true, true},
+	} {
+		got := Choose(q, view(c.running, c.wait, c.spilling), testPolicy)
+		if (got.Region != "") != c.away {
+			t.Errorf("%+v: %+v", c, got)
+		}
+	}
+}
