Add the request path: access, once, dispatch, entry and peer clients

Change: access decides by edition and strips keys; once holds the records of idempotency keys; dispatch makes attempts with a retry budget, resumes streams and makes or serves the one hop; entry serves callers within bounds; peerapi gets its client pool and server over HTTP/2.

Ruled out: the shared transport of net/http for non-idempotent requests. It repeats a request that has an Idempotency-Key header when a kept connection breaks. Each such request uses a fresh connection, whose writes are counted. Also ruled out: the default HTTP/2 stream window of 4 MB, which would hold that much for each slow reader of a forwarded stream.

--- /dev/null
+++ b/internal/dispatch/config.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/admit"
+	"github.com/wigeonhill/wigeonhill/internal/audit"
+	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/grant"
+	"github.com/wigeonhill/wigeonhill/internal/once"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
+	"github.com/wigeonhill/wigeonhill/internal/route"
+	"github.com/wigeonhill/wigeonhill/internal/settings"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+// Editions gives the edition in force; nil before the first one.
+type Editions interface {
+	Current() *table.Edition
+}
+
+// Member is a live instance.
+type Member struct {
+	Name        string
+	Incarnation uint64
+	PeerAddress string
+	Region      string
+}
+
+// Members lists instances believed alive.
+type Members interface {
+	// InRegion returns the live instances of a region, without this one.
+	InRegion(region string) []Member
+	// ByName returns the live instance of that name.
+	ByName(name string) (Member, bool)
+}
+
+// Peers gives clients by peer address.
+type Peers interface {
+	Client(address string) peerv1connect.PeerClient
+}
+
+// Chooser decides where a request runs.
+type Chooser interface {
+	Choose(q route.Query) route.Choice
+}
+
+// Slots is the part of the holder that attempts after the first one need.
+type Slots interface {
+	Usable(s grant.Slot) bool
+	Release(s grant.Slot)
+}
+
+// TargetWatch learns how attempts on targets ended, for the choice of targets.
+type TargetWatch interface {
+	// Attempt is called when an attempt ends; err is nil for an answer.
+	Attempt(target string, err error, d time.Duration)
+}
+
+// LocalConfig is what a Local needs.
+type LocalConfig struct {
+	Instance settings.Instance
+	Bounds   settings.Bounds
+	Editions Editions
+	Chooser  Chooser
+	Admitter admit.Admitter
+	Slots    Slots
+	Gate     *Gate
+	Suspects *Suspects
+	Memory   *Memory
+	Budget   *Budget
+	Requests audit.Requests
+	Trail    audit.Trail
+	Clock    clock.Clock
+	Log      *event.Logger
+	Watch    TargetWatch // optional
+}
+
+// Config is what a Dispatcher needs.
+type Config struct {
+	Local       *Local
+	Members     Members
+	Peers       Peers
+	Once        *once.Store
+	Incarnation uint64
+	// PeerAddress is named to peers as the sender's address.
+	PeerAddress string
+}
--- /dev/null
+++ b/internal/dispatch/gate.go
@@ -0,0 +1,163 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/result"
+)
+
+// Confirmer confirms the edition with a peer or the configuration service.
+type Confirmer interface {
+	// Confirm blocks until the edition in force is confirmed or ctx ends.
+	Confirm(ctx context.Context) error
+	// Fresh returns EditionTooOld if the instance was cut off for too long.
+	Fresh() error
+}
+
+// confirmRetry is the wait after a failed confirmation.
+const confirmRetry = 200 * time.Millisecond
+
+// Gate decides whether the instance serves at all: not before the edition is
+// confirmed, not after a pause until it is confirmed again, and no new
+// requests while draining.
+type Gate struct {
+	confirmer Confirmer
+	wake      chan struct{}
+	mu        struct {
+		sync.Mutex
+		confirmed bool
+		pauses    uint64
+		draining  bool
+		running   int
+		idle      chan struct{} // closed when draining and running is 0
+	}
+}
+
+// NewGate returns a closed gate; Run opens it.
+func NewGate(c Confirmer) *Gate {
+	g := &Gate{confirmer: c, wake: make(chan struct{}, 1)}
+	g.mu.idle = make(chan struct{})
+	return g
+}
+
+// Paused closes the gate until the edition is confirmed again. The watchdog
+// calls it after the process did not run for a while.
+func (g *Gate) Paused() {
+	g.mu.Lock()
+	g.mu.confirmed = false
+	g.mu.pauses++
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run confirms the edition at the start and after each pause until ctx ends.
+func (g *Gate) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !g.confirm(ctx) {
+			sleep(ctx, confirmRetry)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-g.wake:
+		}
+	}
+	return nil
+}
+
+// confirm reports whether the gate is open. A pause during the confirmation
+// makes it worthless.
+func (g *Gate) confirm(ctx context.Context) bool {
+	g.mu.Lock()
+	before, open := g.mu.pauses, g.mu.confirmed
+	g.mu.Unlock()
+	if open {
+		return true
+	}
+	if g.confirmer.Confirm(ctx) != nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mu.confirmed = g.mu.pauses == before
+	return g.mu.confirmed
+}
+
+// Check returns nil if requests may be served now.
+func (g *Gate) Check() error {
+	g.mu.Lock()
+	ok := g.mu.confirmed
+	g.mu.Unlock()
+	if !ok {
+		return result.New(result.NotReady, result.NotRun, "the instance has not confirmed its edition").WithRetryAfter(time.Second)
+	}
+	return g.confirmer.Fresh()
+}
+
+// Enter counts a new request; leave must be called when it has ended.
+func (g *Gate) Enter() (leave func(), err error) {
+	if err := g.Check(); err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.mu.draining {
+		return nil, result.New(result.ShuttingDown, result.NotRun, "the instance is shutting down")
+	}
+	g.mu.running++
+	return g.leave, nil
+}
+
+func (g *Gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.mu.running--
+	g.closeIfIdle()
+}
+
+func (g *Gate) closeIfIdle() {
+	if !g.mu.draining || g.mu.running > 0 {
+		return
+	}
+	select {
+	case <-g.mu.idle:
+	default:
+		close(g.mu.idle)
+	}
+}
+
+// Drain refuses new requests and waits until the running ones have ended.
+func (g *Gate) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.mu.draining = true
+	g.closeIfIdle()
+	idle := g.mu.idle
+	g.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Running is the number of requests in progress.
+func (g *Gate) Running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mu.running
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/dispatch/local.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/access"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+const (
+	// checkEvery is how often running requests are checked against the edition.
+	checkEvery = time.Second
+	// defaultTimeout applies where the settings give no RequestTimeout.
+	defaultTimeout = 10 * time.Minute
+	// maxAttempts bounds the attempts without progress of one request.
+	maxAttempts = 3
+)
+
+// Local runs requests on targets of the own region.
+type Local struct {
+	LocalConfig
+	transports *transports
+	mu         struct {
+		sync.Mutex
+		running map[*run]struct{}
+		checked *table.Edition
+	}
+}
+
+// NewLocal returns a Local. RunChecks must run beside it.
+func NewLocal(cfg LocalConfig) *Local {
+	l := &Local{LocalConfig: cfg, transports: newTransports(cfg.Bounds)}
+	l.mu.running = map[*run]struct{}{}
+	return l
+}
+
+// RunChecks checks running requests every second until ctx ends.
+func (l *Local) RunChecks(ctx context.Context) error {
+	t := time.NewTicker(checkEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.transports.shared.CloseIdleConnections()
+			return nil
+		case <-t.C:
+			l.CheckRunning()
+		}
+	}
+}
+
+// CheckRunning ends the running requests that the newest edition forbids. A
+// request that starts at the same time sees the newest edition itself, right
+// before its dispatch.
+func (l *Local) CheckRunning() {
+	e := l.Editions.Current()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e == nil || e == l.mu.checked {
+		return
+	}
+	l.mu.checked = e
+	for r := range l.mu.running {
+		r.recheck(e)
+	}
+}
+
+func (l *Local) enlist(r *run) (leave func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mu.running[r] = struct{}{}
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.mu.running, r)
+	}
+}
+
+// Do runs a call in the own region. The error is a *result.Error.
+func (l *Local) Do(ctx context.Context, c *Call, sink Sink) (Outcome, error) {
+	return l.do(ctx, c, sink, nil)
+}
+
+// do runs a call; h is nil where no hop may be made.
+func (l *Local) do(ctx context.Context, c *Call, sink Sink, h hop) (Outcome, error) {
+	l.Budget.Request()
+	timeout := l.Bounds.RequestTimeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r := &run{l: l, hop: h, c: c, sink: sink, cancel: cancel, exclude: map[string]bool{}, fingerprint: c.Fingerprint(),
+		attempts: c.Attempts, delivered: c.Resumed}
+	defer l.enlist(r)()
+	err := r.loop(ctx)
+	r.settle(err == nil)
+	r.out.Attempts = r.attempts - c.Attempts
+	if err != nil {
+		return r.out, r.conclude(err)
+	}
+	return r.out, nil
+}
+
+// maxRun is the longest run time of one attempt.
+func maxRun(e *table.Edition, p access.Permit) time.Duration {
+	if m := e.Models[p.Model]; m != nil {
+		return m.MaxRun
+	}
+	if s := e.Services[p.Service]; s != nil {
+		return s.MaxRun
+	}
+	return 0
+}
+
+// current returns the edition and the permit by it, or why the instance or the
+// edition does not allow the request now.
+func (l *Local) current(c *Call, f Fingerprint) (*table.Edition, access.Permit, error) {
+	if err := l.Gate.Check(); err != nil {
+		return nil, c.Permit, err
+	}
+	e := l.Editions.Current()
+	if e == nil {
+		return nil, c.Permit, result.New(result.NotReady, result.NotRun, "the instance has no edition yet")
+	}
+	if l.Suspects.Blocked(f) {
+		return nil, c.Permit, result.New(result.FingerprintBlock, result.NotRun, "this request crashed targets")
+	}
+	p, err := access.Recheck(e, c.Permit)
+	if err == nil && c.Prepaid && !p.Allowed[l.Instance.Region] {
+		err = result.New(result.HopRefused, result.NotRun, "residency no longer allows this region")
+	}
+	return e, p, err
+}
--- /dev/null
+++ b/internal/dispatch/receive.go
@@ -0,0 +1,227 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/access"
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/once"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+// Bounds of a forwarded request.
+const (
+	maxID       = 64
+	maxHeaders  = 256
+	maxAttempt  = 16
+	maxResume   = 1 << 24
+	maxRemainMs = 24 * 60 * 60 * 1000
+)
+
+// Pools tells how busy this instance's region is for a model or service.
+type Pools interface {
+	PoolStatus(model, service string) (capacity, running, queued int, wait time.Duration)
+}
+
+// ReceiverConfig is what a Receiver needs.
+type ReceiverConfig struct {
+	Local *Local
+	Once  *once.Store
+	Pools Pools
+}
+
+// Receiver serves Forward, Resend and PoolStatus of the inner protocol. It has
+// no client of other instances.
+type Receiver struct{ cfg ReceiverConfig }
+
+// NewReceiver returns a Receiver.
+func NewReceiver(cfg ReceiverConfig) *Receiver { return &Receiver{cfg} }
+
+// PoolStatus tells how busy the region is.
+func (r *Receiver) PoolStatus(_ context.Context, req *connect.Request[peerv1.PoolStatusRequest]) (*connect.Response[peerv1.PoolStatusResponse], error) {
+	capacity, running, queued, wait := r.cfg.Pools.PoolStatus(req.Msg.GetModel(), req.Msg.GetService())
+	return connect.NewResponse(&peerv1.PoolStatusResponse{
+		Capacity: uint32(capacity), Running: uint32(running), Queued: uint32(queued), WaitMs: uint32(wait.Milliseconds()),
+	}), nil
+}
+
+// Forward runs a request of another region on the targets of this one.
+func (r *Receiver) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], s *connect.ServerStream[peerv1.ForwardResponse]) error {
+	return r.serve(ctx, req.Msg, s, r.cfg.Local.Do, result.NotRun)
+}
+
+// Resend runs a request whose idempotency key names this instance, unless it
+// has run already.
+func (r *Receiver) Resend(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], s *connect.ServerStream[peerv1.ForwardResponse]) error {
+	return r.serve(ctx, req.Msg, s, func(ctx context.Context, c *Call, sink Sink) (Outcome, error) {
+		k, err := once.Parse(req.Msg.GetIdempotencyKey())
+		if err != nil {
+			return Outcome{}, err // no request can have run under such a key
+		}
+		if c.Permit.Idempotent {
+			return Outcome{}, result.New(result.HopRefused, result.MayHaveRun, "the route is idempotent here")
+		}
+		return r.cfg.Local.keyed(ctx, r.cfg.Once, k, c, sink, nil)
+	}, result.MayHaveRun)
+}
+
+type sender interface {
+	Send(*peerv1.ForwardResponse) error
+}
+
+// doFunc runs a call.
+type doFunc func(context.Context, *Call, Sink) (Outcome, error)
+
+// serve checks a message and runs its call. early is what a refusal before the
+// call says: before the record of an idempotency key was read, an earlier
+// attempt may have run.
+func (r *Receiver) serve(ctx context.Context, m *peerv1.ForwardRequest, s sender, do doFunc, early result.Ran) error {
+	l := r.cfg.Local
+	out := &frameSink{s: s, id: m.GetRequestId()}
+	refuse := func(err error) error {
+		e := *result.From(err)
+		e.Ran = early
+		return out.tail(Outcome{}, &e)
+	}
+	leave, err := l.Gate.Enter()
+	if err != nil {
+		return refuse(err)
+	}
+	defer leave()
+	c, err := parseForward(l.Editions.Current(), l.Instance.Region, l.Bounds.MaxBody, m)
+	if err != nil {
+		l.Log.Emit(event.HopRejected, zap.String("request", m.GetRequestId()), zap.String("from", m.GetFrom().GetInstance()), zap.Error(err))
+		return refuse(err)
+	}
+	hold := l.Memory.Hold(c.Permit.Team)
+	defer hold.Close()
+	if err := hold.Reserve(int64(len(c.Body)), result.NotRun); err != nil {
+		return refuse(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.GetRemainingMs())*time.Millisecond)
+	defer cancel()
+	o, err := do(ctx, c, out)
+	code := 0
+	if err != nil {
+		code = int(result.From(err).Code)
+	}
+	l.Requests.End(c.ID, c.Permit.Team, code, time.Since(c.Arrived))
+	if err != nil {
+		return out.tail(o, result.From(err))
+	}
+	return out.tail(o, nil)
+}
+
+// parseForward checks a message of the inner protocol by the receiver's own
+// edition. Errors are never "may have run".
+func parseForward(e *table.Edition, region string, maxBody int64, m *peerv1.ForwardRequest) (*Call, error) {
+	refuse := func(what string) error { return result.New(result.HopRefused, result.NotRun, "%s", what) }
+	id := m.GetRequestId()
+	switch {
+	case e == nil:
+		return nil, result.New(result.NotReady, result.NotRun, "the instance has no edition yet")
+	case m.GetHop() != 1:
+		return nil, refuse("the hop count is not 1")
+	case id == "" || len(id) > maxID || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }):
+		return nil, refuse("the request id is not valid")
+	case m.GetRemainingMs() == 0 || m.GetRemainingMs() > maxRemainMs:
+		return nil, refuse("the remaining time is not valid")
+	case m.GetAttempt() > maxAttempt || len(m.GetHeaders()) > maxHeaders:
+		return nil, refuse("too many attempts or headers")
+	case maxBody > 0 && int64(len(m.GetBody())) > maxBody:
+		return nil, result.New(result.BodyTooLarge, result.NotRun, "the body exceeds the bound of %d bytes", maxBody)
+	}
+	c := &Call{ID: id, Method: m.GetMethod(), Body: m.GetBody(), Prepaid: true, Attempts: int(m.GetAttempt()),
+		IdempotencyKey: m.GetIdempotencyKey(), Arrived: time.Now()}
+	c.Path, c.RawQuery, _ = strings.Cut(m.GetPath(), "?")
+	var err error
+	c.Permit, err = access.Forwarded(e, region, access.Hop{Team: m.GetTeam(), Model: m.GetModel(), Route: m.GetRoute(),
+		Method: c.Method, Path: c.Path, Allowed: m.GetAllowedRegions()})
+	if err != nil {
+		return nil, err
+	}
+	headers := http.Header{}
+	for _, h := range m.GetHeaders() {
+		headers.Add(h.GetName(), h.GetValue())
+	}
+	if resumed, err := strconv.Atoi(headers.Get(resumeHeader)); err == nil && resumed > 0 && resumed < maxResume {
+		c.Resumed = resumed
+	}
+	if c.Header = access.EndToEnd(headers, ""); c.Permit.Model == "" {
+		return c, nil
+	}
+	return c, c.prepareForwarded(e, m)
+}
+
+// CompletionPaths are the paths served by engines.
+var CompletionPaths = []string{"/v1/chat/completions", "/v1/completions"}
+
+func (c *Call) prepareForwarded(e *table.Edition, m *peerv1.ForwardRequest) error {
+	if c.Method != http.MethodPost || !slices.Contains(CompletionPaths, c.Path) {
+		return result.New(result.HopRefused, result.NotRun, "the path is not one of an engine")
+	}
+	p, err := ParseCompletion(c.Body)
+	if err != nil {
+		return err
+	}
+	if p.Model != m.GetModel() || p.Stream != m.GetStream() {
+		return result.New(result.HopRefused, result.NotRun, "the body and the message name different models or kinds of answer")
+	}
+	return c.Prepare(p, e.Models[p.Model].MaxOutput)
+}
+
+// frameSink sends an answer as frames. Send blocks while the receiver is slow.
+type frameSink struct {
+	s   sender
+	id  string
+	seq uint64
+}
+
+func (f *frameSink) send(m *peerv1.ForwardResponse) error {
+	f.seq++
+	m.RequestId, m.Sequence = f.id, f.seq
+	return f.s.Send(m)
+}
+
+func (f *frameSink) Head(h Head) error {
+	head := &peerv1.Head{Status: uint32(h.Status), Target: h.Target}
+	for name, values := range h.Header {
+		for _, v := range values {
+			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: v})
+		}
+	}
+	if h.Size >= 0 {
+		head.Headers = append(head.Headers, &peerv1.Header{Name: "Content-Length", Value: strconv.FormatInt(h.Size, 10)})
+	}
+	return f.send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}})
+}
+
+func (f *frameSink) Data(p []byte) error {
+	for len(p) > 0 {
+		n := min(len(p), pieceBytes)
+		if err := f.send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Data{Data: p[:n]}}); err != nil {
+			return err
+		}
+		p = p[n:]
+	}
+	return nil
+}
+
+func (f *frameSink) tail(o Outcome, e *result.Error) error {
+	t := &peerv1.Tail{TokensUsed: o.Tokens}
+	if e != nil {
+		t.Code, t.MayHaveRun, t.Message = uint32(e.Code), e.Ran == result.MayHaveRun, e.Message
+		t.RetryAfterMs = uint32(e.RetryAfter.Milliseconds())
+	}
+	return f.send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Tail{Tail: t}})
+}
--- /dev/null
+++ b/internal/dispatch/suspects.go
@@ -0,0 +1,221 @@
+package dispatch
+
+import (
+	"bytes"
+	"encoding/hex"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+)
+
+const (
+	// sameCrash is the time within which losses on one target are one crash:
+	// each request running there, at each instance, notices it separately.
+	sameCrash = 10 * time.Second
+	// crashKept is how long a crash counts.
+	crashKept  = time.Hour
+	maxCrashes = 1024
+	// maxPerCrash bounds the requests named by one crash.
+	maxPerCrash = 4096
+	// maxCrashBatch bounds the reports in one message to a peer.
+	maxCrashBatch = 256
+)
+
+// Suspects finds requests that crash targets. A fingerprint is blocked once
+// two crashes, on different attempts, name it and no other request was present
+// in both.
+type Suspects struct {
+	clock clock.Clock
+	mu    struct {
+		sync.Mutex
+		running map[string]map[uint64]Fingerprint // target, attempt
+		crashes []*crash                          // oldest first
+		blocked map[Fingerprint]time.Duration     // by peers; time of expiry
+		next    int                               // first crash of the next batch
+	}
+}
+
+// crash is the loss of one target. It maps the requests that were running
+// there to one of their attempts.
+type crash struct {
+	target   string
+	at       time.Duration
+	attempts map[Fingerprint]uint64
+}
+
+// NewSuspects returns an empty Suspects.
+func NewSuspects(c clock.Clock) *Suspects {
+	s := &Suspects{clock: c}
+	s.mu.running = map[string]map[uint64]Fingerprint{}
+	s.mu.blocked = map[Fingerprint]time.Duration{}
+	return s
+}
+
+// Begin notes an attempt on a target. end must be called when it has ended.
+func (s *Suspects) Begin(target string, f Fingerprint) (attempt uint64, end func()) {
+	attempt = rand.Uint64()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mu.running[target] == nil {
+		s.mu.running[target] = map[uint64]Fingerprint{}
+	}
+	s.mu.running[target][attempt] = f
+	return attempt, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.mu.running[target], attempt)
+		if len(s.mu.running[target]) == 0 {
+			delete(s.mu.running, target)
+		}
+	}
+}
+
+// Report states that the target was lost during the attempt. All requests of
+// this instance that are running there are named with it.
+func (s *Suspects) Report(target string, attempt uint64, f Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.crashOf(target)
+	c.add(f, attempt)
+	for id, other := range s.mu.running[target] {
+		c.add(other, id)
+	}
+}
+
+func (c *crash) add(f Fingerprint, attempt uint64) {
+	if _, ok := c.attempts[f]; ok || len(c.attempts) >= maxPerCrash {
+		return
+	}
+	c.attempts[f] = attempt
+}
+
+// crashOf returns the present crash of the target, a new one if there is none.
+func (s *Suspects) crashOf(target string) *crash {
+	now := s.clock.Now().Lower
+	s.expire(now)
+	for _, c := range slices.Backward(s.mu.crashes) {
+		if c.target == target && now-c.at < sameCrash {
+			return c
+		}
+	}
+	if len(s.mu.crashes) >= maxCrashes {
+		s.mu.crashes = slices.Delete(s.mu.crashes, 0, 1)
+	}
+	c := &crash{target: target, at: now, attempts: map[Fingerprint]uint64{}}
+	s.mu.crashes = append(s.mu.crashes, c)
+	return c
+}
+
+func (s *Suspects) expire(now time.Duration) {
+	s.mu.crashes = slices.DeleteFunc(s.mu.crashes, func(c *crash) bool { return now-c.at > crashKept })
+	for f, until := range s.mu.blocked {
+		if now > until {
+			delete(s.mu.blocked, f)
+		}
+	}
+}
+
+// Blocked reports whether a request must not be sent to any target.
+func (s *Suspects) Blocked(f Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.blockedLocked(f)
+}
+
+func (s *Suspects) blockedLocked(f Fingerprint) bool {
+	now := s.clock.Now().Lower
+	var with []*crash
+	for _, c := range s.mu.crashes {
+		if _, ok := c.attempts[f]; ok && now-c.at <= crashKept {
+			with = append(with, c)
+		}
+	}
+	for i, a := range with {
+		for _, b := range with[i+1:] {
+			if a.attempts[f] != b.attempts[f] && onlyShared(a, b) {
+				return true
+			}
+		}
+	}
+	// A peer may have seen crashes that this instance has not; its verdict
+	// counts unless the crashes known here show another suspect.
+	until, ok := s.mu.blocked[f]
+	return ok && now <= until && len(with) < 2
+}
+
+func onlyShared(a, b *crash) bool {
+	n := 0
+	for f := range a.attempts {
+		if _, ok := b.attempts[f]; ok {
+			n++
+		}
+	}
+	return n == 1
+}
+
+// Crashes returns reports for a peer, at most maxCrashBatch; successive calls
+// go through all of them in turn.
+func (s *Suspects) Crashes() []*peerv1.Crash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(s.clock.Now().Lower)
+	var out []*peerv1.Crash
+	for n := len(s.mu.crashes); n > 0; n-- {
+		if s.mu.next >= len(s.mu.crashes) {
+			s.mu.next = 0
+		}
+		c := s.mu.crashes[s.mu.next]
+		if len(out) > 0 && len(out)+len(c.attempts) > maxCrashBatch {
+			break
+		}
+		s.mu.next++
+		for f, attempt := range c.attempts {
+			if len(out) >= maxCrashBatch {
+				break
+			}
+			out = append(out, &peerv1.Crash{
+				Fingerprint: bytes.Clone(f[:]), Target: c.target, Attempt: attempt,
+				Alone: len(c.attempts) == 1, Blocked: s.blockedLocked(f),
+			})
+		}
+	}
+	return out
+}
+
+// Learn takes the reports of a peer. Reports of a crash that is known already,
+// by target and attempt, change nothing, so that they can go round in circles.
+func (s *Suspects) Learn(reports []*peerv1.Crash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now().Lower
+	for _, r := range reports[:min(len(reports), maxCrashBatch)] {
+		if len(r.GetFingerprint()) != len(Fingerprint{}) || r.GetTarget() == "" {
+			continue
+		}
+		f := Fingerprint(r.GetFingerprint())
+		if r.GetBlocked() && len(s.mu.blocked) < maxCrashes {
+			if _, ok := s.mu.blocked[f]; !ok {
+				s.mu.blocked[f] = now + crashKept
+			}
+		}
+		if !s.known(r.GetTarget(), f, r.GetAttempt()) {
+			s.crashOf(r.GetTarget()).add(f, r.GetAttempt())
+		}
+	}
+}
+
+func (s *Suspects) known(target string, f Fingerprint, attempt uint64) bool {
+	for _, c := range s.mu.crashes {
+		if id, ok := c.attempts[f]; ok && c.target == target && id == attempt {
+			return true
+		}
+	}
+	return false
+}
+
+// String is the form used in logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:8]) }
--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,493 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/admit"
+	"github.com/wigeonhill/wigeonhill/internal/audit"
+	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
+	"github.com/wigeonhill/wigeonhill/internal/entry"
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/grant"
+	"github.com/wigeonhill/wigeonhill/internal/once"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/route"
+	"github.com/wigeonhill/wigeonhill/internal/settings"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+const (
+	key   = "sk-ramdin-0123456789"
+	model = "planner"
+	// safety only ends a test that hangs.
+	safety = 20 * time.Second
+)
+
+// world is the set of tables, targets and instances of one test.
+type world struct {
+	t       *testing.T
+	edition atomic.Pointer[table.Edition]
+	mu      sync.Mutex
+	nodes   map[string]*node
+}
+
+// node is one instance with a caller and a peer address.
+type node struct {
+	w        *world
+	url      string
+	peer     string
+	region   string
+	inc      uint64
+	adm      *admitter
+	gate     *dispatch.Gate
+	suspects *dispatch.Suspects
+	local    *dispatch.Local
+	disp     *dispatch.Dispatcher
+	mem      *dispatch.Memory
+	srv      *entry.Server
+	records  chan entry.Record
+	clock    *clock.Virtual
+	// prefer, if set, replaces the choice of the default chooser.
+	prefer func(q route.Query) route.Choice
+	peers  *http.Server
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, nodes: map[string]*node{}}
+	hash := table.KeyHash(sha256.Sum256([]byte(key)))
+	e := &table.Edition{
+		Revision: 1,
+		Regions:  map[string]*table.Region{"north": {Name: "north"}, "south": {Name: "south"}},
+		Residency: map[string]*table.Residency{
+			"north only": {Name: "north only", Regions: map[string]bool{"north": true}},
+			"south only": {Name: "south only", Regions: map[string]bool{"south": true}},
+		},
+		Teams:    map[string]*table.Team{"ramdin": {Name: "ramdin", Weight: 1}},
+		Keys:     map[table.KeyHash]*table.Key{hash: {Name: "k1", Team: "ramdin", Hash: hash}},
+		Models:   map[string]*table.Model{model: {Name: model, MaxOutput: 50, MaxRun: time.Minute}},
+		Services: map[string]*table.Service{"orders": {Name: "orders", MaxRun: time.Minute}},
+		Routes: []*table.Route{
+			{Name: "bookings", Prefix: "/orders/bookings", Service: "orders", Tokens: 5,
+				Methods: map[string]bool{"POST": true, "GET": true}, Idempotent: map[string]bool{"GET": true}},
+			{Name: "stock", Prefix: "/orders/stock", Service: "orders",
+				Methods: map[string]bool{"GET": true, "PUT": true}, Idempotent: map[string]bool{"GET": true, "PUT": true}},
+		},
+		Targets: map[string]*table.Target{},
+	}
+	w.edition.Store(e)
+	return w
+}
+
+// Current implements dispatch.Editions.
+func (w *world) Current() *table.Edition { return w.edition.Load() }
+
+// edit publishes a changed copy of the edition.
+func (w *world) edit(change func(e *table.Edition)) {
+	old := w.Current()
+	e := *old
+	e.Revision++
+	e.Keys, e.Teams, e.Targets, e.Models = map[table.KeyHash]*table.Key{}, map[string]*table.Team{}, map[string]*table.Target{}, map[string]*table.Model{}
+	for k, v := range old.Keys {
+		e.Keys[k] = v
+	}
+	for k, v := range old.Teams {
+		team := *v
+		e.Teams[k] = &team
+	}
+	for k, v := range old.Targets {
+		e.Targets[k] = v
+	}
+	for k, v := range old.Models {
+		m := *v
+		e.Models[k] = &m
+	}
+	change(&e)
+	w.edition.Store(&e)
+}
+
+// target serves h as a target of the region.
+func (w *world) target(name, region string, kind table.TargetKind, h http.HandlerFunc) *httptest.Server {
+	s := httptest.NewServer(h)
+	w.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	w.address(name, region, kind, s.Listener.Addr().String())
+	return s
+}
+
+func (w *world) address(name, region string, kind table.TargetKind, address string) {
+	t := &table.Target{Name: name, Kind: kind, Address: address, Region: region, Capacity: 4}
+	if kind == table.Engine {
+		t.Models = map[string]bool{model: true}
+	} else {
+		t.Service = "orders"
+	}
+	w.edit(func(e *table.Edition) { e.Targets[name] = t })
+}
+
+// choose is the default chooser: own targets by name, then another region.
+func (n *node) Choose(q route.Query) route.Choice {
+	if n.prefer != nil {
+		return n.prefer(q)
+	}
+	var c route.Choice
+	other := ""
+	e := n.w.Current()
+	for i := range 10 {
+		name := fmt.Sprintf("t%d", i)
+		t := e.Targets[name]
+		switch {
+		case t == nil || q.Exclude[name] || !q.Allowed[t.Region] || (q.Model != "") != (t.Kind == table.Engine):
+		case t.Region == n.region:
+			c.Targets = append(c.Targets, name)
+		case other == "" && !q.LocalOnly && !q.Exclude[t.Region]:
+			other = t.Region
+		}
+	}
+	if len(c.Targets) == 0 {
+		c.Region = other
+	}
+	return c
+}
+
+// InRegion implements dispatch.Members.
+func (n *node) InRegion(region string) []dispatch.Member {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	var out []dispatch.Member
+	for name, m := range n.w.nodes {
+		if m != n && m.region == region {
+			out = append(out, dispatch.Member{Name: name, Incarnation: m.inc, PeerAddress: m.peer, Region: m.region})
+		}
+	}
+	return out
+}
+
+// ByName implements dispatch.Members.
+func (n *node) ByName(name string) (dispatch.Member, bool) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	m := n.w.nodes[name]
+	if m == nil {
+		return dispatch.Member{}, false
+	}
+	return dispatch.Member{Name: name, Incarnation: m.inc, PeerAddress: m.peer, Region: m.region}, true
+}
+
+// RequestDone implements entry.Observer.
+func (n *node) RequestDone(r entry.Record) { n.records <- r }
+
+// Answer implements entry.Directory.
+func (n *node) Answer(region, domain string) any {
+	return map[string]string{"asked": region + "/" + domain}
+}
+
+// admitter admits at once and counts what is held.
+type admitter struct {
+	mu       sync.Mutex
+	busy     int
+	debit    float64
+	used     []float64
+	admitted int
+	nextSlot uint64
+	// expire makes that many admissions unspendable.
+	expire int
+	// onAdmit runs before an admission is given.
+	onAdmit func(r admit.Request)
+	refuse  error
+}
+
+func (a *admitter) Admit(_ context.Context, r admit.Request) (admit.Ticket, error) {
+	if a.onAdmit != nil {
+		a.onAdmit(r)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.refuse != nil {
+		return admit.Ticket{}, a.refuse
+	}
+	a.admitted++
+	t := admit.Ticket{Admission: grant.Admission{Team: r.Team, Tokens: r.Tokens}}
+	if !r.Prepaid {
+		a.debit += r.Tokens
+	}
+	if len(r.Targets) > 0 {
+		t.Slot, t.HasSlot = a.slot(r), true
+	}
+	return t, nil
+}
+
+func (a *admitter) slot(r admit.Request) grant.Slot {
+	a.busy++
+	a.nextSlot++
+	return grant.Slot{Target: r.Targets[0], ID: a.nextSlot}
+}
+
+func (a *admitter) Reslot(_ context.Context, r admit.Request) (grant.Slot, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.slot(r), nil
+}
+
+func (a *admitter) Spendable(admit.Ticket) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire--
+	return a.expire < 0
+}
+
+func (a *admitter) Done(t admit.Ticket, used float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t.HasSlot {
+		a.busy--
+	}
+	a.used = append(a.used, used)
+}
+
+func (a *admitter) Usable(grant.Slot) bool { return true }
+
+func (a *admitter) Release(grant.Slot) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.busy--
+}
+
+// settled returns the slots in use, the debits and what Done was told.
+func (a *admitter) settled() (busy int, debit float64, used []float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.busy, a.debit, append([]float64(nil), a.used...)
+}
+
+// confirmer confirms when told to.
+type confirmer struct{ ok chan struct{} }
+
+func (c *confirmer) Confirm(ctx context.Context) error {
+	select {
+	case <-c.ok:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+func (c *confirmer) Fresh() error { return nil }
+
+type noAudit struct{}
+
+func (noAudit) Note(string, string, string)                              {}
+func (noAudit) End(string, string, int, time.Duration)                   {}
+func (noAudit) Add(audit.Change)                                         {}
+func (noAudit) PoolStatus(string, string) (a, b, c int, d time.Duration) { return }
+
+// peerHandler serves what the receiver has of the inner protocol.
+type peerHandler struct {
+	unimplemented
+	*dispatch.Receiver
+}
+
+// unimplemented is one level deeper than Receiver, whose methods then prevail.
+type unimplemented struct {
+	peerv1connect.UnimplementedPeerHandler
+}
+
+type option func(n *node, b *settings.Bounds, c *confirmer)
+
+// node starts an instance.
+func (w *world) node(name, region string, opts ...option) *node {
+	n := &node{w: w, region: region, inc: 0xabc, adm: &admitter{}, records: make(chan entry.Record, 2000), clock: &clock.Virtual{}}
+	conf := &confirmer{ok: make(chan struct{})}
+	close(conf.ok)
+	b := settings.Bounds{MaxBody: 1 << 20, MaxHeader: 16 << 10, MaxStreams: 2000, StreamBuffer: 64 << 10, TeamBuffer: 8 << 20, ProcessBuffer: 16 << 20,
+		RequestTimeout: time.Minute, ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute}
+	for _, o := range opts {
+		o(n, &b, conf)
+	}
+	inst := settings.Instance{Name: name, Region: region, Domain: "d1"}
+	n.gate = dispatch.NewGate(conf)
+	n.suspects = dispatch.NewSuspects(n.clock)
+	n.mem = dispatch.NewMemory(b)
+	n.local = dispatch.NewLocal(dispatch.LocalConfig{Instance: inst, Bounds: b, Editions: w, Chooser: n, Admitter: n.adm, Slots: n.adm,
+		Gate: n.gate, Suspects: n.suspects, Memory: n.mem, Budget: dispatch.NewBudget(), Requests: noAudit{}, Trail: noAudit{}, Clock: n.clock, Log: event.Nop()})
+	store := once.New(once.Config{Instance: name, Incarnation: n.inc, Clock: n.clock, Start: time.Now()})
+	clients, err := peerapi.NewClients(settings.Peers{Insecure: true})
+	check(w.t, err)
+	n.disp = dispatch.NewDispatcher(dispatch.Config{Local: n.local, Members: n, Peers: clients, Once: store, Incarnation: n.inc})
+	n.srv = entry.New(entry.Config{Instance: inst, Bounds: b, Editions: w, Gate: n.gate, Dispatcher: n.disp, Directory: n, Memory: n.mem,
+		Requests: noAudit{}, Observer: n, Log: event.Nop()})
+	recv := dispatch.NewReceiver(dispatch.ReceiverConfig{Local: n.local, Once: store, Pools: noAudit{}})
+	n.peers, err = peerapi.NewServer(settings.Peers{Insecure: true}, peerHandler{Receiver: recv})
+	check(w.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.gate.Run(ctx) })
+	n.url = "http://" + serve(w.t, &wg, n.srv.Serve)
+	n.peer = serve(w.t, &wg, n.peers.Serve)
+	w.t.Cleanup(func() { cancel(); _ = n.srv.Close(); _ = n.peers.Close(); clients.Close(); wg.Wait() })
+	w.mu.Lock()
+	w.nodes[name] = n
+	w.mu.Unlock()
+	select {
+	case <-conf.ok:
+		await(w.t, func() bool { return n.gate.Check() == nil })
+	default:
+	}
+	return n
+}
+
+func serve(t *testing.T, wg *sync.WaitGroup, run func(net.Listener) error) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	check(t, err)
+	wg.Go(func() { _ = run(l) })
+	return l.Addr().String()
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// await waits for a state that another goroutine brings about.
+func await(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(safety); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the expected state was not reached")
+		}
+	}
+}
+
+// recv receives from a channel that another goroutine feeds.
+func recv[T any](t *testing.T, ch <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-time.After(safety):
+		t.Fatal("nothing was received")
+		panic("unreachable")
+	}
+}
+
+// reply is an answer as the caller saw it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// fault returns the error of a JSON body or of a terminal event.
+func (r reply) fault() (code result.Code, ran string) {
+	text := r.body
+	if i := strings.Index(text, "event: error\ndata: "); i >= 0 {
+		text = strings.TrimSpace(text[i+len("event: error\ndata: "):])
+	}
+	var f struct {
+		Error struct {
+			Code int    `json:"code"`
+			Ran  string `json:"ran"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(text), &f)
+	return result.Code(f.Error.Code), f.Error.Ran
+}
+
+func (n *node) do(method, path, body string, headers ...string) reply {
+	resp, err := n.start(context.Background(), method, path, body, headers...)
+	if err != nil {
+		return reply{err: err}
+	}
+	return rest(resp)
+}
+
+// rest reads the answer to its end.
+func rest(resp *http.Response) reply {
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(b), err}
+}
+
+// start sends a request on a connection of its own and returns the head.
+func (n *node) start(ctx context.Context, method, path, body string, headers ...string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, n.url+path, strings.NewReader(body))
+	check(n.w.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return (&http.Transport{DisableCompression: true, DisableKeepAlives: true}).RoundTrip(req)
+}
+
+// firstToken starts a stream and reads its first event.
+func (n *node) firstToken(ctx context.Context) *http.Response {
+	n.w.t.Helper()
+	resp, err := n.start(ctx, "POST", "/v1/chat/completions", chat(true))
+	check(n.w.t, err)
+	got := make([]byte, len(token(0)))
+	_, err = io.ReadFull(resp.Body, got)
+	check(n.w.t, err)
+	if string(got) != token(0) {
+		n.w.t.Fatalf("the first event is %q", got)
+	}
+	return resp
+}
+
+func chat(stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%v,"max_tokens":10,"messages":[{"role":"user","content":"eight ch"}]}`, model, stream)
+}
+
+func (n *node) chat(stream bool) reply { return n.do("POST", "/v1/chat/completions", chat(stream)) }
+
+// text joins the output of a stream's events.
+func (r reply) text() string {
+	var b strings.Builder
+	sc := bufio.NewScanner(strings.NewReader(r.body))
+	for sc.Scan() {
+		var f struct {
+			Choices []struct {
+				Delta struct{ Content string } `json:"delta"`
+			} `json:"choices"`
+		}
+		if data, ok := strings.CutPrefix(sc.Text(), "data: "); ok && json.Unmarshal([]byte(data), &f) == nil && len(f.Choices) > 0 {
+			b.WriteString(f.Choices[0].Delta.Content)
+		}
+	}
+	return b.String()
+}
+
+// Parts of an engine's stream.
+func token(i int) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w%d \"}}]}\n\n", i)
+}
+
+func ending(completion int) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":2,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", completion)
+}
+
+func stream(w http.ResponseWriter, parts ...string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, p := range parts {
+		_, _ = io.WriteString(w, p)
+		w.(http.Flusher).Flush()
+	}
+}
+
+// crash ends the connection without an end of the answer.
+func crash() { panic(http.ErrAbortHandler) }
