Add the quorum lease and the grants of tokens and slots

Cause: nothing bounds what all instances together spend of a team's tokens or use of a target's slots.

--- a/internal/grant/api.go
+++ b/internal/grant/api.go
@@ -12,13 +12,23 @@
 	Tokens float64
 	// Source names the grantor's region, to which unused tokens are refunded.
 	Source string
-	// At is the holder's lower reading at the time of the debit.
+	// Rest lists the parts of Tokens that came from other regions' grantors; it
+	// is empty unless no single balance sufficed.
+	Rest []Portion
+	// At is the holder's upper reading at the time of the debit, so that the
+	// age of a refund is never understated.
 	At time.Duration
 	// ValidUntil is the holder's upper reading after which the request may no
 	// longer be sent to a target.
 	ValidUntil time.Duration
 }
 
+// Portion is a part of an admission that came from another grantor.
+type Portion struct {
+	Source string
+	Tokens float64
+}
+
 // Slot is the right to have one request in flight on a target.
 type Slot struct {
 	Target string
--- a/internal/table/edition.go
+++ b/internal/table/edition.go
@@ -36,6 +36,9 @@
 	Name string
 	// Share of every team's rate and burst; the sum over regions is at most 1.
 	Share float64
+	// PreviousShare is set while Share is being changed; the smaller applies.
+	// 0 means that the share is not being changed.
+	PreviousShare float64
 	// Seats are the peer addresses (IP:port) that vote in this region.
 	Seats []string
 	// PreviousSeats is set while Seats is being changed; a grantor then needs
--- /dev/null
+++ b/internal/term/term.go
@@ -0,0 +1,114 @@
+package term
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+const (
+	// Length of a term.
+	Length = 2 * time.Second
+	// RenewEvery is the interval at which a grantor renews its term.
+	RenewEvery = 500 * time.Millisecond
+)
+
+// ErrInvalid marks a vote request that cannot be judged.
+var ErrInvalid = errors.New("invalid vote request")
+
+// Shard names one part of a region's teams and targets.
+type Shard struct {
+	Region string
+	Index  uint32
+}
+
+// ShardOf converts a message field; nil is the zero shard.
+func ShardOf(id *peerv1.ShardID) Shard {
+	return Shard{Region: id.GetRegion(), Index: id.GetShard()}
+}
+
+// ID converts s to a message field.
+func (s Shard) ID() *peerv1.ShardID {
+	return &peerv1.ShardID{Region: s.Region, Shard: s.Index}
+}
+
+// ShardFor returns the shard of a team or target in the region.
+func ShardFor(region *table.Region, name string) Shard {
+	s := Shard{Region: region.Name}
+	if region.Shards > 1 {
+		s.Index = uint32(xxhash.Sum64String(name) % uint64(region.Shards))
+	}
+	return s
+}
+
+// Process names one run of an instance.
+type Process struct {
+	Instance    string
+	Incarnation uint64
+}
+
+// ProcessOf converts a message field.
+func ProcessOf(id *peerv1.Identity) Process {
+	return Process{Instance: id.GetInstance(), Incarnation: id.GetIncarnation()}
+}
+
+// Term is a confirmed term of a grantor.
+type Term struct {
+	Shard  Shard
+	Ballot uint64
+	// Since is the candidate's reading when the term was confirmed.
+	Since clock.Reading
+	// Until is the candidate's upper reading at which the term ends.
+	Until time.Duration
+}
+
+// Seats are the voters whose majority makes a grantor.
+type Seats struct {
+	Current, Previous []string
+}
+
+// SeatsOf returns the published seats of the region.
+func SeatsOf(r *table.Region) Seats {
+	return Seats{Current: r.Seats, Previous: r.PreviousSeats}
+}
+
+// All returns each seat address once.
+func (s Seats) All() []string {
+	seen := make(map[string]bool, len(s.Current)+len(s.Previous))
+	var all []string
+	for _, list := range [][]string{s.Current, s.Previous} {
+		for _, a := range list {
+			if !seen[a] {
+				seen[a] = true
+				all = append(all, a)
+			}
+		}
+	}
+	return all
+}
+
+// Majority reports whether granted covers a majority of the current seats and,
+// while seats are being changed, also of the previous ones.
+func (s Seats) Majority(granted map[string]bool) bool {
+	return majority(s.Current, granted) && (len(s.Previous) == 0 || majority(s.Previous, granted))
+}
+
+func majority(seats []string, granted map[string]bool) bool {
+	distinct := make(map[string]bool, len(seats))
+	votes := 0
+	for _, a := range seats {
+		if distinct[a] {
+			continue
+		}
+		distinct[a] = true
+		if granted[a] {
+			votes++
+		}
+	}
+	return votes > len(distinct)/2
+}
--- /dev/null
+++ b/internal/term/voter.go
@@ -0,0 +1,98 @@
+package term
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+)
+
+// maxPromises bounds the shards that one voter remembers. A fleet has a few
+// regions with a few dozen shards each, and a seat votes for one region.
+const maxPromises = 1024
+
+type promise struct {
+	candidate *peerv1.Identity
+	ballot    uint64
+	until     time.Duration // lower reading
+}
+
+// Voter promises terms. It is not safe for concurrent use.
+type Voter struct {
+	abstainUntil time.Duration // lower reading
+	promises     map[Shard]promise
+}
+
+// NewVoter returns a Voter without memory, which abstains for a full term.
+func NewVoter(now clock.Reading) *Voter {
+	v := &Voter{promises: make(map[Shard]promise)}
+	v.Paused(now)
+	return v
+}
+
+// Paused makes the voter abstain for a full term.
+func (v *Voter) Paused(now clock.Reading) {
+	v.abstainUntil = now.Lower + clock.ForGrantor(Length)
+}
+
+// Abstains reports whether the voter started or was paused within a term.
+func (v *Voter) Abstains(now clock.Reading) bool { return now.Lower < v.abstainUntil }
+
+// Vote answers a request for a term. The promise counts from now, which the
+// caller must read after the request arrived.
+func (v *Voter) Vote(now clock.Reading, req *peerv1.VoteRequest) (*peerv1.VoteResponse, error) {
+	if req.GetShard().GetRegion() == "" || req.GetCandidate().GetInstance() == "" || req.GetBallot() == 0 {
+		return nil, errors.Wrap(ErrInvalid, "shard, candidate and ballot must be set")
+	}
+	shard := ShardOf(req.GetShard())
+	p := v.promises[shard]
+	live := now.Lower < p.until
+	resp := &peerv1.VoteResponse{Ballot: p.ballot}
+	if live {
+		resp.Holder = p.candidate
+	}
+	same := ProcessOf(p.candidate) == ProcessOf(req.GetCandidate())
+	switch {
+	case v.Abstains(now):
+		resp.Abstains = true
+		return resp, nil
+	case live && !same, req.GetBallot() < p.ballot, req.GetBallot() == p.ballot && !same:
+		return resp, nil
+	case !v.room(now, shard):
+		return resp, nil
+	}
+	p = promise{
+		candidate: proto.CloneOf(req.GetCandidate()),
+		ballot:    req.GetBallot(),
+		until:     now.Lower + clock.ForGrantor(Length),
+	}
+	v.promises[shard] = p
+	resp.Granted, resp.Ballot, resp.Holder = true, p.ballot, p.candidate
+	return resp, nil
+}
+
+// room makes place for a promise about shard by dropping expired ones. The
+// ballots that are lost with them only order campaigns; promises do not
+// depend on them.
+func (v *Voter) room(now clock.Reading, shard Shard) bool {
+	if _, ok := v.promises[shard]; ok || len(v.promises) < maxPromises {
+		return true
+	}
+	for s, p := range v.promises {
+		if now.Lower >= p.until {
+			delete(v.promises, s)
+		}
+	}
+	return len(v.promises) < maxPromises
+}
+
+// Holder returns the candidate that holds the voter's promise, or nil.
+func (v *Voter) Holder(now clock.Reading, shard Shard) *peerv1.Identity {
+	if p, ok := v.promises[shard]; ok && now.Lower < p.until {
+		return p.candidate
+	}
+	return nil
+}
