Add randomised fault histories for tokens and slots

Cause: no run showed that the bounds hold under faults. Change: a small message-passing fake in virtual time drives voters, candidates, ledgers and holders through loss, delay, duplication, partitions, replacement, freezes, clock steps and edits, and judges the record of admissions. Faults found by it and fixed: a holder whose grant ended locally reported its busy slots as free while the grantor still counted them (more requests in flight than the capacity); a lowered capacity never took effect on a saturated target, because only idle slots were recalled; a holder that forgot a ballot could be taken for one that never had it (now an epoch). Ruled out: timing the forgetting of a ballot, because a suspended grantor's clock stops.

--- a/internal/grant/exchange.go
+++ b/internal/grant/exchange.go
@@ -1,7 +1,9 @@
 package grant
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -147,7 +149,7 @@
 		}
 		idle := t.mu.current.idle + t.mu.old.idle
 		st.held = st.held || t.mu.current.count() > 0
-		st.changed = st.changed || t.mu.changed || t.mu.sentIn > l.applied || t.mu.recall > 0
+		st.changed = st.changed || t.mu.changed || t.mu.sentIn > l.applied
 		st.wanted = st.wanted || t.desired(now.Upper) > idle || t.mu.old.count() > 0
 		st.urgent = st.urgent || t.mu.waiting > idle
 		return true
@@ -171,10 +173,7 @@
 	}
 	var lenders []lender
 	sum := 0.0
-	for region, r := range ed.Regions {
-		if region == own.Name || r.Share <= 0 {
-			continue
-		}
+	for _, r := range h.lenders(ed) {
 		o := t.of(term.ShardFor(r, name), false)
 		spare := short
 		if o.spareAt != 0 && now.Upper-o.spareAt < spareFor {
@@ -190,20 +189,33 @@
 	return asks
 }
 
+// lenders returns the other regions of the edition in order of their names.
+// The caller holds h.mu.
+func (h *Holder) lenders(ed *table.Edition) []*table.Region {
+	if h.mu.edition != ed {
+		h.mu.edition, h.mu.lenders = ed, nil
+		for _, name := range slices.Sorted(maps.Keys(ed.Regions)) {
+			if r := ed.Regions[name]; name != h.self.GetRegion() && r.Share > 0 {
+				h.mu.lenders = append(h.mu.lenders, r)
+			}
+		}
+	}
+	return h.mu.lenders
+}
+
 // Build returns the next renewal for the shard's grantor.
 func (h *Holder) Build(now clock.Reading, ed *table.Edition, shard term.Shard) *peerv1.RenewRequest {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.link(shard)
 	if l.ballot != 0 && now.Lower-l.appliedAt > forgetBallot {
-		l.ballot, l.applied = 0, 0
-		h.forget(now, l)
+		h.forget(l)
 	}
 	l.sequence++
 	l.sent, l.pending, l.ready = now, true, false
 	req := &peerv1.RenewRequest{
 		Shard: shard.ID(), Holder: h.self,
-		Sequence: l.sequence, Ballot: l.ballot, Applied: l.applied,
+		Sequence: l.sequence, Ballot: l.ballot, Applied: l.applied, Epoch: l.epoch,
 	}
 	own := ed.Regions[h.self.GetRegion()]
 	h.teams.Range(func(k, v any) bool {
@@ -277,9 +289,12 @@
 	return r
 }
 
-// forget restarts the counts of a ballot that is no longer followed. All its
-// grants have expired. The caller holds h.mu.
-func (h *Holder) forget(now clock.Reading, l *link) {
+// forget starts a new epoch without a ballot. What is left of the old one is
+// void here; the grantors drop it with the record of the old epoch. The caller
+// holds h.mu.
+func (h *Holder) forget(l *link) {
+	l.ballot, l.applied = 0, 0
+	l.epoch++
 	h.teams.Range(func(_, v any) bool {
 		t := v.(*teamHold)
 		t.mu.Lock()
@@ -298,7 +313,7 @@
 		t := v.(*targetHold)
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.expire(now.Upper, false)
+		t.mu.current, t.mu.old, t.mu.claimed = holding{}, holding{}, 0
 		t.mu.changed, t.mu.sentIn = false, 0
 		return true
 	})
--- a/internal/grant/expiry.go
+++ b/internal/grant/expiry.go
@@ -1,11 +1,13 @@
 package grant
 
 import (
+	"math"
+
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonhill/wigeonhill/internal/clock"
 	"github.com/wigeonhill/wigeonhill/internal/table"
-	"github.com/wigeonhill/wigeonhill/internal/term"
 )
 
 // Expire drops the grants of silent holders.
@@ -22,7 +24,7 @@
 
 // drop forgets what a holder has: its tokens may all have been spent, and its
 // slots may be in use until the longest run time has passed.
-func (l *Ledger) drop(r *record, key term.Process) {
+func (l *Ledger) drop(r *record, key holderKey) {
 	for name, o := range r.teams {
 		if b := l.buckets[name]; b != nil {
 			b.settle(o.out, 0, o.out)
@@ -32,7 +34,7 @@
 		if s := l.slots[name]; s != nil && n > 0 {
 			s.lose(n, r.expires)
 			if len(l.events) < maxReclaims {
-				l.events = append(l.events, Reclaim{Target: name, Holder: key, Slots: n})
+				l.events = append(l.events, Reclaim{Target: name, Holder: key.Process, Slots: n})
 			}
 		}
 	}
@@ -88,3 +90,27 @@
 	}
 	return n
 }
+
+// verify recomputes the sums of the ledger and reports a violated invariant.
+func (l *Ledger) verify() error {
+	out, held := make(map[string]float64), make(map[string]int)
+	for _, r := range l.holders {
+		for name, o := range r.teams {
+			out[name] += o.out
+		}
+		for name, n := range r.slots {
+			held[name] += n
+		}
+	}
+	for name, b := range l.buckets {
+		if math.Abs(b.out-out[name]) > 1e-3 {
+			return errors.AssertionFailedf("team %s: %g outstanding, holders have %g", name, b.out, out[name])
+		}
+	}
+	for name, s := range l.slots {
+		if s.held != held[name] || s.held < 0 {
+			return errors.AssertionFailedf("target %s: %d slots held, holders have %d", name, s.held, held[name])
+		}
+	}
+	return nil
+}
--- a/internal/grant/holder.go
+++ b/internal/grant/holder.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/clock"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/table"
 	"github.com/wigeonhill/wigeonhill/internal/term"
 )
 
@@ -29,6 +30,9 @@
 	mu      struct {
 		sync.Mutex
 		links map[term.Shard]*link
+		// lenders are the other regions of edition.
+		lenders []*table.Region
+		edition *table.Edition
 	}
 }
 
@@ -43,6 +47,7 @@
 	ready    bool          // the latest answer calls for another request at once
 	applied  uint64
 	ballot   uint64
+	epoch    uint64
 	// appliedAt is the lower reading when the last answer was taken.
 	appliedAt time.Duration
 }
--- a/internal/grant/holdslots.go
+++ b/internal/grant/holdslots.go
@@ -52,11 +52,13 @@
 	}
 }
 
-// expire drops idle slots whose grant ended. Busy ones are forgotten: their
-// requests go on, but the slots are left to the grantor to reclaim.
+// expire drops idle slots whose grant ended. Busy ones of the current ballot
+// are reported until their requests end, because a report without them says
+// that they are free; the grantor voids them if it has dropped the holder.
+// Busy ones of the ballot before are left to the new grantor to reclaim.
 func (t *targetHold) expire(now time.Duration, pendingClaim bool) {
-	if g := &t.mu.current; g.count() > 0 && now >= g.until {
-		*g = holding{}
+	if g := &t.mu.current; g.idle > 0 && now >= g.until {
+		g.idle = 0
 		t.mu.changed = true
 	}
 	if g := &t.mu.old; g.count() > 0 && now >= g.until {
@@ -98,11 +100,10 @@
 	if now-t.mu.lastUse < largestFor {
 		spare = 1
 	}
-	if surplus := max(t.mu.recall-t.mu.waiting, g.idle-desired-spare); surplus > 0 && g.idle > 0 {
-		g.idle -= min(surplus, g.idle)
+	if surplus := g.idle - desired - spare; surplus > 0 {
+		g.idle -= surplus
 		t.mu.changed = true
 	}
-	t.mu.recall = 0
 	want := max(0, desired-g.idle-t.mu.old.idle)
 	claim := 0
 	if !first && now < t.mu.old.until {
@@ -134,7 +135,13 @@
 	}
 	t.mu.current.idle += int(g.GetGranted())
 	t.mu.current.until = max(t.mu.current.until, until)
+	// What is not idle is returned when its request ends.
 	t.mu.recall = int(g.GetRecall())
+	if n := min(t.mu.recall, t.mu.current.idle); n > 0 {
+		t.mu.current.idle -= n
+		t.mu.recall -= n
+		t.mu.changed = true
+	}
 	if l := g.GetLoad(); l != nil {
 		t.mu.load = Load{
 			Running: int(l.GetRunning()), Queued: int(l.GetQueued()), CachedTokens: l.GetCachedTokens(),
@@ -211,6 +218,10 @@
 	defer t.mu.Unlock()
 	if t.mu.current.release(now.Upper, s.ID) {
 		t.mu.changed = true
+		if t.mu.recall > 0 && t.mu.current.idle > 0 {
+			t.mu.recall--
+			t.mu.current.idle--
+		}
 		return
 	}
 	t.mu.old.release(now.Upper, s.ID)
--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -37,10 +37,16 @@
 	start   time.Duration // lower reading
 	buckets map[string]*bucket
 	slots   map[string]*slots
-	holders map[term.Process]*record
+	holders map[holderKey]*record
 	events  []Reclaim
 }
 
+// holderKey names a holder from one loss of its ballot to the next.
+type holderKey struct {
+	term.Process
+	epoch uint64
+}
+
 // record is what the grantor knows of one holder.
 type record struct {
 	live      bool // grants may be outstanding
@@ -75,7 +81,7 @@
 		shard: shard, ballot: ballot, start: now.Lower,
 		buckets: make(map[string]*bucket),
 		slots:   make(map[string]*slots),
-		holders: make(map[term.Process]*record),
+		holders: make(map[holderKey]*record),
 	}
 }
 
@@ -94,7 +100,7 @@
 		return &peerv1.RenewResponse{Sequence: req.GetSequence(), Ballot: l.ballot}, nil
 	}
 	l.Expire(now)
-	key := term.ProcessOf(req.GetHolder())
+	key := holderKey{term.ProcessOf(req.GetHolder()), req.GetEpoch()}
 	r := l.holders[key]
 	if r == nil {
 		if len(l.holders) >= maxHolders {
@@ -117,7 +123,7 @@
 		return resp, nil
 	}
 	r.foreign = req.GetHolder().GetRegion() != l.shard.Region
-	l.open(r, req, resp)
+	l.open(r, key, req, resp)
 	err := l.judge(now, ed, region, r, req, resp)
 	if err != nil {
 		l.drop(r, key)
@@ -156,7 +162,7 @@
 }
 
 // open brings the record to the state that the request assumes.
-func (l *Ledger) open(r *record, req *peerv1.RenewRequest, resp *peerv1.RenewResponse) {
+func (l *Ledger) open(r *record, key holderKey, req *peerv1.RenewRequest, resp *peerv1.RenewResponse) {
 	if req.GetApplied() != r.sequence {
 		l.revertClaims(r)
 	}
@@ -168,8 +174,8 @@
 		// ignores it from now on.
 		l.giveBack(r)
 	case r.live && req.GetBallot() != l.ballot:
-		// The holder forgot this ballot after it heard nothing for long.
-		l.drop(r, term.ProcessOf(req.GetHolder()))
+		// Ballots do not fall within an epoch; nothing is known of the rest.
+		l.drop(r, key)
 	}
 	if !r.live || req.GetBallot() != l.ballot {
 		resp.Reset_ = true
--- /dev/null
+++ b/internal/grant/safety_test.go
@@ -0,0 +1,207 @@
+package grant
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+func simEdition(regions, perRegion, teams int, rate, burst float64, capacity int) *table.Edition {
+	ed := &table.Edition{
+		Regions: map[string]*table.Region{}, Teams: map[string]*table.Team{},
+		Targets: map[string]*table.Target{}, Models: map[string]*table.Model{"m": {Name: "m", MaxRun: simMaxRun}},
+		Services: map[string]*table.Service{"s": {Name: "s", MaxRun: simMaxRun}},
+	}
+	for i := range regions {
+		r := string(rune('a' + i))
+		reg := &table.Region{Name: r, Share: 1 / float64(regions), Shards: 1}
+		for j := range min(perRegion, 3) {
+			reg.Seats = append(reg.Seats, seat(r, j))
+		}
+		ed.Regions[r] = reg
+		for j := range 2 {
+			t := &table.Target{Name: fmt.Sprintf("%s-e%d", r, j), Kind: table.Engine, Region: r, Capacity: capacity, Models: map[string]bool{"m": true}}
+			ed.Targets[t.Name] = t
+		}
+	}
+	for i := range teams {
+		name := fmt.Sprintf("t%d", i)
+		ed.Teams[name] = &table.Team{Name: name, Rate: rate, Burst: burst}
+	}
+	return ed
+}
+
+// edit publishes a copy of the last edition with other rates, bursts and
+// capacities.
+func (s *sim) edit() {
+	last := s.editions[len(s.editions)-1].ed
+	next := *last
+	next.Revision++
+	next.Teams, next.Targets = map[string]*table.Team{}, map[string]*table.Target{}
+	for _, name := range slices.Sorted(maps.Keys(last.Teams)) {
+		c := *last.Teams[name]
+		c.Rate, c.Burst = 500+1500*s.rng.Float64(), 1000+4000*s.rng.Float64()
+		next.Teams[name] = &c
+	}
+	for _, name := range s.targetNames() {
+		c := *last.Targets[name]
+		c.Capacity = 1 + s.rng.IntN(8)
+		next.Targets[name] = &c
+	}
+	s.editions = append(s.editions, published{s.now, &next})
+}
+
+// poisson lets requests for a team arrive at a rate of tokens per second, at
+// the node that pick chooses.
+func (s *sim) poisson(team string, load func(t time.Duration) float64, size float64, pick func(t time.Duration) int, until time.Duration) {
+	var next func()
+	next = func() {
+		r := request{team: team, tokens: size * (0.5 + s.rng.Float64()), arrived: s.now, number: len(s.arrivals)}
+		n := s.nodes[pick(s.now)]
+		s.arrivals = append(s.arrivals, r)
+		if n.frozenUntil <= s.now { // callers go elsewhere when nothing answers
+			n.waiting = append(n.waiting, r)
+			n.serve()
+		}
+		gap := time.Duration(s.rng.ExpFloat64() * size / load(s.now) * float64(time.Second))
+		if s.now+gap < until {
+			s.at(nil, s.now+gap, next)
+		}
+	}
+	s.at(nil, s.now, next)
+}
+
+// slotTraffic asks for slots of random targets at random nodes of their region.
+func (s *sim) slotTraffic(perSecond float64, perRegion int, until time.Duration) {
+	for _, name := range s.targetNames() {
+		r := int(name[0] - 'a')
+		var next func()
+		next = func() {
+			n := s.nodes[r*perRegion+s.rng.IntN(perRegion)]
+			if n.frozenUntil <= s.now && n.naive == nil && n.slotWaiting[name] < 16 {
+				n.slotWaiting[name]++
+				n.serveSlots()
+			}
+			gap := time.Duration(s.rng.ExpFloat64() / perSecond * float64(time.Second))
+			if s.now+gap < until {
+				s.at(nil, s.now+gap, next)
+			}
+		}
+		s.at(nil, s.jitter(time.Second), next)
+	}
+}
+
+// fault injects one fault at random and ends it later.
+func (s *sim) fault(perRegion int) {
+	slot := s.rng.IntN(len(s.nodes))
+	n := s.nodes[slot]
+	after := func(fn func()) { s.at(nil, s.now+time.Second+s.jitter(9*time.Second), fn) }
+	switch s.rng.IntN(9) {
+	case 0: // a region is cut off
+		r := s.regions[s.rng.IntN(len(s.regions))]
+		for i := range perRegion {
+			s.group[seat(r, i)] = 1
+		}
+		after(func() { clear(s.group) })
+	case 1: // a partition through everything
+		for _, m := range s.nodes {
+			s.group[m.addr] = s.rng.IntN(2)
+		}
+		after(func() { clear(s.group) })
+	case 2: // messages pass in one direction only
+		link := [2]string{n.addr, s.nodes[s.rng.IntN(len(s.nodes))].addr}
+		s.oneWay[link] = true
+		after(func() { delete(s.oneWay, link) })
+	case 3:
+		n.freeze(s.jitter(8*time.Second), false)
+	case 4:
+		n.freeze(s.jitter(8*time.Second), true)
+	case 5:
+		s.start(slot, n.region, slot%perRegion)
+	case 6: // ten replacements in a row
+		for i := range 10 {
+			s.at(nil, s.now+time.Duration(i)*(500*time.Millisecond+s.jitter(2*time.Second)), func() {
+				slot := s.rng.IntN(len(s.nodes))
+				s.start(slot, s.nodes[slot].region, slot%perRegion)
+			})
+		}
+	case 7: // wall-clock steps; upper only ever goes forward
+		n.jump += s.jitter(3 * time.Second)
+		n.wallOff += s.jitter(4*time.Hour) - 2*time.Hour
+	case 8:
+		s.edit()
+	}
+}
+
+type chaos struct {
+	seed            uint64
+	loss, dup, slow float64
+	quiet           time.Duration // between faults
+}
+
+// play runs one random history and returns what broke.
+func (c chaos) play(naive func() spender) *sim {
+	const perRegion, length = 3, 60 * time.Second
+	ed := simEdition(3, perRegion, 3, 1000, 3000, 4)
+	s := newSim(c.seed, 3, perRegion, ed, naive)
+	s.loss, s.dup, s.slow = c.loss, c.dup, c.slow
+	for i := range len(ed.Teams) {
+		name := fmt.Sprintf("t%d", i)
+		hot := s.rng.IntN(len(s.nodes))
+		s.poisson(name, func(time.Duration) float64 { return 3000 }, 60, func(time.Duration) int {
+			if s.rng.IntN(2) == 0 {
+				return hot
+			}
+			return s.rng.IntN(len(s.nodes))
+		}, length)
+	}
+	s.slotTraffic(4, perRegion, length)
+	var next func()
+	next = func() {
+		s.fault(perRegion)
+		s.at(nil, s.now+s.jitter(2*c.quiet), next)
+	}
+	s.at(nil, 3*time.Second, next)
+	s.run(length)
+	for name := range ed.Teams {
+		if over := s.overAdmitted(name); over > 1e-3 {
+			s.faults = append(s.faults, fmt.Sprintf("team %s: %.1f tokens over rate x t + burst", name, over))
+		}
+	}
+	return s
+}
+
+// Guards against any history of faults in which more tokens are admitted than
+// rate x t + burst, or more requests are in flight than the capacity.
+func TestRightsHoldUnderFaults(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20261204)
+	parameters.MinSuccessfulTests = 40
+	parameters.MaxShrinkCount = 0
+	if testing.Short() {
+		parameters.MinSuccessfulTests = 10
+	}
+	histories, admitted, slots := 0, 0, 0
+	properties := gopter.NewProperties(parameters)
+	properties.Property("bounds hold", prop.ForAll(
+		func(seed uint64, loss, dup, slow float64, quiet int64) string {
+			s := chaos{seed: seed, loss: loss, dup: dup, slow: slow, quiet: time.Duration(quiet)}.play(nil)
+			histories, admitted, slots = histories+1, admitted+len(s.admissions), slots+s.slotsUsed
+			if len(s.faults) > 0 {
+				return fmt.Sprintf("%d faults, first: %s", len(s.faults), s.faults[0])
+			}
+			return ""
+		},
+		gen.UInt64(), gen.Float64Range(0, 0.2), gen.Float64Range(0, 0.2), gen.Float64Range(0, 0.2),
+		gen.Int64Range(int64(300*time.Millisecond), int64(5*time.Second)),
+	))
+	properties.TestingRun(t)
+	t.Logf("%d histories of 60 s, %d admissions, %d requests on targets", histories, admitted, slots)
+}
--- a/internal/grant/slots.go
+++ b/internal/grant/slots.go
@@ -241,19 +241,19 @@
 	return g, nil
 }
 
-// recall asks for idle slots that other holders lack or that exceed a lowered
-// capacity.
+// recall asks for idle slots that other holders lack, and for any slots that
+// exceed a lowered capacity: busy ones return when their requests end.
 func (l *Ledger) recall(now clock.Reading, s *slots, t *peerv1.TargetReport, g *peerv1.TargetGrant) {
 	if want := int(t.GetWant()); want > 0 {
 		s.unmet, s.unmetAt = want-int(g.Granted), now.Lower
-		if s.unmet > 0 {
-			return
-		}
 	}
-	if n := min(s.lacking(now), int(t.GetIdle())); n > 0 {
-		g.Recall = uint32(n)
-		s.unmet = max(0, s.unmet-n)
+	over := min(max(0, -s.free()), int(t.GetIdle()+t.GetBusy()))
+	idle := 0
+	if t.GetWant() == 0 && now.Lower-s.unmetAt < unmetFor {
+		idle = min(s.unmet, int(t.GetIdle()))
+		s.unmet -= idle
 	}
+	g.Recall = uint32(max(over, idle))
 }
 
 // lacking is the number of slots that should be returned.
