Add platform, member, edition and directory

Cause: the thin path needs the published table and the members at every instance.

Change: client of the configuration service with long-poll watch; failure detection as in SWIM with bounded news; distribution of the table and of the instance list with watchers, push and pull; pause detection and confirmation; directory order by weighted rendezvous hashing. The inner protocol gets the ID of the instance list in probes, the address for callers in member news, and name and paused in FetchEdition.

Ruled out: a text taken from a paused peer as confirmation, except when the service and every other peer have been unreachable for 5 s.

--- /dev/null
+++ b/internal/edition/guard.go
@@ -0,0 +1,241 @@
+package edition
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/platform"
+)
+
+const (
+	// guardPeriod between ticks of the pause detection.
+	guardPeriod = 100 * time.Millisecond
+	// pauseLimit: a longer gap between ticks counts as a pause.
+	pauseLimit = 500 * time.Millisecond
+	// confirmPause between attempts to confirm the edition.
+	confirmPause = 200 * time.Millisecond
+	// confirmTimeout of one attempt with peers.
+	confirmTimeout = 500 * time.Millisecond
+	// allPausedTime: if for this long the service and every peer that could
+	// confirm were unreachable, but peers that were paused too answered, the
+	// newest edition among them is taken as confirmed. Otherwise a pause of the
+	// whole fleet while the service is down would never end.
+	allPausedTime = 5 * time.Second
+)
+
+// Confirmer is what the request path and the watchdog need.
+type Confirmer interface {
+	// Paused is true from the moment a pause of the process can be noticed
+	// until the edition was confirmed. No request may be served meanwhile.
+	Paused() bool
+	// Confirm asks a peer or the service for the edition in force.
+	Confirm(ctx context.Context) error
+	// NotePause reports a pause that another watchdog noticed.
+	NotePause()
+	// TooOld is true if the edition was not confirmed for longer than
+	// max_edition_age.
+	TooOld() bool
+}
+
+var _ Confirmer = (*Manager)(nil)
+
+// guard tells whether the edition in force may be relied on.
+type guard struct {
+	mu struct {
+		sync.Mutex
+		lastTick  time.Duration
+		paused    bool
+		began     time.Duration // of the pause, if paused
+		confirmed time.Duration // time of the last confirmation of the table
+	}
+	attempt chan struct{} // capacity 1: one attempt at a time
+}
+
+func (g *guard) init(now time.Duration) {
+	g.attempt = make(chan struct{}, 1)
+	g.mu.lastTick, g.mu.confirmed = now, now
+}
+
+// check notices a pause and returns whether the process counts as paused.
+func (g *guard) check(now time.Duration, tick bool) (paused, began bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now-g.mu.lastTick > pauseLimit && !g.mu.paused {
+		g.mu.paused, began = true, true
+		g.mu.began = now
+	}
+	if tick || began {
+		g.mu.lastTick = now
+	}
+	return g.mu.paused, began
+}
+
+func (m *Manager) check(tick bool) bool {
+	paused, began := m.guard.check(m.now(), tick)
+	if began {
+		m.cfg.Log.Emit(event.PauseDetected)
+	}
+	return paused
+}
+
+// Paused implements Confirmer. It looks at the clock itself, because after a
+// pause a request may be handled before the ticker of the watchdog runs.
+func (m *Manager) Paused() bool { return m.check(false) }
+
+// NotePause implements Confirmer.
+func (m *Manager) NotePause() {
+	now := m.now()
+	m.guard.mu.Lock()
+	defer m.guard.mu.Unlock()
+	if !m.guard.mu.paused {
+		m.guard.mu.paused, m.guard.mu.began = true, now
+	}
+}
+
+// confirmed notes that a source has the text in force and nothing newer.
+func (m *Manager) confirmed(name string) {
+	if name != platform.TableName {
+		return
+	}
+	now := m.now()
+	m.guard.mu.Lock()
+	defer m.guard.mu.Unlock()
+	m.guard.mu.confirmed = now
+}
+
+// Age returns the time since the service or a peer last confirmed the edition
+// in force, or since the start.
+func (m *Manager) Age() time.Duration {
+	now := m.now()
+	m.guard.mu.Lock()
+	defer m.guard.mu.Unlock()
+	return now - m.guard.mu.confirmed
+}
+
+// TooOld implements Confirmer.
+func (m *Manager) TooOld() bool { return m.Age() > m.cfg.MaxAge }
+
+// Confirm implements Confirmer. It returns nil once the instance does not
+// count as paused.
+func (m *Manager) Confirm(ctx context.Context) error {
+	var service serviceTurn
+	for m.Paused() {
+		select {
+		case m.guard.attempt <- struct{}{}:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "confirming the edition")
+		}
+		if m.Paused() {
+			m.tryConfirm(ctx, &service)
+		}
+		<-m.guard.attempt
+		if !m.Paused() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "confirming the edition")
+		case <-time.After(confirmPause):
+		}
+	}
+	return nil
+}
+
+// serviceTurn spaces the reads of the service while it fails.
+type serviceTurn struct {
+	backoff platform.Backoff
+	due     time.Duration
+}
+
+// tryConfirm asks three peers, waits for all their answers so that the newest
+// one counts, and asks the service if no peer confirms.
+func (m *Manager) tryConfirm(ctx context.Context, service *serviceTurn) {
+	if m.table.current().Revision == 0 {
+		return // nothing to confirm; start obtains the first edition
+	}
+	began := m.now()
+	confirmed, pausedPeers := m.askAll(ctx)
+	source := "peer"
+	// A pause during the attempt makes the answers too old to count.
+	confirmed = confirmed && m.now()-began <= confirmTimeout+pauseLimit
+	if !confirmed && m.now() >= service.due {
+		source = "service"
+		began = m.now()
+		if m.table.read(ctx) == nil {
+			confirmed = m.now()-began <= confirmTimeout+pauseLimit
+		} else {
+			service.due = m.now() + service.backoff.Next(rand.Float64())
+		}
+	}
+	now := m.now()
+	m.guard.mu.Lock()
+	if !confirmed && pausedPeers && now-m.guard.mu.began > allPausedTime {
+		confirmed, source = true, "paused peers"
+	}
+	if confirmed {
+		m.guard.mu.paused, m.guard.mu.lastTick, m.guard.mu.confirmed = false, now, now
+	}
+	m.guard.mu.Unlock()
+	if confirmed {
+		m.cfg.Log.Emit(event.EditionConfirmed, zap.String("source", source))
+	}
+}
+
+// askAll reports whether a peer confirmed the edition, and whether one that
+// was paused itself answered.
+func (m *Manager) askAll(ctx context.Context) (confirmed, paused bool) {
+	addresses := m.peersToAsk()
+	results := make(chan error, len(addresses))
+	for _, a := range addresses {
+		go func() { results <- m.table.fetch(ctx, a, confirmTimeout) }()
+	}
+	for range addresses {
+		err := <-results
+		confirmed = confirmed || err == nil
+		paused = paused || errors.Is(err, errPeerPaused)
+	}
+	return confirmed, paused
+}
+
+// runGuard notices pauses and confirms the edition after them. It also logs
+// when the edition becomes too old.
+func (m *Manager) runGuard(ctx context.Context) {
+	ticker := time.NewTicker(guardPeriod)
+	defer ticker.Stop()
+	tooOld := false
+	m.guard.mu.Lock()
+	m.guard.mu.lastTick = m.now()
+	m.guard.mu.Unlock()
+	var confirming sync.WaitGroup
+	defer confirming.Wait()
+	busy := make(chan struct{}, 1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if m.check(true) {
+			select {
+			case busy <- struct{}{}:
+				confirming.Go(func() {
+					defer func() { <-busy }()
+					_ = m.Confirm(ctx) // ends only with ctx or with success
+				})
+			default:
+			}
+		}
+		if old := m.TooOld(); old != tooOld {
+			tooOld = old
+			if old {
+				m.cfg.Log.Emit(event.EditionOld, zap.Duration("age", m.Age()))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/edition/value.go
@@ -0,0 +1,280 @@
+package edition
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/platform"
+)
+
+// fetchTimeout of the first fetch from a peer; it doubles with each failure.
+// A table of 1 MB takes 60 ms on the slowest link and a round trip 110 ms.
+const fetchTimeout = 1500 * time.Millisecond
+
+// errPeerPaused: the peer answered but cannot confirm anything.
+var errPeerPaused = errors.New("the peer was paused and has not confirmed its edition")
+
+// value distributes one named value.
+type value struct {
+	name    string
+	m       *Manager
+	publish func() // puts the last parsed text into force
+	// Serialises taking a text with publishing it, so that subscribers see
+	// the changes in order. Locked before mu.
+	take sync.Mutex
+	mu   struct {
+		sync.Mutex
+		keeper *Keeper
+	}
+	offered chan struct{} // capacity 1: there are offers to look at
+	known   chan struct{} // closed once there is a text
+}
+
+// newValue returns the distribution of a value. parse returns a function that
+// puts the text into force.
+func newValue(m *Manager, name string, parse func(Text) (func(), error)) *value {
+	v := &value{name: name, m: m, offered: make(chan struct{}, 1), known: make(chan struct{})}
+	v.mu.keeper = NewKeeper(func(t Text) error {
+		publish, err := parse(t)
+		v.publish = publish
+		return err
+	})
+	return v
+}
+
+func (v *value) current() Text {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.mu.keeper.Current()
+}
+
+func (v *value) after() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.mu.keeper.After()
+}
+
+func (v *value) id() *peerv1.EditionID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.mu.keeper.ID()
+}
+
+// accept takes a text if it is newer and reports what became of it.
+func (v *value) accept(ctx context.Context, t Text, source string) Verdict {
+	v.take.Lock()
+	v.mu.Lock()
+	first := v.mu.keeper.Current().Revision == 0
+	verdict, err := v.mu.keeper.Take(t)
+	v.mu.Unlock()
+	if verdict == Taken {
+		v.publish()
+		if first {
+			close(v.known)
+		}
+	}
+	v.take.Unlock()
+	switch verdict {
+	case Taken:
+		v.push(ctx)
+	case Conflict:
+		v.m.conflict(v.name, t.Revision, source)
+	case Rejected:
+		v.m.rejected(v.name, t, source, err)
+	}
+	return verdict
+}
+
+// push tells a few members of the new revision; they fetch it and push on.
+func (v *value) push(ctx context.Context) {
+	if v.m.members == nil || ctx.Err() != nil {
+		return
+	}
+	var addresses []string
+	for _, one := range v.m.members.Random(pushFanout) {
+		addresses = append(addresses, one.PeerAddress)
+	}
+	v.m.background.Go(func() { v.m.members.Tell(ctx, addresses) })
+}
+
+// offer notes that a peer has the text id.
+func (v *value) offer(from *peerv1.Identity, id *peerv1.EditionID) {
+	v.mu.Lock()
+	relation := v.mu.keeper.Offer(from.GetPeerAddress(), id)
+	v.mu.Unlock()
+	switch relation {
+	case Newer:
+		select {
+		case v.offered <- struct{}{}:
+		default:
+		}
+	case Equal:
+		v.m.confirmed(v.name)
+	case Different:
+		v.m.conflict(v.name, id.Revision, from.GetInstance())
+	}
+}
+
+// fetchOffers fetches from peers that have a newer text, one at a time.
+func (v *value) fetchOffers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.offered:
+		}
+		for ctx.Err() == nil {
+			v.mu.Lock()
+			address, failures, ok := v.mu.keeper.Source()
+			v.mu.Unlock()
+			if !ok {
+				break
+			}
+			if err := v.fetch(ctx, address, fetchTimeout<<failures); err != nil && ctx.Err() == nil {
+				v.m.cfg.Log.Emit(event.FetchFailed, zap.String("value", v.name), zap.String("peer", address), zap.Error(err))
+				v.mu.Lock()
+				v.mu.keeper.FetchFailed(address)
+				v.mu.Unlock()
+			}
+		}
+	}
+}
+
+// fetch asks a peer for a newer text. It is an error if the peer has none,
+// unless it confirms the one in force.
+func (v *value) fetch(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	base := v.current()
+	req := &peerv1.FetchEditionRequest{Name: v.name, From: v.m.identity()}
+	if base.Revision > 0 {
+		req.Have = &peerv1.EditionID{Revision: base.Revision, Digest: base.Digest[:]}
+	}
+	for range 2 {
+		res, err := v.m.cfg.Peers.FetchEdition(ctx, address, req)
+		if err != nil {
+			return errors.Wrap(err, "fetching from a peer")
+		}
+		v.mu.Lock()
+		t, ok, whole := v.mu.keeper.Fetched(base, res)
+		now := v.mu.keeper.Current()
+		v.mu.Unlock()
+		if ok {
+			verdict := v.accept(v.m.ctx, t, address)
+			switch {
+			case res.Paused:
+				return errPeerPaused
+			case verdict == Taken:
+				v.m.confirmed(v.name)
+			}
+			return nil
+		}
+		if !whole {
+			if res.GetPaused() {
+				return errPeerPaused
+			}
+			if res.GetEdition().GetRevision() == now.Revision && now.Revision > 0 {
+				v.m.confirmed(v.name)
+				return nil
+			}
+			return errors.Newf("the peer has revision %d, this instance %d", res.GetEdition().GetRevision(), now.Revision)
+		}
+		req.Have = nil // the changes did not give the digest
+	}
+	return errors.New("the whole text does not have the digest that the peer gave")
+}
+
+// fromService handles one value or confirmation of the service.
+func (v *value) fromService(ctx context.Context, got platform.Value, changed bool) {
+	if changed {
+		v.accept(ctx, NewText(got.Revision, got.Text), "service")
+	}
+	if !changed || got.Revision >= v.after() {
+		v.m.confirmed(v.name)
+	}
+}
+
+// read asks the service once.
+func (v *value) read(ctx context.Context) error {
+	got, err := v.m.cfg.Service.Read(ctx, v.name)
+	if err != nil {
+		return err
+	}
+	v.fromService(ctx, got, true)
+	return nil
+}
+
+// watch keeps a call waiting at the service until ctx ends.
+func (v *value) watch(ctx context.Context) {
+	v.m.cfg.Log.Emit(event.WatchStarted, zap.String("value", v.name))
+	failing := false
+	platform.Watch(ctx, v.m.cfg.Service, v.name, v.after, func(o platform.Outcome) {
+		switch {
+		case o.Err != nil && !failing:
+			failing = true
+			v.m.cfg.Log.Emit(event.ServiceFailed, zap.String("value", v.name), zap.Error(o.Err))
+		case o.Err == nil && failing:
+			failing = false
+			v.m.cfg.Log.Emit(event.ServiceBack, zap.String("value", v.name))
+		}
+		if o.Err == nil {
+			v.fromService(v.m.ctx, o.Value, o.Changed)
+		}
+	})
+	v.m.cfg.Log.Emit(event.WatchEnded, zap.String("value", v.name))
+}
+
+// start obtains the first text: from peers, else from the service.
+func (v *value) start(ctx context.Context) {
+	var backoff platform.Backoff
+	attempt, due := 0, v.m.now()+v.nextRead(0, &backoff)
+	for {
+		v.askPeers(ctx)
+		if v.current().Revision == 0 && v.m.now() >= due {
+			err := v.read(ctx)
+			if err != nil && attempt == 0 {
+				v.m.cfg.Log.Emit(event.ServiceFailed, zap.String("value", v.name), zap.Error(err))
+			}
+			attempt++
+			due = v.m.now() + v.nextRead(attempt, &backoff)
+		}
+		pause := min(max(due-v.m.now(), 10*time.Millisecond), askPeriod)
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.known:
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (v *value) nextRead(attempt int, backoff *platform.Backoff) time.Duration {
+	listed := v.m.list.current().Revision > 0
+	return NextRead(attempt, listed, v.m.watches(), backoff.Next(rand.Float64()), rand.Float64())
+}
+
+// askPeers asks a few members or bootstrap addresses at the same time. It
+// returns once one of them delivered or all have failed.
+func (v *value) askPeers(ctx context.Context) bool {
+	addresses := v.m.peersToAsk()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(addresses))
+	for _, a := range addresses {
+		go func() { results <- v.fetch(ctx, a, fetchTimeout) }()
+	}
+	for range addresses {
+		if <-results == nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/edition/watchers.go
@@ -0,0 +1,58 @@
+package edition
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonhill/wigeonhill/internal/member"
+)
+
+const (
+	// watchersPerDomain watch the service in each failure domain; the second
+	// one covers the time until the failure of the first is noticed.
+	watchersPerDomain = 2
+	// pushFanout is the number of members told of a new revision at once.
+	pushFanout = 3
+	// startSpread: the first reads of instances that start together are spread
+	// over this time. 330 instances then make 165 calls/s, below the 200 that
+	// are allowed.
+	startSpread = 2 * time.Second
+	// fallbackDelay between reads of an instance that has no text and is not
+	// chosen to watch.
+	fallbackDelay = 30 * time.Second
+)
+
+// Watches reports whether the instance self is among the watchers of its
+// failure domain. live are the members believed alive, with or without self.
+func Watches(self member.Member, live []member.Member) bool {
+	own, before := rank(self.Domain, self.Name), 0
+	for _, m := range live {
+		if m.Name == self.Name || m.Domain != self.Domain {
+			continue
+		}
+		if r := rank(self.Domain, m.Name); r > own || r == own && m.Name < self.Name {
+			before++
+		}
+	}
+	return before < watchersPerDomain
+}
+
+func rank(domain, name string) uint64 { return xxhash.Sum64String("watch/" + domain + "/" + name) }
+
+// NextRead returns the delay before an instance without a text reads the
+// service. attempt is 0 for the first one; listed tells that the instance list
+// is known and with it who watches. random is in [0, 1).
+func NextRead(attempt int, listed, watches bool, backoff time.Duration, random float64) time.Duration {
+	switch {
+	case listed && !watches:
+		// The watchers push the text. This covers the case that all of them
+		// are cut off from the service.
+		return time.Duration((0.5 + random) * float64(fallbackDelay))
+	case attempt == 0 && listed:
+		return 0
+	case attempt == 0:
+		return time.Duration(random * float64(startSpread))
+	}
+	return backoff
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,133 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Names of the values.
+const (
+	TableName     = "table"
+	InstancesName = "instances"
+)
+
+// Limits of one call.
+const (
+	maxValue       = 1_000_000 // bytes; the service stores no more
+	readTimeout    = 5 * time.Second
+	waitMargin     = 5 * time.Second // for the answer after the wait
+	connectTimeout = 2 * time.Second
+)
+
+// ErrMissing is returned for a value that is not published.
+var ErrMissing = errors.New("the configuration service has no such value")
+
+// Value is a published text.
+type Value struct {
+	Revision int64
+	Text     []byte
+}
+
+// Client calls the configuration service. It is safe for concurrent use.
+type Client struct {
+	base  string
+	http  *http.Client
+	calls struct{ reads, waits, failures, bytes atomic.Uint64 }
+}
+
+// NewClient returns a Client of the service at the base URL.
+func NewClient(base string) *Client {
+	transport := &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		TLSHandshakeTimeout:    connectTimeout,
+		MaxResponseHeaderBytes: 16 << 10,
+		MaxConnsPerHost:        4,
+		IdleConnTimeout:        time.Minute,
+	}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Calls counts calls since the start of the process.
+type Calls struct {
+	Reads, Waits, Failures uint64
+	Bytes                  uint64 // received in answers
+}
+
+// Calls returns the counters.
+func (c *Client) Calls() Calls {
+	return Calls{c.calls.reads.Load(), c.calls.waits.Load(), c.calls.failures.Load(), c.calls.bytes.Load()}
+}
+
+// Read returns the value in force.
+func (c *Client) Read(ctx context.Context, name string) (Value, error) {
+	c.calls.reads.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	v, _, err := c.get(ctx, "/v1/values/"+name)
+	return v, err
+}
+
+// Wait returns the value once its revision is higher than after. ok is false
+// if that did not happen within wait.
+func (c *Client) Wait(ctx context.Context, name string, after int64, wait time.Duration) (v Value, ok bool, err error) {
+	c.calls.waits.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, wait+waitMargin)
+	defer cancel()
+	v, modified, err := c.get(ctx, fmt.Sprintf("/v1/values/%s?after=%d&wait_ms=%d", name, after, wait.Milliseconds()))
+	if err == nil && modified && v.Revision <= after {
+		c.calls.failures.Add(1)
+		return Value{}, false, errors.Newf("the configuration service answered revision %d to a wait for more than %d", v.Revision, after)
+	}
+	return v, modified, err
+}
+
+func (c *Client) get(ctx context.Context, path string) (v Value, modified bool, err error) {
+	defer func() {
+		if err != nil && !errors.Is(err, ErrMissing) {
+			c.calls.failures.Add(1)
+		}
+	}()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return Value{}, false, errors.Wrap(err, "building the request")
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return Value{}, false, errors.Wrap(err, "calling the configuration service")
+	}
+	defer res.Body.Close()
+	switch res.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return Value{}, false, nil
+	case http.StatusNotFound:
+		return Value{}, false, ErrMissing
+	default:
+		return Value{}, false, errors.Newf("the configuration service answered %s", res.Status)
+	}
+	v.Revision, err = strconv.ParseInt(res.Header.Get("X-Revision"), 10, 64)
+	if err != nil || v.Revision <= 0 {
+		return Value{}, false, errors.Newf("the configuration service answered the revision %q", res.Header.Get("X-Revision"))
+	}
+	v.Text, err = io.ReadAll(io.LimitReader(res.Body, maxValue+1))
+	c.calls.bytes.Add(uint64(len(v.Text)))
+	if err != nil {
+		return Value{}, false, errors.Wrap(err, "reading the answer of the configuration service")
+	}
+	if len(v.Text) > maxValue {
+		return Value{}, false, errors.Newf("the answer of the configuration service exceeds %d bytes", maxValue)
+	}
+	return v, true, nil
+}
--- /dev/null
+++ b/internal/platform/doc.go
@@ -0,0 +1,3 @@
+// Package platform calls the configuration service and parses what it
+// publishes: the text of the table and the list of live and leaving instances.
+package platform
--- /dev/null
+++ b/internal/platform/list.go
@@ -0,0 +1,103 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonhill/wigeonhill/internal/strictini"
+)
+
+// Bounds on the instance list.
+const (
+	maxInstances = 2_000
+	maxTargets   = 10_000
+)
+
+// InstanceList is the published list of live and leaving instances. It lags,
+// so it never decides who holds a right.
+type InstanceList struct {
+	Revision  int64
+	Instances []Instance
+	// LeavingTargets are published as leaving. Other targets count as live.
+	LeavingTargets map[string]bool
+}
+
+// Instance is one entry of the list.
+type Instance struct {
+	Name    string
+	Callers string // IP:port
+	Peers   string // IP:port
+	Region  string
+	Domain  string
+	Leaving bool
+}
+
+// ParseList parses the JSON text of a list. A list with any fault is rejected
+// whole: half a list would make instances disagree about the fleet.
+func ParseList(text []byte) (*InstanceList, error) {
+	var raw struct {
+		Instances []struct {
+			Name, Callers, Peers, Region, Domain, State string
+		} `json:"instances"`
+		Targets []struct{ Name, State string } `json:"targets"`
+	}
+	if len(text) > maxValue {
+		return nil, errors.Newf("the instance list has %d bytes; at most %d are accepted", len(text), maxValue)
+	}
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&raw); err != nil {
+		return nil, errors.Wrap(err, "instance list")
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("instance list: text after the end of the list")
+	}
+	if raw.Instances == nil {
+		return nil, errors.New("instance list: there is no `instances`")
+	}
+	if len(raw.Instances) > maxInstances || len(raw.Targets) > maxTargets {
+		return nil, errors.Newf("instance list: more than %d instances or %d targets", maxInstances, maxTargets)
+	}
+	list := &InstanceList{LeavingTargets: make(map[string]bool)}
+	names, addresses := make(map[string]bool), make(map[string]bool)
+	for i, in := range raw.Instances {
+		leaving, err := parseState(in.State)
+		switch {
+		case err != nil:
+			return nil, errors.Wrapf(err, "instance list: entry %d", i)
+		case !strictini.ValidName(in.Name) || !strictini.ValidName(in.Region) || !strictini.ValidName(in.Domain):
+			return nil, errors.Newf("instance list: entry %d: name %q, region %q or domain %q is malformed", i, in.Name, in.Region, in.Domain)
+		case !strictini.ValidAddress(in.Callers) || !strictini.ValidAddress(in.Peers):
+			return nil, errors.Newf("instance list: entry %d: callers %q or peers %q is not IP:port", i, in.Callers, in.Peers)
+		case names[in.Name] || addresses[in.Callers] || addresses[in.Peers] || in.Callers == in.Peers:
+			return nil, errors.Newf("instance list: entry %d: name %s or an address of it is listed twice", i, in.Name)
+		}
+		names[in.Name], addresses[in.Callers], addresses[in.Peers] = true, true, true
+		list.Instances = append(list.Instances, Instance{in.Name, in.Callers, in.Peers, in.Region, in.Domain, leaving})
+	}
+	seen := make(map[string]bool)
+	for i, t := range raw.Targets {
+		leaving, err := parseState(t.State)
+		if err != nil || !strictini.ValidName(t.Name) || seen[t.Name] {
+			return nil, errors.Newf("instance list: target %d: name %q or state %q is malformed or listed twice", i, t.Name, t.State)
+		}
+		seen[t.Name] = true
+		if leaving {
+			list.LeavingTargets[t.Name] = true
+		}
+	}
+	return list, nil
+}
+
+func parseState(s string) (leaving bool, err error) {
+	switch s {
+	case "live":
+		return false, nil
+	case "leaving":
+		return true, nil
+	}
+	return false, errors.Newf("state %q is not accepted; accepted: live, leaving", s)
+}
