Add loadtool with run, compare, demo and measure

Cause: nothing drives a running fleet as callers do or checks its answers.

Change: package load generates an open-loop load from a seed, follows the directory, resends as the design allows and compares every outcome with the records of the stand-ins. Package fleet starts instances and stand-ins as processes with generated settings and table. cmd/loadtool joins the two.

What counts as lost is stated at load.Lost: a request that ended without a full answer, a not_run refusal or, for bookings, an error that says it may have run; a booking without a key whose connection failed is in doubt. An answer that is in no target's record is lost too.

Decided: every request carries a tag in its prompt, body or item, by which the checker finds it in the records without knowing the request id. Addresses are taken on a random 127/8 address, so that outgoing connections cannot take the port of a process that is down for a moment.

The checker was tried against a forwarding test server with one fault at a time (lost, false not_run, doubled, crossed, truncated, key passed on, out of region, over the limit). Conclusion: go test -race ./internal/load ./internal/standin passes.

--- /dev/null
+++ b/cmd/loadtool/measure.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/fleet"
+)
+
+// settle is the time after the start before the first sample; elections and
+// the first renewals fall into it.
+const settle = 3 * time.Second
+
+type measureCommand struct {
+	loadFlags
+	Sizes []int         `long:"instances" description:"number of instances, a multiple of 3; may be repeated (default: 3, 9, 30)"`
+	Idle  time.Duration `long:"idle" default:"10s" description:"time without load"`
+}
+
+// Execute measures fleets of several sizes, idle and under load.
+func (c *measureCommand) Execute([]string) error {
+	ctx, stop := interruptible()
+	defer stop()
+	if len(c.Sizes) == 0 {
+		c.Sizes = []int{3, 9, 30}
+	}
+	fmt.Println("figures of one instance: mean (largest)")
+	fmt.Println("instances  state  CPU % of a core  RSS MiB      KB/s read    KB/s written  config calls/s")
+	for _, n := range c.Sizes {
+		if err := c.measure(ctx, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *measureCommand) measure(ctx context.Context, n int) error {
+	bin, err := binDir()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "wigeonhill-measure-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	spec := fleet.DemoSpec(bin, dir)
+	spec.InstancesPerRegion = max(1, n/len(spec.Regions))
+	spec.SeatsPerRegion = min(3, spec.InstancesPerRegion)
+	f, err := fleet.New(spec)
+	if err != nil {
+		return err
+	}
+	defer f.Stop(stopWait)
+	if err := start(ctx, f); err != nil {
+		return err
+	}
+	select {
+	case <-time.After(settle):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	err = observe(ctx, f, "idle", func() error {
+		select {
+		case <-time.After(c.Idle):
+		case <-ctx.Done():
+		}
+		return ctx.Err()
+	})
+	if err != nil {
+		return err
+	}
+	o, err := c.options()
+	if err != nil {
+		return err
+	}
+	return observe(ctx, f, "load", func() error {
+		res, err := drive(ctx, f.Plan(), o, c.Out)
+		if err == nil && len(res.Faults()) > 0 {
+			fmt.Println("the load run failed its checks:", res.Faults())
+		}
+		return err
+	})
+}
+
+func observe(ctx context.Context, f *fleet.Fleet, state string, during func() error) error {
+	before, err := sampleAll(ctx, f)
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	if err := during(); err != nil {
+		return err
+	}
+	seconds := time.Since(begin).Seconds()
+	after, err := sampleAll(ctx, f)
+	if err != nil {
+		return err
+	}
+	var cpu, rss, read, written []float64
+	for i, a := range after.procs {
+		b := before.procs[i]
+		cpu = append(cpu, 100*(a.CPU-b.CPU).Seconds()/seconds)
+		rss = append(rss, float64(a.RSS)/(1<<20))
+		read = append(read, float64(a.Read-b.Read)/1000/seconds)
+		written = append(written, float64(a.Written-b.Written)/1000/seconds)
+	}
+	fmt.Printf("%-9d  %-5s  %-15s  %-11s  %-11s  %-12s  %.1f\n", len(f.Instances), state,
+		meanMax(cpu), meanMax(rss), meanMax(read), meanMax(written), float64(after.calls-before.calls)/seconds)
+	return nil
+}
+
+func meanMax(x []float64) string {
+	sum := 0.0
+	for _, v := range x {
+		sum += v
+	}
+	return fmt.Sprintf("%.2f (%.2f)", sum/float64(len(x)), slices.Max(x))
+}
+
+type sample struct {
+	procs []fleet.Usage
+	calls int
+}
+
+func sampleAll(ctx context.Context, f *fleet.Fleet) (sample, error) {
+	var s sample
+	for _, in := range f.Instances {
+		u, err := in.Usage()
+		if err != nil {
+			return s, err
+		}
+		s.procs = append(s.procs, u)
+	}
+	calls, err := f.ConfigCalls(ctx)
+	s.calls = calls
+	return s, err
+}
--- /dev/null
+++ b/internal/fleet/doc.go
@@ -0,0 +1,5 @@
+// Package fleet starts a set of instances and stand-ins as separate processes
+// on loopback addresses, with generated settings and a generated table, for
+// the demo, measurements and tests with real processes. It ends only processes
+// that it started.
+package fleet
--- /dev/null
+++ b/internal/fleet/usage.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/standin"
+)
+
+// clockTick is the unit of CPU times in /proc on Linux (USER_HZ).
+const clockTick = 10 * time.Millisecond
+
+// Usage is what a process has used since its start.
+type Usage struct {
+	CPU time.Duration
+	RSS int64 // bytes now
+	// Read and Written count the bytes of read and write calls, which include
+	// TCP sockets and log files but not UDP datagrams.
+	Read, Written int64
+}
+
+// Usage reads /proc of a running process.
+func (p *Proc) Usage() (Usage, error) {
+	var u Usage
+	dir := fmt.Sprintf("/proc/%d/", p.PID())
+	stat, err := os.ReadFile(dir + "stat")
+	if err != nil {
+		return u, err
+	}
+	// The command name in parentheses may contain spaces.
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	for _, i := range []int{11, 12} { // utime, stime
+		n, _ := strconv.ParseInt(fields[i], 10, 64)
+		u.CPU += time.Duration(n) * clockTick
+	}
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	u.RSS = pages * int64(os.Getpagesize())
+	io, err := os.ReadFile(dir + "io")
+	if err != nil {
+		return u, err
+	}
+	_, err = fmt.Sscanf(string(io), "rchar: %d\nwchar: %d", &u.Read, &u.Written)
+	return u, err
+}
+
+// ConfigCalls returns the calls that the configuration service counted.
+func (f *Fleet) ConfigCalls(ctx context.Context) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.Config.Address+"/record", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	rec := standin.Record{}
+	if err := json.NewDecoder(resp.Body).Decode(&rec); err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, calls := range rec.Calls {
+		n += calls
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,187 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/standin"
+)
+
+// gateway is an instance that forwards to stand-ins and breaks one rule.
+type gateway struct {
+	fault        string
+	engine, desk string // URLs
+	posts        atomic.Int64
+}
+
+func (g *gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/directory" {
+		_, _ = fmt.Fprintf(w, `{"lifetime_ms":60000,"instances":[{"address":%q,"key_prefix":"a.0123456789abcdef"},{"address":%q,"key_prefix":"a.0123456789abcdef"}]}`, r.Host, r.Host)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	url, booking := g.engine, strings.HasPrefix(r.URL.Path, BookPath)
+	if strings.HasPrefix(r.URL.Path, "/orders") {
+		url = g.desk
+	}
+	first := g.posts.Add(1) == 1
+	switch g.fault {
+	case "lost":
+		http.Error(w, "no reason given", http.StatusBadGateway)
+		return
+	case "false not_run":
+		g.forward(httptest.NewRecorder(), r, url, body)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"error":{"code":404,"ran":"not_run","message":"no target"}}`)
+		return
+	case "doubled":
+		if booking {
+			g.forward(httptest.NewRecorder(), r, url, body)
+		}
+	case "crossed":
+		body = []byte(strings.Replace(string(body), "#s1-", "#s2-", 1))
+	case "connection":
+		if first {
+			g.forward(httptest.NewRecorder(), r, url, body)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if g.fault != "key" {
+		r.Header.Del("Authorization")
+	}
+	if g.fault == "truncated" {
+		rec := httptest.NewRecorder()
+		g.forward(rec, r, url, body)
+		_, _ = w.Write(rec.Body.Bytes()[:rec.Body.Len()*2/3])
+		return
+	}
+	g.forward(w, r, url, body)
+}
+
+func (g *gateway) forward(w http.ResponseWriter, r *http.Request, url string, body []byte) {
+	req, _ := http.NewRequest(r.Method, url+r.URL.Path, strings.NewReader(string(body)))
+	req.Header = r.Header.Clone()
+	if g.fault != "key" {
+		req.Header.Del("Authorization")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	w.WriteHeader(resp.StatusCode)
+	_, _ = io.Copy(w, resp.Body)
+}
+
+// drive runs a load against one gateway and two stand-ins.
+func drive(t *testing.T, fault string, change func(*Plan, *Options)) *Result {
+	t.Helper()
+	e, err := standin.NewEngine(standin.EngineOptions{Name: "e", Region: "away", Capacity: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	desk, err := standin.NewOrderService(standin.OrderOptions{Name: "o", Region: "away", Capacity: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	engineServer, deskServer := httptest.NewServer(e.Handler()), httptest.NewServer(desk.Handler())
+	front := httptest.NewServer(&gateway{fault: fault, engine: engineServer.URL, desk: deskServer.URL})
+	defer engineServer.Close()
+	defer deskServer.Close()
+	defer front.Close()
+	address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	p := &Plan{
+		Instances: []Instance{{Name: "a", Region: "home", Callers: address(front)}},
+		Targets:   []Target{{Name: "e", Address: address(engineServer)}, {Name: "o", Address: address(deskServer)}},
+		Teams:     []Team{{Name: "care", Key: standin.KeyMarker + "secret", Rate: 1, Burst: 1e6, Share: 1}},
+	}
+	o := Options{Seed: 1, Rate: 200, Duration: 200 * time.Millisecond, Timeout: 10 * time.Second, Mix: DefaultMix()}
+	if change != nil {
+		change(p, &o)
+	}
+	requests := Generate(p, o)
+	outcomes := Run(context.Background(), p, o, requests)
+	records, err := FetchRecords(context.Background(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewResult(p, o, requests, outcomes, records)
+}
+
+// Guards against a checker that overlooks a fault, and one that reports faults
+// of a gateway without any.
+func TestCheckerFindsEachFault(t *testing.T) {
+	for _, c := range []struct{ fault, want string }{
+		{"", ""},
+		{"lost", "lost"},
+		{"false not_run", "refused as not_run but run"},
+		{"doubled", "doubled bookings"},
+		{"crossed", "crossed"},
+		{"truncated", "truncated"},
+		{"key", "saw a key"},
+	} {
+		res := drive(t, c.fault, nil)
+		faults := strings.Join(res.Faults(), "; ")
+		if (c.want == "") != (faults == "") || !strings.Contains(faults, c.want) {
+			t.Errorf("fault %q: reported %q, want %q; notes %q", c.fault, faults, c.want, res.Notes)
+		}
+		if c.fault == "" && (res.Classes[Answered] != res.Sent || res.SentAwayShare != 1 || res.FirstToken.Count == 0) {
+			t.Errorf("without a fault: %+v", res)
+		}
+	}
+}
+
+// Guards against a checker that ignores residency or a team's limit.
+func TestCheckerFindsRegionAndTokens(t *testing.T) {
+	res := drive(t, "", func(p *Plan, _ *Options) {
+		p.Teams[0].Regions, p.Teams[0].Burst = []string{"home"}, 100
+	})
+	faults := strings.Join(res.Faults(), "; ")
+	if res.OutOfRegion != res.Sent || !strings.Contains(faults, "tokens above its rate") {
+		t.Fatalf("reported %q", faults)
+	}
+}
+
+// Guards against a caller that resends a booking without a key, and one that
+// gives up an idempotent request after one connection failure.
+func TestCallerResendsOnlyWhatItMay(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		for _, kind := range []Kind{Question, Book} {
+			var requests []*Request
+			res := drive(t, "connection", func(p *Plan, o *Options) {
+				// A high rate of which only the first request is kept.
+				o.Seed, o.Mix, o.Rate, o.Duration = seed, Mix{kind: 1}, 100, 20*time.Millisecond
+				requests = Generate(p, *o)
+			})
+			if len(requests) == 0 || requests[0].Kind == Book && requests[0].Keyed {
+				continue // this gateway keeps no idempotency records
+			}
+			want := map[Kind]int{Question: 0, Book: 1}[kind]
+			if res.Classes[InDoubt] != want || res.Doubled != 0 || res.Classes[Lost] != 0 {
+				t.Errorf("seed %d, %s: classes %v, doubled %d, notes %q", seed, kind, res.Classes, res.Doubled, res.Notes)
+			}
+		}
+	}
+}
+
+// Guards against runs that cannot be repeated by their seed.
+func TestGenerateIsRepeatable(t *testing.T) {
+	p := &Plan{Instances: []Instance{{Region: "a"}, {Region: "b"}}, Teams: []Team{{Name: "x", Share: 1}, {Name: "y", Share: 2}}}
+	o := Options{Seed: 7, Rate: 100, Duration: time.Second, Mix: DefaultMix()}
+	one, two := Generate(p, o), Generate(p, o)
+	if len(one) < 50 || !reflect.DeepEqual(one, two) {
+		t.Fatalf("%d and %d requests differ", len(one), len(two))
+	}
+	o.Seed = 8
+	if reflect.DeepEqual(one, Generate(p, o)) {
+		t.Fatal("another seed gave the same requests")
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,44 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Run sends all requests at their times, however slow the answers are, and
+// returns the outcomes in the order of the requests.
+func Run(ctx context.Context, p *Plan, o Options, requests []*Request) []Outcome {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	callers := map[[2]string]*caller{}
+	for _, region := range p.Regions() {
+		for _, t := range p.Teams {
+			callers[[2]string{region, t.Name}] = &caller{client, newDirectory(client, p, region, t.Key)}
+		}
+	}
+	out := make([]Outcome, len(requests))
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i, r := range requests {
+		select {
+		case <-time.After(time.Until(start.Add(r.At))):
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			out[i] = Outcome{Class: Lost, Detail: "not sent: " + ctx.Err().Error()}
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rctx, cancel := context.WithTimeout(ctx, o.Timeout)
+			defer cancel()
+			out[i] = callers[[2]string{r.Home, r.Team.Name}].send(rctx, r, start.Add(r.At))
+		}()
+	}
+	wg.Wait()
+	return out
+}
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -59,6 +59,16 @@
 // String returns the form that is put into a prompt.
 func (t Tag) String() string { return "#" + t.ID + "/" + t.Team + "#" }
 
+// Item returns the form that is used as the name of a stock item, which is part
+// of a path.
+func (t Tag) Item() string { return t.ID + "." + t.Team }
+
+// ItemTag returns the tag in the name of a stock item.
+func ItemTag(item string) Tag {
+	id, team, _ := strings.Cut(item, ".")
+	return Tag{ID: id, Team: team}
+}
+
 // FindTag returns the last tag in text.
 func FindTag(text string) (Tag, bool) {
 	end := strings.LastIndexByte(text, '#')
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -87,11 +87,7 @@
 			http.Error(w, "told to refuse", http.StatusServiceUnavailable)
 			return
 		}
-		tagged := body
-		if kind != "booking" {
-			tagged = r.PathValue("item")
-		}
-		run := s.rec.Begin(kind, r, tagged)
+		run := s.rec.Begin(kind, r, body)
 		outcome := Cancelled
 		defer func() { s.rec.End(run, outcome) }()
 		if ok, o := s.ctl.before(w, r, body); !ok {
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -107,7 +107,11 @@
 		RequestID: req.Header.Get("X-Request-Id"), Attempt: req.Header.Get("X-Attempt"),
 		StartMs: time.Now().UnixMilli(), InFlight: r.mu.inFlight,
 	}
-	run.Tag, _ = FindTag(body)
+	if tag, ok := FindTag(body); ok {
+		run.Tag = tag
+	} else if item := req.PathValue("item"); item != "" {
+		run.Tag = ItemTag(item)
+	}
 	rec.Runs = append(rec.Runs, run)
 	r.write(run)
 	return run
