Draft tests with real processes; stale configuration by revision

Change: POST /control of the configuration service takes stale_at, a revision, so that a test can make it go back to a table that instances had left behind. The load reports answers that broke off after their header.

--- a/cmd/loadtool/main.go
+++ b/cmd/loadtool/main.go
@@ -46,24 +46,18 @@
 	return o, nil
 }
 
-// drive sends the load, reads the records and checks.
+// drive runs the load and writes the result file.
 func drive(ctx context.Context, p *load.Plan, o load.Options, out string) (*load.Result, error) {
-	requests := load.Generate(p, o)
-	outcomes := load.Run(ctx, p, o, requests)
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-	records, err := load.FetchRecords(ctx, p)
+	rep, err := load.Drive(ctx, p, o)
 	if err != nil {
 		return nil, err
 	}
-	res := load.NewResult(p, o, requests, outcomes, records)
 	if out != "" {
-		if err := res.Write(out); err != nil {
+		if err := rep.Write(out); err != nil {
 			return nil, err
 		}
 	}
-	return res, nil
+	return rep.Result, nil
 }
 
 // report prints a result; the error lists what must not happen.
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,165 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/fleet"
+	"github.com/wigeonhill/wigeonhill/internal/load"
+	"github.com/wigeonhill/wigeonhill/internal/standin"
+)
+
+// Bounds of the tests, which are far above what is expected.
+const (
+	startBound = 40 * time.Second
+	testBound  = 90 * time.Second
+	stopBound  = 15 * time.Second
+)
+
+// Promised bounds of docs/design.md.
+const (
+	keyBound     = 3 * time.Second // I6
+	leavingBound = 3 * time.Second // I11
+	editionBound = 8 * time.Second // I13
+)
+
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+// run builds the programs once; -short is not parsed before m.Run, so the
+// flag is looked for by its text.
+func run(m *testing.M) int {
+	for _, arg := range os.Args {
+		if strings.HasSuffix(arg, "test.short=true") {
+			return m.Run()
+		}
+	}
+	dir, err := os.MkdirTemp("", "wigeonhill-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin = dir
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/wigeonhill", "../../cmd/standin").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "building the programs: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+type harness struct {
+	*fleet.Fleet
+	t   *testing.T
+	ctx context.Context
+}
+
+// start starts a fleet of three regions that is smaller than the demo's.
+func start(t *testing.T, change func(*fleet.Spec)) *harness {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	spec := fleet.DemoSpec(bin, t.TempDir())
+	spec.InstancesPerRegion, spec.SeatsPerRegion, spec.EnginesPerRegion = 2, 2, 2
+	if change != nil {
+		change(&spec)
+	}
+	f, err := fleet.New(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testBound)
+	t.Cleanup(cancel)
+	t.Cleanup(func() {
+		f.Stop(stopBound)
+		if t.Failed() {
+			for _, in := range f.Instances {
+				t.Logf("end of the log of %s:\n%s", in.Name, in.Tail(1500))
+			}
+		}
+	})
+	begin, stop := context.WithTimeout(ctx, startBound)
+	defer stop()
+	if err := f.Start(begin); err != nil {
+		t.Fatal(err)
+	}
+	return &harness{f, t, ctx}
+}
+
+func (h *harness) must(err error) {
+	h.t.Helper()
+	if err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// drive sends a load and runs step in the middle of it.
+func (h *harness) drive(o load.Options, step func()) *load.Report {
+	h.t.Helper()
+	if o.Seed == 0 {
+		o.Seed = 1
+	}
+	if o.Rate == 0 {
+		o.Rate = 40
+	}
+	if o.Duration == 0 {
+		o.Duration = 6 * time.Second
+	}
+	if o.Mix == nil {
+		o.Mix = load.DefaultMix()
+	}
+	o.Timeout = 40 * time.Second
+	done := make(chan struct{})
+	timer := time.AfterFunc(o.Duration/2, func() {
+		defer close(done)
+		step()
+	})
+	defer timer.Stop()
+	rep, err := load.Drive(h.ctx, h.Plan(), o)
+	h.must(err)
+	<-done
+	return rep
+}
+
+// check fails the test for each fault that the checker found.
+func (h *harness) check(rep *load.Report) {
+	h.t.Helper()
+	for _, f := range rep.Faults() {
+		h.t.Errorf("checker: %s", f)
+	}
+	if rep.Classes[load.Answered] == 0 {
+		h.t.Errorf("nothing was answered: %v, codes %v", rep.Classes, rep.Codes)
+	}
+	if h.t.Failed() {
+		h.t.Logf("classes %v, codes %v, notes:\n%s", rep.Classes, rep.Codes, strings.Join(rep.Notes, "\n"))
+	}
+}
+
+// config sends a control request to the configuration service.
+func (h *harness) config(ctl standin.ConfigControl) {
+	h.t.Helper()
+	h.must(h.Control(h.ctx, h.Config, ctl))
+}
+
+// eventually repeats ask until it returns true; it fails after the bound.
+func (h *harness) eventually(bound time.Duration, what string, ask func() bool) {
+	h.t.Helper()
+	for end := time.Now().Add(bound); ; time.Sleep(50 * time.Millisecond) {
+		if ask() {
+			return
+		}
+		if time.Now().After(end) {
+			h.t.Fatalf("not within %v: %s", bound, what)
+		}
+	}
+}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -54,6 +54,9 @@
 	Latency   time.Duration // since the request was due
 	FirstToken,
 	LongestGap time.Duration // streams; 0 otherwise
+	// Cut is set if an answer broke off after its header had arrived, with or
+	// without an error event.
+	Cut    bool
 	Detail string // of anything but an answer
 }
 
@@ -67,6 +70,7 @@
 	ran       string
 	requestID string
 	detail    string
+	cut       bool
 	first     time.Time
 	gap       time.Duration
 }
@@ -96,6 +100,7 @@
 		if !rep.first.IsZero() {
 			out.FirstToken, out.LongestGap = rep.first.Sub(due), rep.gap
 		}
+		out.Cut = out.Cut || rep.cut
 		if !rep.unsent {
 			sent = true
 		}
@@ -170,7 +175,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		rep.class, rep.detail = Lost, "reading the answer: "+err.Error()
+		rep.cut, rep.class, rep.detail = true, Lost, "reading the answer: "+err.Error()
 		return rep
 	}
 	rep.class, rep.detail = checkWhole(r, body)
@@ -268,6 +273,7 @@
 		var e errorBody
 		if json.Unmarshal(data, &e) == nil && e.Error.Message != "" {
 			rep.setError(&e)
+			rep.cut = true
 			return
 		}
 		var c standin.Completion
@@ -291,7 +297,7 @@
 		return
 	}
 	if err := sc.Err(); err != nil {
-		rep.class, rep.detail = Lost, "stream: "+err.Error()
+		rep.cut, rep.class, rep.detail = true, Lost, "stream: "+err.Error()
 		return
 	}
 	rep.class, rep.detail = Truncated, fmt.Sprintf("stream ended without [DONE] after %d characters", text.Len())
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -107,13 +107,11 @@
 	if change != nil {
 		change(p, &o)
 	}
-	requests := Generate(p, o)
-	outcomes := Run(context.Background(), p, o, requests)
-	records, err := FetchRecords(context.Background(), p)
+	rep, err := Drive(context.Background(), p, o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return NewResult(p, o, requests, outcomes, records)
+	return rep.Result
 }
 
 // Guards against a checker that overlooks a fault, and one that reports faults
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -28,6 +28,7 @@
 	Classes     map[Class]int  `json:"classes"`
 	Codes       map[string]int `json:"codes"` // errors by result code
 	Resent      int            `json:"resent"`
+	CutOff      int            `json:"cut_off"` // broke off after the header, whatever the resend gave
 	Doubled     int            `json:"doubled"`
 	OutOfRegion int            `json:"out_of_region"`
 	FalseNotRun int            `json:"false_not_run"`
@@ -104,6 +105,9 @@
 		if out.Sends > 1 {
 			res.Resent++
 		}
+		if out.Cut {
+			res.CutOff++
+		}
 		t := res.team(r.Team.Name)
 		t.Sent++
 		switch out.Class {
@@ -206,6 +210,7 @@
 	out = append(out,
 		row{"errors by code", strings.Join(codes, " ")},
 		row{"resent by callers", fmt.Sprint(res.Resent)},
+		row{"broke off after the header", fmt.Sprint(res.CutOff)},
 		row{"doubled bookings", fmt.Sprint(res.Doubled)},
 		row{"out of region", fmt.Sprint(res.OutOfRegion)},
 		row{"false not_run", fmt.Sprint(res.FalseNotRun)},
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
 // Run sends all requests at their times, however slow the answers are, and
@@ -42,3 +44,26 @@
 	wg.Wait()
 	return out
 }
+
+// Report is all that a run yields.
+type Report struct {
+	*Result
+	Requests []*Request
+	Outcomes []Outcome
+	Records  []*standin.Record
+}
+
+// Drive generates and sends the load, reads the records and checks.
+func Drive(ctx context.Context, p *Plan, o Options) (*Report, error) {
+	rep := &Report{Requests: Generate(p, o)}
+	rep.Outcomes = Run(ctx, p, o, rep.Requests)
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	var err error
+	if rep.Records, err = FetchRecords(ctx, p); err != nil {
+		return nil, err
+	}
+	rep.Result = NewResult(p, o, rep.Requests, rep.Outcomes, rep.Records)
+	return rep, nil
+}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -31,8 +31,8 @@
 	Put map[string]string `json:"put,omitempty"`
 	// Down closes every connection without an answer.
 	Down *bool `json:"down,omitempty"`
-	// Stale keeps answering the values of the time it was set.
-	Stale *bool `json:"stale,omitempty"`
+	// StaleAt answers the values as they were at this revision; 0 ends that.
+	StaleAt *int64 `json:"stale_at,omitempty"`
 }
 
 // Config is the configuration service, with the weight store and the client
@@ -40,8 +40,8 @@
 type Config struct {
 	mu struct {
 		sync.Mutex
-		values   map[string]value
-		frozen   map[string]value // set while stale
+		values   map[string][]value // ascending revisions
+		staleAt  int64              // 0: not stale
 		down     bool
 		changed  chan struct{}
 		revision int64
@@ -54,7 +54,7 @@
 func NewConfig() *Config {
 	rec, _ := NewRecorder("config", "", 0, "")
 	c := &Config{rec: rec}
-	c.mu.values = map[string]value{}
+	c.mu.values = map[string][]value{}
 	c.mu.changed = make(chan struct{})
 	return c
 }
@@ -63,18 +63,12 @@
 func (c *Config) Apply(ctl ConfigControl) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if ctl.Stale != nil {
-		c.mu.frozen = nil
-		if *ctl.Stale {
-			c.mu.frozen = map[string]value{}
-			for name, v := range c.mu.values {
-				c.mu.frozen[name] = v
-			}
-		}
+	if ctl.StaleAt != nil {
+		c.mu.staleAt = *ctl.StaleAt
 	}
 	for name, text := range ctl.Put {
 		c.mu.revision++
-		c.mu.values[name] = value{c.mu.revision, text}
+		c.mu.values[name] = append(c.mu.values[name], value{c.mu.revision, text})
 	}
 	if ctl.Down != nil {
 		c.mu.down = *ctl.Down
@@ -87,11 +81,11 @@
 func (c *Config) get(name string) (v value, ok, down bool, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	values := c.mu.values
-	if c.mu.frozen != nil {
-		values = c.mu.frozen
+	for _, x := range c.mu.values[name] {
+		if c.mu.staleAt == 0 || x.revision <= c.mu.staleAt {
+			v, ok = x, true
+		}
 	}
-	v, ok = values[name]
 	return v, ok, c.mu.down, c.mu.changed
 }
 
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -163,16 +163,16 @@
 	if body := <-got; body != "two" {
 		t.Fatalf("watch answered %q", body)
 	}
-	yes, no := true, false
-	c.Apply(ConfigControl{Stale: &yes})
+	yes, second, fresh := true, int64(2), int64(0)
 	put("three")
+	c.Apply(ConfigControl{StaleAt: &second})
 	if resp, body := do(t, "GET", url, "", nil); body != "two" || resp.Header.Get("X-Revision") != "2" {
 		t.Fatalf("stale service answered %q", body)
 	}
 	if resp, _ := do(t, "GET", url+"?after=2&wait_ms=1", "", nil); resp.StatusCode != http.StatusNotModified {
 		t.Fatalf("watch without a change: %s", resp.Status)
 	}
-	c.Apply(ConfigControl{Stale: &no, Down: &yes})
+	c.Apply(ConfigControl{StaleAt: &fresh, Down: &yes})
 	if resp, _ := do(t, "GET", url, "", nil); resp != nil {
 		t.Fatalf("service that is down answered %s", resp.Status)
 	}
