Wire the managers into an instance; the thin path runs end to end

Cause: the packages existed but no process served a request. Change: internal/node builds the managers and runs them with oklog/run, routes the inner protocol, draws the incarnation, drains on SIGTERM and fills the status pages. The watch of attempts now knows the query, so that the choice of targets counts its own requests. The directory answer names its prefix for idempotency keys idempotency_key_prefix; loadtool read another name and all bookings were refused with code 108. Ruled out: readiness that waits for slots, since an instance may serve other routes before; the caller's IP alone as its identity in the directory, since callers behind one address would all use one instance.

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
 	"github.com/wigeonhill/wigeonhill/internal/admit"
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
@@ -52,10 +50,12 @@
 	Release(s grant.Slot)
 }
 
-// TargetWatch learns how attempts on targets ended, for the choice of targets.
-type TargetWatch interface {
-	// Attempt is called when an attempt ends; err is nil for an answer.
-	Attempt(target string, err error, d time.Duration)
+// Watch learns of attempts, for the choice of targets and regions.
+type Watch interface {
+	// Begin is called right before an attempt on a target, or before a hop to
+	// region if target is empty. ended is called when the attempt has ended; err
+	// is nil for an answer.
+	Begin(q route.Query, target, region string, bodyBytes int) (ended func(err error))
 }
 
 // LocalConfig is what a Local needs.
@@ -74,7 +74,7 @@
 	Trail    audit.Trail
 	Clock    clock.Clock
 	Log      *event.Logger
-	Watch    TargetWatch // optional
+	Watch    Watch // optional
 }
 
 // Config is what a Dispatcher needs.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -60,11 +60,12 @@
 // choose asks for a choice and drops what the edition does not allow.
 func (r *run) choose(e *table.Edition, p access.Permit) (route.Choice, error) {
 	own := r.l.Instance.Region
-	choice := r.l.Chooser.Choose(route.Query{
+	r.query = route.Query{
 		Team: p.Team, Model: p.Model, Service: p.Service, PrefixHashes: r.c.PrefixHashes,
 		PromptTokens: r.c.PromptTokens, OutputTokens: r.c.OutputTokens,
 		Allowed: p.Allowed, Exclude: maps.Clone(r.exclude), LocalOnly: r.hop == nil,
-	})
+	}
+	choice := r.l.Chooser.Choose(r.query)
 	r.l.Requests.Note(r.c.ID, "choice", strings.Join(choice.Reasons, "; "))
 	choice.Targets = slices.DeleteFunc(slices.Clone(choice.Targets), func(name string) bool {
 		return r.exclude[name] || !serves(e.Targets[name], p, own)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/route"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -32,6 +33,7 @@
 	fingerprint Fingerprint
 	exclude     map[string]bool
 	region      atomic.Pointer[string] // where the request runs now
+	query       route.Query            // of the last choice
 
 	ticket   admit.Ticket
 	admitted bool
@@ -90,11 +92,16 @@
 	r.out.Region, r.out.Target = pl.region, pl.name()
 	ctx, cancel := r.attemptContext(ctx, pl)
 	defer cancel()
-	start := time.Now()
-	err := r.attempt(ctx, pl)
-	if pl.target != nil && r.l.Watch != nil {
-		r.l.Watch.Attempt(pl.target.Name, err, time.Since(start))
+	ended := func(error) {}
+	if r.l.Watch != nil {
+		target := ""
+		if pl.target != nil {
+			target = pl.target.Name
+		}
+		ended = r.l.Watch.Begin(r.query, target, pl.region, len(r.c.Body))
 	}
+	err := r.attempt(ctx, pl)
+	ended(err)
 	if err == nil {
 		return nil
 	}
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -192,8 +192,8 @@
 func (n *node) RequestDone(r entry.Record) { n.records <- r }
 
 // Answer implements entry.Directory.
-func (n *node) Answer(region, domain string) any {
-	return map[string]string{"asked": region + "/" + domain}
+func (n *node) Answer(caller, region string) any {
+	return map[string]string{"asked": region + "/" + caller}
 }
 
 // admitter admits at once and counts what is held.
--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -126,14 +126,17 @@
 // all need none, and is answered while the instance drains.
 func (s *Server) directory(c echo.Context) error {
 	x := s.begin(c)
-	region, domain := c.QueryParam("region"), c.QueryParam("domain")
+	region := c.QueryParam("region")
 	if region == "" {
 		region = s.Instance.Region
-		if domain == "" {
-			domain = s.Instance.Domain
-		}
+	}
+	// Callers behind one address must not all get the same first instance, so
+	// the port counts too unless the caller names itself.
+	caller := c.QueryParam("caller")
+	if caller == "" {
+		caller = c.Request().RemoteAddr
 	}
 	x.w.Header().Set("Cache-Control", "no-store")
-	x.writeJSON(s.Directory.Answer(region, domain))
+	x.writeJSON(s.Directory.Answer(caller, region))
 	return nil
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -25,7 +25,8 @@
 
 // Directory answers which instances a caller should use, as a JSON value.
 type Directory interface {
-	Answer(region, domain string) any
+	// caller is any text that stays the same for one caller.
+	Answer(caller, region string) any
 }
 
 // Record describes a finished request for metrics.
--- a/internal/entry/thin_test.go
+++ b/internal/entry/thin_test.go
@@ -118,7 +118,7 @@
 	if r := n.do("GET", "/v1/models", ""); r.body != `{"data":[{"id":"planner","object":"model","owned_by":"wigeonhill"}],"object":"list"}`+"\n" {
 		t.Errorf("models: %+v", r)
 	}
-	if r := n.do("GET", "/v1/directory", ""); r.body != `{"asked":"north/d1"}`+"\n" {
+	if r := n.do("GET", "/v1/directory?caller=c1", ""); r.body != `{"asked":"north/c1"}`+"\n" {
 		t.Errorf("directory: %+v", r)
 	}
 }
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -11,3 +11,6 @@
 	SettingsLoaded = define(104, "settings loaded", zapcore.InfoLevel, "the settings file was read")
 	ManagerFailed  = define(105, "manager failed", zapcore.ErrorLevel, "a part of the instance ended with an error; the instance stops")
 )
+
+// DrainCut is written when the shutdown timeout ended before the requests.
+var DrainCut = define(106, "drain cut short", zapcore.WarnLevel, "requests were still running when shutdown_timeout ended; they are cut off")
--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -330,9 +330,6 @@
 // Part returns the region's part of the team's rate and burst. While the share
 // is being changed, the smaller one applies.
 func Part(region *table.Region, team *table.Team) (rate, burst float64) {
-	share := region.Share
-	if region.PreviousShare > 0 {
-		share = min(share, region.PreviousShare)
-	}
+	share := region.EffectiveShare()
 	return team.Rate * share, team.Burst * share
 }
--- a/internal/load/directory.go
+++ b/internal/load/directory.go
@@ -20,7 +20,7 @@
 // entryPoint is an instance in the order of the directory.
 type entryPoint struct {
 	Address   string `json:"address"`
-	KeyPrefix string `json:"key_prefix"`
+	KeyPrefix string `json:"idempotency_key_prefix"`
 }
 
 type directoryAnswer struct {
@@ -107,7 +107,8 @@
 	return a, nil
 }
 
-// idempotencyKey builds a key from the prefix of an instance.
+// idempotencyKey builds a key from the prefix of an instance, which ends with
+// the issue time and a dot.
 func idempotencyKey(prefix string, tag string) string {
 	random := strings.Map(func(r rune) rune {
 		if r == '#' || r == '/' {
@@ -115,5 +116,5 @@
 		}
 		return r
 	}, tag)
-	return fmt.Sprintf("%s.%d.%s", prefix, time.Now().UnixMilli(), random)
+	return prefix + random
 }
--- /dev/null
+++ b/internal/node/routing.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/wigeonhill/wigeonhill/internal/admit"
+	"github.com/wigeonhill/wigeonhill/internal/edition"
+	"github.com/wigeonhill/wigeonhill/internal/grant"
+	"github.com/wigeonhill/wigeonhill/internal/member"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/platform"
+	"github.com/wigeonhill/wigeonhill/internal/route"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+const (
+	// statusAge is how long the status of another region's pool is used before
+	// it is asked for again.
+	statusAge     = time.Second
+	statusTimeout = 500 * time.Millisecond
+	// A target that failed is avoided for failedFor, doubled with each further
+	// failure up to failedMax, so that it is tried again but not by everyone.
+	failedFor = time.Second
+	failedMax = 16 * time.Second
+)
+
+// routing connects the choice of targets with the members, the instance list
+// and the fate of attempts.
+type routing struct {
+	region   string
+	self     *peerv1.Identity
+	tracker  *route.Tracker
+	editions *edition.Manager
+	members  *member.Manager
+	admitter *admit.Manager
+	loads    grant.Loads
+	clients  *peerapi.Clients
+	now      func() time.Time
+	mu       struct {
+		sync.Mutex
+		asked  map[string]time.Time // by region and pool
+		failed map[string]failure   // by target
+	}
+	asks sync.WaitGroup
+}
+
+type failure struct {
+	count int
+	until time.Time
+}
+
+// Choose implements dispatch.Chooser.
+func (r *routing) Choose(q route.Query) route.Choice {
+	e := r.editions.Current()
+	if e == nil {
+		return route.Choice{}
+	}
+	r.askRegions(e, q)
+	return r.tracker.Decide(q, e.Policy)
+}
+
+// Begin implements dispatch.Watch.
+func (r *routing) Begin(q route.Query, target, region string, bodyBytes int) func(error) {
+	if target == "" {
+		ended := r.tracker.Forwarded(q, region, bodyBytes)
+		return func(error) { ended() }
+	}
+	ended := r.tracker.Started(q, target)
+	return func(err error) {
+		ended()
+		r.attempted(target, err != nil)
+	}
+}
+
+// attempted avoids a target for a while after a failure.
+func (r *routing) attempted(target string, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f, known := r.mu.failed[target]
+	switch {
+	case !failed && known:
+		delete(r.mu.failed, target)
+		r.tracker.SetTargetLive(target, !r.leaving(target))
+	case failed:
+		wait := min(failedFor<<min(f.count, 8), failedMax)
+		r.mu.failed[target] = failure{count: f.count + 1, until: r.now().Add(wait)}
+		r.tracker.SetTargetLive(target, false)
+	}
+}
+
+func (r *routing) leaving(target string) bool {
+	list := r.editions.Lists().Current()
+	return list != nil && list.LeavingTargets[target]
+}
+
+// refresh applies editions, the instance list and expired failures.
+func (r *routing) refresh() {
+	e := r.editions.Current()
+	if e == nil {
+		return
+	}
+	now := r.now()
+	r.mu.Lock()
+	for name, t := range e.Targets {
+		if t.Region == r.region {
+			f := r.mu.failed[name]
+			r.tracker.SetTargetLive(name, !r.leaving(name) && !now.Before(f.until))
+		}
+	}
+	for name := range r.mu.failed {
+		if e.Targets[name] == nil {
+			delete(r.mu.failed, name)
+		}
+	}
+	r.mu.Unlock()
+	r.tracker.SetPeers(len(r.members.Live(r.region)))
+	for region := range e.Regions {
+		if region != r.region {
+			r.tracker.SetReachable(region, len(r.members.Live(region)) > 0)
+		}
+	}
+}
+
+// Run keeps the beliefs current until ctx ends.
+func (r *routing) Run(ctx context.Context) error {
+	r.editions.Store().Subscribe(func(_, e *table.Edition) { r.tracker.SetEdition(e); r.refresh() })
+	r.editions.Lists().Subscribe(func(_, _ *platform.InstanceList) { r.refresh() })
+	r.members.OnChange(func([]member.Transition) { r.refresh() })
+	if e := r.editions.Current(); e != nil {
+		r.tracker.SetEdition(e)
+	}
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	defer r.asks.Wait()
+	for {
+		r.refresh()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// refreshEvery bounds how long an expired failure keeps a target unused.
+const refreshEvery = 500 * time.Millisecond
+
+// askRegions asks other regions how busy they are for the query's pool, but
+// only while the own region lacks slots or targets for it.
+func (r *routing) askRegions(e *table.Edition, q route.Query) {
+	if q.LocalOnly || !r.short(e, q) {
+		return
+	}
+	for region := range q.Allowed {
+		if region == r.region || q.Exclude[region] {
+			continue
+		}
+		key := region + "/" + q.Model + "/" + q.Service
+		r.mu.Lock()
+		due := r.now().Sub(r.mu.asked[key]) >= statusAge
+		if due {
+			r.mu.asked[key] = r.now()
+		}
+		r.mu.Unlock()
+		if due {
+			r.asks.Go(func() { r.ask(region, q.Model, q.Service) })
+		}
+	}
+}
+
+// short reports whether requests for the pool wait here or have no target here.
+func (r *routing) short(e *table.Edition, q route.Query) bool {
+	names := poolTargets(e, r.region, q.Model, q.Service)
+	if len(names) == 0 || !q.Allowed[r.region] {
+		return true
+	}
+	wait, queued := r.admitter.Wait(names)
+	return wait > 0 || queued > 0
+}
+
+func (r *routing) ask(region, model, service string) {
+	live := r.members.Live(region)
+	if len(live) == 0 {
+		return
+	}
+	// Rotating over the instances spreads the questions without state.
+	one := live[int(r.now().UnixNano()/int64(statusAge))%len(live)]
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	resp, err := r.clients.Client(one.PeerAddress).PoolStatus(ctx, connect.NewRequest(&peerv1.PoolStatusRequest{
+		From: r.self, Model: model, Service: service,
+	}))
+	if err != nil {
+		return // the member's state says whether the region is reachable
+	}
+	r.tracker.SetRegion(route.RegionStatus{
+		Region: region, Model: model, Service: service,
+		Capacity: int(resp.Msg.Capacity), Running: int(resp.Msg.Running), Queued: int(resp.Msg.Queued),
+		Wait: time.Duration(resp.Msg.WaitMs) * time.Millisecond,
+	})
+}
+
+// PoolStatus implements dispatch.Pools.
+func (r *routing) PoolStatus(model, service string) (capacity, running, queued int, wait time.Duration) {
+	e := r.editions.Current()
+	if e == nil {
+		return 0, 0, 0, 0
+	}
+	names := poolTargets(e, r.region, model, service)
+	for _, name := range names {
+		if r.leaving(name) {
+			continue
+		}
+		capacity += e.Targets[name].Capacity
+		if load, ok := r.loads.Load(name); ok {
+			running += load.Running
+		}
+	}
+	wait, queued = r.admitter.Wait(names)
+	return capacity, running, queued, wait
+}
+
+// poolTargets returns the targets of a region that serve a model or service.
+func poolTargets(e *table.Edition, region, model, service string) []string {
+	var names []string
+	for name, t := range e.Targets {
+		if t.Region != region {
+			continue
+		}
+		if model != "" && t.Kind == table.Engine && t.Models[model] || service != "" && t.Kind == table.Plain && t.Service == service {
+			names = append(names, name)
+		}
+	}
+	return names
+}
