--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -90,7 +90,7 @@
 	}
 	key := ""
 	if r.Keyed {
-		key = idempotencyKey(order[0].KeyPrefix, r.Tag.String())
+		key = idempotencyKey(order[0].KeyPrefix, r.Tag)
 	}
 	sent := false // a byte may have reached an instance
 	for i := 0; out.Sends < maxSends; i++ {
--- a/internal/load/directory.go
+++ b/internal/load/directory.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
+	"net/url"
 	"sync"
 	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
 const (
@@ -20,7 +22,7 @@
 // entryPoint is an instance in the order of the directory.
 type entryPoint struct {
 	Address   string `json:"address"`
-	KeyPrefix string `json:"key_prefix"`
+	KeyPrefix string `json:"idempotency_key_prefix"`
 }
 
 type directoryAnswer struct {
@@ -31,6 +33,7 @@
 // directory keeps the order that callers of one region and team follow.
 type directory struct {
 	client *http.Client
+	region string
 	key    string
 	// first lists the instances to ask: those of the own region, then others.
 	first []string
@@ -42,7 +45,7 @@
 }
 
 func newDirectory(client *http.Client, p *Plan, region, key string) *directory {
-	d := &directory{client: client, key: key}
+	d := &directory{client: client, region: region, key: key}
 	for _, own := range []bool{true, false} {
 		for _, in := range p.Instances {
 			if (in.Region == region) == own {
@@ -84,7 +87,7 @@
 func (d *directory) ask(ctx context.Context, address string) (*directoryAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, directoryWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/directory", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/directory?region="+url.QueryEscape(d.region), nil)
 	if err != nil {
 		return nil, err
 	}
@@ -107,13 +110,8 @@
 	return a, nil
 }
 
-// idempotencyKey builds a key from the prefix of an instance.
-func idempotencyKey(prefix string, tag string) string {
-	random := strings.Map(func(r rune) rune {
-		if r == '#' || r == '/' {
-			return '-'
-		}
-		return r
-	}, tag)
-	return fmt.Sprintf("%s.%d.%s", prefix, time.Now().UnixMilli(), random)
+// idempotencyKey adds the random part of a key to the prefix of an instance;
+// the part is the request's tag, which is unique.
+func idempotencyKey(prefix string, t standin.Tag) string {
+	return prefix + "booking-" + t.ID
 }
