--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -23,8 +23,10 @@
 	EngineCapacity, OrderCapacity int
 	// PerToken is the engines' time for an output token.
 	PerToken time.Duration
-	// MaxRun bounds the run time of requests.
-	MaxRun time.Duration
+	// MaxRun and ServiceMaxRun bound the run time of requests to engines and to
+	// plain services. A new grantor hands out unaccounted slots of plain
+	// services only after ServiceMaxRun, as they report no load.
+	MaxRun, ServiceMaxRun time.Duration
 	// ExtraSettings is appended to the settings of each instance.
 	ExtraSettings string
 }
@@ -37,7 +39,7 @@
 		Bin: bin, Dir: dir, Regions: regions,
 		InstancesPerRegion: 3, EnginesPerRegion: 4, OrdersPerRegion: 1, SeatsPerRegion: 3,
 		EngineCapacity: 8, OrderCapacity: 8,
-		PerToken: 5 * time.Millisecond, MaxRun: 20 * time.Second,
+		PerToken: 5 * time.Millisecond, MaxRun: 20 * time.Second, ServiceMaxRun: 3 * time.Second,
 		Teams: []load.Team{
 			// Two large teams, one bound to a home region, one small, and one
 			// that sends several times its rate.
--- a/internal/fleet/text.go
+++ b/internal/fleet/text.go
@@ -30,7 +30,7 @@
 	for _, model := range []string{load.CareModel, load.QuestionModel} {
 		section("[model %s]\nmax_output = 256\nmax_run = %v\n", model, f.Spec.MaxRun)
 	}
-	section("[service orders]\nmax_run = %v\n", f.Spec.MaxRun)
+	section("[service orders]\nmax_run = %v\n", f.Spec.ServiceMaxRun)
 	section("[route bookings]\nprefix = %s\nservice = orders\nmethods = GET, POST\nidempotent = GET\n", load.BookPath)
 	section("[route stock]\nprefix = %s\nservice = orders\nmethods = GET\nidempotent = GET\n", load.StockPath)
 	for _, t := range f.Teams {
