Name the next instance in the idempotency key while nothing was sent

Cause: a caller whose first instance refused the connection sent the booking to the next one under a key that named the dead instance, which is answered 405 outcome_unknown although nothing had run. Change: the load tool's caller builds a new key for each instance until a byte may have reached one. Ruled out: letting another instance take over the key of a dead one; it cannot know whether the booking ran.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -89,12 +89,15 @@
 		return Outcome{Class: Lost, Detail: err.Error()}
 	}
 	key := ""
-	if r.Keyed {
-		key = idempotencyKey(order[0].KeyPrefix, r.Tag)
-	}
 	sent := false // a byte may have reached an instance
 	for i := 0; out.Sends < maxSends; i++ {
-		rep := c.attempt(ctx, r, order[i%len(order)].Address, key)
+		instance := order[i%len(order)]
+		// Only the instance named in a key can tell whether it was used. As long
+		// as no instance has got the request, each attempt names its own.
+		if r.Keyed && !sent {
+			key = idempotencyKey(instance.KeyPrefix, r.Tag)
+		}
+		rep := c.attempt(ctx, r, instance.Address, key)
 		out.Sends++
 		out.Code, out.RequestID, out.Detail = rep.code, rep.requestID, rep.detail
 		if !rep.first.IsZero() {
