Report ready only after the first slots of each pool

Cause: /readyz answered 200 after 2 s, when a grantor was known, but the grantor hands out slots only once they are accounted for; callers that came in between waited up to 5 s. Change: at the start each instance obtains one slot of each pool of its region through admission, and is not ready before, for at most 10 s. Ruled out: stating demand directly at the holder, since admission states its own and the two would overwrite each other.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	grants   *grant.Manager
 	admitter *admit.Manager
 	routing  *routing
+	warmup   *warmup
 	gate     *dispatch.Gate
 	local    *dispatch.Local
 	memory   *dispatch.Memory
@@ -165,6 +166,7 @@
 	}
 	n.routing.mu.asked = make(map[string]time.Time)
 	n.routing.mu.failed = make(map[string]failure)
+	n.warmup = &warmup{region: s.Instance.Region, edition: n.editions.Current, admitter: n.admitter}
 	n.memory = dispatch.NewMemory(s.Bounds)
 	n.once = once.New(once.Config{
 		Instance: s.Instance.Name, Incarnation: n.self.Incarnation, Clock: n.clock, Start: time.Now(),
@@ -265,6 +267,7 @@
 		{"grants", n.grants.Run},
 		{"admission", n.admitter.Run},
 		{"routing", n.routing.Run},
+		{"warmup", n.warmup.Run},
 		{"gate", n.gate.Run},
 		{"checks", n.local.RunChecks},
 		{"operators", n.ops.Run},
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -11,11 +11,6 @@
 	"github.com/wigeonhill/wigeonhill/internal/ops"
 )
 
-// electionGrace is how long a started instance counts as not ready because its
-// region has no grantor. After that it is ready without: it can borrow from
-// other regions.
-const electionGrace = 10 * time.Second
-
 // ready tells whether callers may be sent to this instance.
 func (n *Node) ready() error {
 	e := n.editions.Current()
@@ -28,14 +23,8 @@
 	if self := n.members.Self(); !self.Used() {
 		return errors.New("the instance is leaving")
 	}
-	if time.Since(n.started) > electionGrace {
-		return nil
-	}
-	now := n.clock.Now()
-	for _, shard := range n.ownShards(e) {
-		if n.terms.Hint(now, shard) == nil {
-			return errors.Newf("no grantor is known for region %s, shard %d", shard.Region, shard.Index)
-		}
+	if !n.warmup.done.Load() {
+		return errors.New("the instance is waiting for its first slots")
 	}
 	return nil
 }
