Order engines to load the models of the table

Cause: an engine that lacks a model of the table stayed without it; engines take orders and the right to give them is bounded by the grantor's term. Change: internal/order plans one order per engine from the table and the models that engines report, and sends it with the ballot as fencing number, only while more than the order's timeout remains of the term. Ruled out: orders from any instance with fencing alone, since some engines ignore fencing numbers; parallel loads, since the weight store is rate-limited. Conclusion: loading of models is built; adapters, versions and roles are not. Not covered: a process frozen between the check and the send can still reach an engine that ignores fencing numbers late.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/member"
 	"github.com/wigeonhill/wigeonhill/internal/once"
 	"github.com/wigeonhill/wigeonhill/internal/ops"
+	"github.com/wigeonhill/wigeonhill/internal/order"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/platform"
@@ -258,6 +259,9 @@
 	dog := &watchdog{clock: n.clock, log: n.log, paused: []func(){
 		n.terms.Paused, n.grants.Paused, n.editions.NotePause, n.gate.Paused,
 	}}
+	orders := order.NewManager(order.Config{
+		Clock: n.clock, Editions: n.editions, Terms: n.terms, HTTP: &http.Client{Timeout: loadTimeout}, Log: n.log, Trail: n.trail,
+	})
 	return []manager{
 		{"watchdog", dog.Run},
 		{"editions", n.editions.Run},
@@ -268,6 +272,7 @@
 		{"admission", n.admitter.Run},
 		{"routing", n.routing.Run},
 		{"warmup", n.warmup.Run},
+		{"orders", orders.Run},
 		{"gate", n.gate.Run},
 		{"checks", n.local.RunChecks},
 		{"operators", n.ops.Run},
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -38,6 +40,8 @@
 	CachedTokens int   `json:"cached_tokens"`
 	AgeMs        int64 `json:"age_ms"`
 	Fencing      int64 `json:"fencing"`
+	// Models are the loaded models; absent if the engine serves any model.
+	Models []string `json:"models,omitempty"`
 }
 
 // Order is the body of POST /orders.
@@ -103,7 +107,7 @@
 		// A request that hangs before it got a slot of the engine is in flight too.
 		_, queued := e.slots.counts()
 		running := max(0, e.rec.InFlight()-queued)
-		e.mu.load = Load{Running: running, Queued: queued, Capacity: e.opt.Capacity, CachedTokens: e.cache.tokens(), Fencing: e.mu.fencing}
+		e.mu.load = Load{Running: running, Queued: queued, Capacity: e.opt.Capacity, CachedTokens: e.cache.tokens(), Fencing: e.mu.fencing, Models: slices.Sorted(maps.Keys(e.mu.models))}
 		e.mu.sampled = time.Now()
 	}
 	load := e.mu.load
