--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -30,11 +30,11 @@
 
 // Admit implements Admitter.
 func (m *Manager) Admit(ctx context.Context, r Request) (Ticket, error) {
-	within, err := m.arrive(r)
+	lim, err := m.limit(r)
 	if err == nil {
 		var got rights
 		var waited time.Duration
-		if got, waited, err = m.obtain(ctx, r, false); err == nil {
+		if got, waited, err = m.obtain(ctx, r, false, &lim); err == nil {
 			m.outstanding.Add(1)
 			m.cfg.Observer.Admitted(r.Team, waited)
 			return Ticket{
@@ -43,32 +43,39 @@
 			}, nil
 		}
 	}
-	m.cfg.Observer.Refused(r.Team, err.Code, within)
+	m.cfg.Observer.Refused(r.Team, err.Code, lim.within)
 	return Ticket{}, err
 }
 
-// arrive counts the demand of r and refuses what can never be admitted.
-func (m *Manager) arrive(r Request) (within bool, err *result.Error) {
-	if m.cfg.Limits == nil || r.Tokens <= 0 || r.Prepaid {
-		return m.cfg.Limits != nil, nil
+// limit is the published limit of a team, and whether its demand at this
+// instance is within it.
+type limit struct {
+	rate, burst float64
+	known       bool
+	within      bool
+}
+
+// limit looks up the limit of a request's team and refuses what can never be
+// admitted.
+func (m *Manager) limit(r Request) (limit, *result.Error) {
+	if m.cfg.Limits == nil {
+		return limit{}, nil
 	}
-	rate, burst, ok := m.cfg.Limits(r.Team)
-	if !ok {
-		return false, nil
+	if !(r.Tokens > 0) || r.Prepaid {
+		return limit{within: true}, nil
 	}
-	if r.Tokens > burst {
-		return false, result.New(result.TooLargeForTeam, result.NotRun, "the request needs %.0f tokens, the team's burst is %.0f", r.Tokens, burst)
+	rate, burst, ok := m.cfg.Limits(r.Team)
+	if ok && r.Tokens > burst {
+		return limit{}, result.New(result.TooLargeForTeam, result.NotRun, "the request needs %.0f tokens, the team's burst is %.0f", r.Tokens, burst)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.mu.shadow.arrive(r.Team, r.Tokens, rate, burst, m.now()), nil
+	return limit{rate: rate, burst: burst, known: ok}, nil
 }
 
 // Reslot implements Admitter. It debits nothing and goes before the team's
 // other requests, since what the request has used so far would be lost.
 func (m *Manager) Reslot(ctx context.Context, r Request) (grant.Slot, error) {
 	r.Prepaid = true
-	got, _, err := m.obtain(ctx, r, true)
+	got, _, err := m.obtain(ctx, r, true, nil)
 	if err != nil {
 		return grant.Slot{}, err
 	}
@@ -76,65 +83,90 @@
 }
 
 // obtain takes the rights of r, at once or after a wait in the queue.
-func (m *Manager) obtain(ctx context.Context, r Request, urgent bool) (rights, time.Duration, *result.Error) {
+func (m *Manager) obtain(ctx context.Context, r Request, urgent bool, lim *limit) (rights, time.Duration, *result.Error) {
+	if ctx.Err() != nil {
+		return rights{}, 0, left(ctx)
+	}
+	e, got, err := m.submit(r, urgent, lim)
+	if e == nil {
+		return got, 0, err
+	}
+	select {
+	case out := <-e.done:
+		return out.rights, m.now() - e.at, out.err
+	case <-ctx.Done():
+		m.abandon(e)
+		return rights{}, 0, left(ctx)
+	}
+}
+
+// submit takes the rights of r at once or refuses it or queues it; only in the
+// last case it returns an entry. lim may be nil.
+func (m *Manager) submit(r Request, urgent bool, lim *limit) (*entry, rights, *result.Error) {
 	now := m.now()
-	e := &entry{team: r.Team, at: now, urgent: urgent, heapIndex: -1, cost: max(r.Tokens, leastCost)}
-	if !r.Prepaid {
-		e.tokens = max(r.Tokens, 0)
+	cost, tokens := r.Tokens, max(r.Tokens, 0)
+	if !(cost > 0) {
+		cost = freeCost
+	}
+	if r.Prepaid {
+		tokens = 0
 	}
-	e.deadline = now + m.cfg.MaxWait
+	deadline := now + m.cfg.MaxWait
 	if !r.Deadline.IsZero() {
-		e.deadline = min(e.deadline, r.Deadline.Sub(m.start))
+		deadline = min(deadline, r.Deadline.Sub(m.start))
 	}
+	free, stopped := m.enter(now, r, cost, lim)
 	switch {
-	case ctx.Err() != nil:
-		return rights{}, 0, left(ctx)
+	case stopped:
+		return nil, rights{}, errStopped()
 	case r.Targets != nil && len(r.Targets) == 0:
-		return rights{}, 0, result.New(result.NoTarget, result.NotRun, "no live target")
-	case e.deadline <= now:
-		return rights{}, 0, result.New(result.DeadlineTooNear, result.NotRun, "the deadline has passed")
-	}
-	free, stopped := m.mayPass(r)
-	if stopped {
-		return rights{}, 0, errStopped()
+		return nil, rights{}, result.New(result.NoTarget, result.NotRun, "no live target")
+	case deadline <= now:
+		return nil, rights{}, result.New(result.DeadlineTooNear, result.NotRun, "the deadline has passed")
 	}
 	if free {
-		if got, v := m.take(e.team, e.tokens, r.Targets, nil); v == served {
-			m.charge(r, e)
-			return got, 0, nil
+		if got, v := m.take(r.Team, tokens, r.Targets, nil); v == served {
+			return nil, got, nil
 		}
 	}
-	if err := m.enqueue(r, e); err != nil {
-		return rights{}, 0, err
+	e := &entry{
+		team: r.Team, cost: cost, tokens: tokens, at: now, deadline: deadline,
+		urgent: urgent, heapIndex: -1, done: make(chan outcome, 1),
 	}
-	m.serve()
-	select {
-	case out := <-e.done:
-		return out.rights, m.now() - now, out.err
-	case <-ctx.Done():
-		m.abandon(e)
-		return rights{}, 0, left(ctx)
+	if err := m.enqueue(r, e, free); err != nil {
+		return nil, rights{}, err
 	}
+	m.serve()
+	return e, rights{}, nil
 }
 
-// mayPass reports whether r may take rights without going through the queue,
-// because nothing that is queued waits for the same.
-func (m *Manager) mayPass(r Request) (free, stopped bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.mu.q.clear(r.Team, r.Targets), m.mu.stopped
-}
-
-func (m *Manager) charge(r Request, e *entry) {
+// enter counts the arrival of r and reports whether it may take rights without
+// going through the queue, because nothing that is queued waits for the same.
+// It is then charged for them already, which saves a second lock.
+func (m *Manager) enter(now time.Duration, r Request, cost float64, lim *limit) (free, stopped bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.mu.q.pass(e.at, r.Team, r.Weight, r.Targets, e.cost)
+	if lim != nil && lim.known {
+		lim.within = m.mu.shadow.arrive(r.Team, r.Tokens, lim.rate, lim.burst, now)
+	}
+	if m.mu.stopped {
+		return false, true
+	}
+	if len(r.Targets) == 0 && r.Targets != nil || !m.mu.q.clear(r.Team, r.Targets) {
+		return false, false
+	}
+	m.mu.q.pass(now, r.Team, r.Weight, r.Targets, cost)
+	return true, false
 }
 
-func (m *Manager) enqueue(r Request, e *entry) *result.Error {
-	e.done = make(chan outcome, 1)
+// enqueue queues e; charged is true if enter charged it for rights that it did
+// not find.
+func (m *Manager) enqueue(r Request, e *entry, charged bool) *result.Error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if charged {
+		m.mu.q.pass(e.at, r.Team, r.Weight, r.Targets, -e.cost)
+	}
 	if m.mu.stopped {
 		return errStopped()
 	}
@@ -143,7 +175,8 @@
 	if dropped != nil {
 		dropped.done <- outcome{err: result.New(result.QueueFull, result.NotRun, "the queue is full and the team has the most requests in it for its weight")}
 	}
-	if err == nil && len(m.timer) == 0 {
+	m.queued.Store(int64(m.mu.q.total))
+	if err == nil {
 		select {
 		case m.timer <- struct{}{}:
 		default:
@@ -204,13 +237,14 @@
 		return
 	}
 	m.cfg.Slots.Release(r.slot)
+	if m.queued.Load() == 0 {
+		// A request that is queued from now on finds the slot by itself.
+		return
+	}
 	m.mu.Lock()
 	m.mu.q.freed(r.slot.Target)
-	waiting := m.mu.q.total > 0
 	m.mu.Unlock()
-	if waiting {
-		m.serve()
-	}
+	m.serve()
 }
 
 // Spendable implements Admitter.
--- a/internal/admit/manager.go
+++ b/internal/admit/manager.go
@@ -75,6 +75,10 @@
 	}
 	timer       chan struct{} // wakes Run to set its timer anew
 	outstanding atomic.Int64
+	// queued follows the length of the queue. It is raised before the queued
+	// request looks for rights, so that a caller that frees a slot and then
+	// reads 0 need not wake anyone.
+	queued atomic.Int64
 }
 
 // New returns a Manager. Run must be called for requests that wait to be
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// leastCost is the fair-queue cost of a request that debits no tokens, so
-	// that bookings and stock lookups take turns too.
-	leastCost = 64
+	// freeCost is the fair-queue cost of a request that debits no tokens, so that
+	// bookings and stock lookups take turns too. It is no lower bound for others:
+	// that would cut the share of a team with small requests.
+	freeCost = 64
 	// probeDepth is the queue length per pool below which no request is
 	// refused by estimate: an estimate that has become too low corrects itself
 	// only by requests that are served.
@@ -63,9 +64,12 @@
 	tokens   float64
 	// blocked is set while queued requests wait for tokens rather than slots;
 	// blockedGen is the generation in which the last debit failed, 0 if none
-	// has failed since the last success.
+	// has failed since the last success, and blocker the request that failed.
+	// Requests behind it wait too: small ones must not use up what a large one
+	// waits for.
 	blocked    bool
 	blockedGen uint64
+	blocker    *entry
 	flows      map[*pool]*flow
 	debits     meter // while blocked
 	dirty      bool
@@ -157,7 +161,7 @@
 	if !e.urgent {
 		if f.team.queued >= q.bounds.perTeam {
 			return nil, result.New(result.QueueFull, result.NotRun, "%d requests of the team are waiting", f.team.queued).
-				WithRetryAfter(q.waitInPool(now, f, 0))
+				WithRetryAfter(q.waitInPool(now, f))
 		}
 		if refusal := q.tooLate(now, f, e); refusal != nil {
 			return nil, refusal
@@ -166,7 +170,7 @@
 			dropped = q.longest(f)
 			if dropped == nil {
 				return nil, result.New(result.QueueFull, result.NotRun, "%d requests are waiting", q.total).
-					WithRetryAfter(q.waitInPool(now, f, 0))
+					WithRetryAfter(q.waitInPool(now, f))
 			}
 			q.remove(now, dropped)
 		}
@@ -188,7 +192,7 @@
 		}
 	}
 	if f.pool.n >= probeDepth {
-		if wait := q.waitInPool(now, f, e.cost); wait > left {
+		if wait := q.waitInPool(now, f); wait > left {
 			return result.New(result.DeadlineTooNear, result.NotRun, "a slot is expected in %v, later than the deadline in %v", wait, left).
 				WithRetryAfter(wait - left)
 		}
@@ -207,13 +211,13 @@
 	return estimate(t.tokens+tokens, &t.debits, now)
 }
 
-// waitInPool estimates how long a new request of the given cost waits for a
-// slot. Before it, each team is served in proportion to its weight, but no
-// team more than it has queued; the smaller of the two bounds is used.
-func (q *queue) waitInPool(now time.Duration, f *flow, cost float64) time.Duration {
+// waitInPool estimates how long a new request waits for a slot. While its team
+// is served what it has queued already, each other team is served in
+// proportion to its weight, but no team more than it has queued; the smaller
+// of the two bounds is used.
+func (q *queue) waitInPool(now time.Duration, f *flow) time.Duration {
 	ahead, weights := f.pool.ahead(f)
-	share := (f.cost+cost)*weights/f.weight - cost
-	return estimate(min(ahead, share), &f.pool.service, now)
+	return estimate(min(ahead, f.cost*weights/f.weight), &f.pool.service, now)
 }
 
 // ahead sums the cost of queued requests that wait for slots and not for
--- a/internal/admit/serve.go
+++ b/internal/admit/serve.go
@@ -21,33 +21,43 @@
 	return nil
 }
 
-// pick returns the request with the smallest virtual finish time among those
-// that may find tokens and a slot.
+// pick returns the next request of the team whose previous request has the
+// smallest virtual finish time, among those that may find tokens and a slot.
+//
+// Ordering by the finish time of the request itself would be as fair, but a
+// large request of a team with a small weight would wait for longer than any
+// deadline even when its team asks for nothing else.
 func (p *pool) pick(tokenGen uint64) *entry {
 	var best *entry
-	var bestFinish float64
 	for _, f := range p.active {
+		if best != nil && f.next > best.lane.flow.next {
+			continue
+		}
 		broke := f.team.blocked && f.team.blockedGen == tokenGen
 		for _, l := range f.lanes {
 			if len(l.entries) == 0 || l.debit && broke || !p.usable(l.set) {
 				continue
 			}
-			e := l.entries[0]
-			if e.offered {
-				continue
-			}
-			finish := f.next + e.cost/f.weight
-			if e.urgent {
-				finish = f.next
-			}
-			if best == nil || finish < bestFinish || finish == bestFinish && e.seq < best.seq {
-				best, bestFinish = e, finish
+			if e := l.entries[0]; !e.offered && (best == nil || e.before(best)) {
+				best = e
 			}
 		}
 	}
 	return best
 }
 
+// before reports whether e is to be served before o.
+func (e *entry) before(o *entry) bool {
+	f, g := e.lane.flow, o.lane.flow
+	switch {
+	case f.next != g.next:
+		return f.next < g.next
+	case f == g && e.urgent != o.urgent:
+		return e.urgent
+	}
+	return e.seq < o.seq
+}
+
 // usable reports whether a target of the set may have a slot.
 func (p *pool) usable(s *targetSet) bool {
 	if !p.slotted {
@@ -101,7 +111,7 @@
 		}
 	case noTokens:
 		q.setBlocked(now, t, true)
-		t.blockedGen = tokenGen
+		t.blockedGen, t.blocker = tokenGen, e
 	}
 	if e.cancelled || v == withdrawn {
 		q.remove(now, e)
@@ -119,7 +129,7 @@
 	if t.blocked == blocked {
 		return
 	}
-	t.blocked, t.blockedGen = blocked, 0
+	t.blocked, t.blockedGen, t.blocker = blocked, 0, nil
 	for p, f := range t.flows {
 		if blocked {
 			p.addReady(now, -f.n)
@@ -169,14 +179,17 @@
 	return p.ready == 0
 }
 
-// pass charges a request that was served without queueing.
+// pass charges a request that is served without queueing. A negative cost takes
+// the charge back.
 func (q *queue) pass(now time.Duration, teamName string, weight float64, targets []string, cost float64) {
 	p := q.remote
 	if len(targets) > 0 {
 		p = q.target(targets[0]).pool
 	}
 	f := q.flow(now, p, teamName, weight)
-	p.clock = max(p.clock, f.next)
+	if cost > 0 {
+		p.clock = max(p.clock, f.next)
+	}
 	f.next += cost / f.weight
 }
 
--- a/internal/admit/store.go
+++ b/internal/admit/store.go
@@ -84,10 +84,11 @@
 
 // merge moves everything in from to p.
 func (q *queue) merge(now time.Duration, p, from *pool) {
-	for _, t := range from.targets {
+	p.targets = append(p.targets, from.targets...)
+	for _, t := range p.targets {
 		t.pool = p
+		t.gen++ // a failure noted while nothing was queued there is out of date
 	}
-	p.targets = append(p.targets, from.targets...)
 	for key, s := range from.sets {
 		s.gen = 0
 		if p.sets[key] == nil {
@@ -120,7 +121,7 @@
 	p.n += from.n
 	p.ready += from.ready
 	p.gen++
-	p.dirty = p.dirty || from.dirty
+	p.dirty = true
 	if from.service.n > p.service.n {
 		p.service = from.service
 	}
@@ -226,6 +227,12 @@
 		t.tokens -= e.tokens
 		q.touchTeam(t)
 	}
+	if t.blocker == e {
+		t.blocker, t.blockedGen = nil, 0
+		for p := range t.flows {
+			p.dirty = p.n > 0
+		}
+	}
 	if e.tokens > 0 {
 		t.debitors--
 		if t.debitors == 0 {
--- a/internal/admit/worker.go
+++ b/internal/admit/worker.go
@@ -39,6 +39,7 @@
 		m.stateDemand()
 	}
 	m.mu.serving = false
+	m.queued.Store(int64(m.mu.q.total))
 }
 
 // endExpired refuses the requests whose deadline has passed, or all if the
