--- a/internal/edition/guard.go
+++ b/internal/edition/guard.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/platform"
@@ -22,6 +24,12 @@
 	confirmPause = 200 * time.Millisecond
 	// confirmTimeout of one attempt with peers.
 	confirmTimeout = 500 * time.Millisecond
+	// serviceFresh: an answer of the service counts for this long.
+	serviceFresh = 2 * time.Second
+	// maxAskAll and askParallel bound the peers asked when three do not
+	// suffice: after a restart of all but one, that one must be found.
+	maxAskAll   = 512
+	askParallel = 32
 	// allPausedTime: if for this long the service and every peer that could
 	// confirm were unreachable, but peers that were paused too answered, the
 	// newest edition among them is taken as confirmed. Otherwise a pause of the
@@ -45,7 +53,9 @@
 
 var _ Confirmer = (*Manager)(nil)
 
-// guard tells whether the edition in force may be relied on.
+// guard tells whether the edition in force may be relied on. A process starts
+// paused: an edition read from a stale replica of the service must not be used
+// before the peers were asked.
 type guard struct {
 	mu struct {
 		sync.Mutex
@@ -53,13 +63,16 @@
 		paused    bool
 		began     time.Duration // of the pause, if paused
 		confirmed time.Duration // time of the last confirmation of the table
+		service   time.Duration // time of the last answer of the service that was not older
 	}
 	attempt chan struct{} // capacity 1: one attempt at a time
 }
 
 func (g *guard) init(now time.Duration) {
 	g.attempt = make(chan struct{}, 1)
-	g.mu.lastTick, g.mu.confirmed = now, now
+	g.mu.lastTick, g.mu.confirmed, g.mu.began = now, now, now
+	g.mu.paused = true
+	g.mu.service = now - 2*serviceFresh
 }
 
 // check notices a pause and returns whether the process counts as paused.
@@ -109,6 +122,19 @@
 	m.guard.mu.confirmed = now
 }
 
+// serviceAnswered notes that the service has no older edition than this
+// instance.
+func (m *Manager) serviceAnswered(name string) {
+	m.confirmed(name)
+	if name != platform.TableName {
+		return
+	}
+	now := m.now()
+	m.guard.mu.Lock()
+	defer m.guard.mu.Unlock()
+	m.guard.mu.service = now
+}
+
 // Age returns the time since the service or a peer last confirmed the edition
 // in force, or since the start.
 func (m *Manager) Age() time.Duration {
@@ -153,25 +179,23 @@
 	due     time.Duration
 }
 
-// tryConfirm asks three peers, waits for all their answers so that the newest
-// one counts, and asks the service if no peer confirms.
+// tryConfirm asks three peers and waits for all their answers, so that the
+// newest one counts. If none of them confirms, it asks all others and then the
+// service.
 func (m *Manager) tryConfirm(ctx context.Context, service *serviceTurn) {
 	if m.table.current().Revision == 0 {
 		return // nothing to confirm; start obtains the first edition
 	}
-	began := m.now()
-	confirmed, pausedPeers := m.askAll(ctx)
 	source := "peer"
-	// A pause during the attempt makes the answers too old to count.
-	confirmed = confirmed && m.now()-began <= confirmTimeout+pauseLimit
-	if !confirmed && m.now() >= service.due {
+	confirmed, pausedPeers := m.ask(ctx, m.peersToAsk())
+	if !confirmed {
+		var paused bool
+		confirmed, paused = m.ask(ctx, m.allPeers())
+		pausedPeers = pausedPeers || paused
+	}
+	if !confirmed {
 		source = "service"
-		began = m.now()
-		if m.table.read(ctx) == nil {
-			confirmed = m.now()-began <= confirmTimeout+pauseLimit
-		} else {
-			service.due = m.now() + service.backoff.Next(rand.Float64())
-		}
+		confirmed = m.askService(ctx, service)
 	}
 	now := m.now()
 	m.guard.mu.Lock()
@@ -187,22 +211,66 @@
 	}
 }
 
-// askAll reports whether a peer confirmed the edition, and whether one that
-// was paused itself answered.
-func (m *Manager) askAll(ctx context.Context) (confirmed, paused bool) {
-	addresses := m.peersToAsk()
-	results := make(chan error, len(addresses))
-	for _, a := range addresses {
-		go func() { results <- m.table.fetch(ctx, a, confirmTimeout) }()
+// askService reports whether the service answered lately, or answers now, with
+// an edition that is not older than the one in force.
+func (m *Manager) askService(ctx context.Context, service *serviceTurn) bool {
+	fresh := func() bool {
+		now := m.now()
+		m.guard.mu.Lock()
+		defer m.guard.mu.Unlock()
+		return now-m.guard.mu.service < serviceFresh
+	}
+	if fresh() {
+		return true
 	}
-	for range addresses {
-		err := <-results
-		confirmed = confirmed || err == nil
-		paused = paused || errors.Is(err, errPeerPaused)
+	if m.now() < service.due {
+		return false
 	}
+	began := m.now()
+	if m.table.read(ctx) != nil || !fresh() {
+		service.due = m.now() + service.backoff.Next(rand.Float64())
+		return false
+	}
+	return m.now()-began < serviceFresh
+}
+
+// ask reports whether a peer confirmed the edition, and whether one that was
+// paused itself answered. A pause during the questions makes the answers too
+// old to count.
+func (m *Manager) ask(ctx context.Context, addresses []string) (confirmed, paused bool) {
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(askParallel)
+	for _, a := range addresses {
+		g.Go(func() error {
+			began := m.now()
+			err := m.table.fetch(ctx, a, confirmTimeout)
+			mu.Lock()
+			defer mu.Unlock()
+			confirmed = confirmed || err == nil && m.now()-began <= confirmTimeout+pauseLimit
+			paused = paused || errors.Is(err, errPeerPaused)
+			return nil
+		})
+	}
+	_ = g.Wait()
 	return confirmed, paused
 }
 
+// allPeers returns the members in use and the bootstrap addresses.
+func (m *Manager) allPeers() []string {
+	out := append([]string(nil), m.cfg.Bootstrap...)
+	if m.members != nil {
+		for _, one := range m.members.Random(maxAskAll) {
+			if !slices.Contains(m.cfg.Bootstrap, one.PeerAddress) {
+				out = append(out, one.PeerAddress)
+			}
+		}
+		own := m.members.Self().PeerAddress
+		out = slices.DeleteFunc(out, func(a string) bool { return a == own })
+	}
+	return out
+}
+
 // runGuard notices pauses and confirms the edition after them. It also logs
 // when the edition becomes too old.
 func (m *Manager) runGuard(ctx context.Context) {
--- a/internal/edition/manager.go
+++ b/internal/edition/manager.go
@@ -221,12 +221,8 @@
 	return out
 }
 
-// IDs implements member.Editions. A paused instance sends none: it must not
-// confirm the edition of another.
+// IDs implements member.Editions.
 func (m *Manager) IDs() (table, instances *peerv1.EditionID) {
-	if m.Paused() {
-		return nil, nil
-	}
 	return m.table.id(), m.list.id()
 }
 
--- a/internal/edition/value.go
+++ b/internal/edition/value.go
@@ -197,7 +197,7 @@
 		v.accept(ctx, NewText(got.Revision, got.Text), "service")
 	}
 	if !changed || got.Revision >= v.after() {
-		v.m.confirmed(v.name)
+		v.m.serviceAnswered(v.name)
 	}
 }
 
--- /dev/null
+++ b/internal/edition/world_test.go
@@ -0,0 +1,435 @@
+package edition_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/edition"
+	"github.com/wigeonhill/wigeonhill/internal/member"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/platform"
+)
+
+// world passes messages between managers in the virtual time of synctest.
+type world struct {
+	mu      sync.Mutex
+	nodes   []*node
+	byAddr  map[string]*node
+	cut     map[[2]string]bool // regions that do not reach each other
+	service service
+	running sync.WaitGroup
+	rng     *rand.Rand
+	loss    float64
+	naive   bool // run the naive distribution
+	start   time.Time
+}
+
+// service is a configuration service with a stale replica.
+type service struct {
+	mu       sync.Mutex
+	down     bool
+	values   map[string]platform.Value
+	stale    map[string]platform.Value
+	useStale bool
+	changed  chan struct{}
+	perSec   map[int]int // calls begun in each second
+	calls    int
+}
+
+// node is one instance.
+type node struct {
+	w       *world
+	self    member.Member
+	mu      sync.Mutex
+	frozen  chan struct{} // closed on waking up; nil if not frozen
+	stood   time.Duration // clock reading while frozen
+	noServe bool          // cut off from the service
+	cancel  context.CancelFunc
+	done    chan struct{}
+	// Replaced at each start.
+	edition *edition.Manager
+	member  *member.Manager
+	naive   *naive // in place of the managers, if the world is naive
+	sent    int    // bytes
+}
+
+func newWorld(n, regions, domainsPerRegion int, seed uint64) *world {
+	w := &world{
+		byAddr: make(map[string]*node),
+		cut:    make(map[[2]string]bool),
+		rng:    rand.New(rand.NewPCG(seed, 7)),
+		start:  time.Now(),
+	}
+	w.service.values, w.service.stale = make(map[string]platform.Value), make(map[string]platform.Value)
+	w.service.changed, w.service.perSec = make(chan struct{}), make(map[int]int)
+	for i := range n {
+		r := i % regions
+		region := fmt.Sprintf("r%d", r)
+		nd := &node{w: w, self: member.Member{
+			Name:           fmt.Sprintf("i%d", i),
+			PeerAddress:    fmt.Sprintf("10.%d.%d.%d:7200", r+1, i/250, i%250+1),
+			CallersAddress: fmt.Sprintf("10.%d.%d.%d:8080", r+1, i/250, i%250+1),
+			Region:         region,
+			Domain:         fmt.Sprintf("%s-d%d", region, i/regions%domainsPerRegion),
+		}}
+		w.nodes = append(w.nodes, nd)
+		w.byAddr[nd.self.PeerAddress] = nd
+	}
+	return w
+}
+
+func (w *world) bootstrap() []string {
+	var out []string
+	for i := 0; i < len(w.nodes) && i < 3; i++ {
+		out = append(out, w.nodes[i].self.PeerAddress)
+	}
+	return out
+}
+
+// listText is the instance list of all instances.
+func (w *world) listText() []byte {
+	var entries []string
+	for _, n := range w.nodes {
+		entries = append(entries, fmt.Sprintf(`{"name":%q,"callers":%q,"peers":%q,"region":%q,"domain":%q,"state":"live"}`,
+			n.self.Name, n.self.CallersAddress, n.self.PeerAddress, n.self.Region, n.self.Domain))
+	}
+	return []byte(`{"instances":[` + strings.Join(entries, ",") + `]}`)
+}
+
+func (w *world) uint64() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Uint64()
+}
+
+func (w *world) startAll() {
+	for _, n := range w.nodes {
+		n.startProcess()
+	}
+}
+
+func (w *world) stopAll() {
+	for _, n := range w.nodes {
+		n.wake()
+	}
+	for _, n := range w.nodes {
+		n.stop()
+	}
+	w.running.Wait()
+}
+
+func (n *node) startProcess() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	if n.w.naive {
+		v := &naive{n: n}
+		n.mu.Lock()
+		n.naive, n.cancel, n.done = v, cancel, done
+		n.mu.Unlock()
+		n.w.running.Go(func() {
+			defer close(done)
+			v.run(ctx)
+		})
+		return
+	}
+	self := n.self
+	self.Incarnation = n.w.uint64() | 1
+	em := edition.NewManager(edition.Config{Service: nodeService{n}, Peers: nodePeers{n}, Bootstrap: n.w.bootstrap(), Clock: n, MaxAge: time.Hour})
+	mm := member.NewManager(member.Config{
+		Self: self, Bootstrap: n.w.bootstrap(), Clock: n, Peers: nodePeers{n}, Editions: em,
+		Seed: n.w.uint64(), Generation: uint32(time.Now().Unix()),
+	})
+	em.SetMembers(mm)
+	em.Lists().Subscribe(func(_, list *platform.InstanceList) { mm.SetList(list) })
+	n.mu.Lock()
+	n.edition, n.member, n.cancel, n.done = em, mm, cancel, done
+	n.mu.Unlock()
+	n.w.running.Go(func() {
+		defer close(done)
+		var g sync.WaitGroup
+		g.Go(func() { _ = em.Run(ctx) })
+		g.Go(func() { _ = mm.Run(ctx) })
+		g.Wait()
+	})
+}
+
+func (n *node) stop() {
+	n.mu.Lock()
+	cancel, done := n.cancel, n.done
+	n.edition, n.member, n.naive, n.cancel = nil, nil, nil, nil
+	n.mu.Unlock()
+	if cancel != nil {
+		cancel()
+		<-done
+	}
+}
+
+func (n *node) managers() (*edition.Manager, *member.Manager) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.edition, n.member
+}
+
+// Now implements clock.Clock. It stands still while the node is frozen.
+func (n *node) Now() clock.Reading {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d := time.Since(n.w.start)
+	if n.frozen != nil {
+		d = n.stood
+	}
+	return clock.Reading{Lower: d, Upper: d}
+}
+
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen == nil {
+		n.frozen, n.stood = make(chan struct{}), time.Since(n.w.start)
+	}
+}
+
+func (n *node) wake() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen != nil {
+		close(n.frozen)
+		n.frozen = nil
+	}
+}
+
+// awake waits until the node is not frozen.
+func (n *node) awake(ctx context.Context) error {
+	n.mu.Lock()
+	frozen := n.frozen
+	n.mu.Unlock()
+	if frozen != nil {
+		// The context of a frozen process ends only after it wakes up.
+		<-frozen
+	}
+	return ctx.Err()
+}
+
+// revision is what the node serves with; 0 if it does not serve.
+func (n *node) revision() int64 {
+	em, _ := n.managers()
+	n.mu.Lock()
+	frozen, nv := n.frozen != nil, n.naive
+	n.mu.Unlock()
+	if nv != nil && !frozen {
+		return nv.revision()
+	}
+	if em == nil || frozen || em.Paused() || em.Current() == nil {
+		return 0
+	}
+	return em.Current().Revision
+}
+
+func (w *world) reaches(a, b *node) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.cut[[2]string{a.self.Region, b.self.Region}]
+}
+
+func (w *world) setCut(a, b string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = cut, cut
+}
+
+func (w *world) lost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64() < w.loss
+}
+
+func delay(a, b *node) time.Duration {
+	switch {
+	case a.self.Region != b.self.Region:
+		return 55 * time.Millisecond
+	case a.self.Domain != b.self.Domain:
+		return 500 * time.Microsecond
+	}
+	return 100 * time.Microsecond
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// call carries one request and its answer. A refused connection fails at
+// once; an unreachable host, a lost message or a frozen process runs into the
+// deadline.
+func call[Q, R proto.Message](ctx context.Context, from *node, address string, req Q, handle func(*edition.Manager, *member.Manager, Q) (R, error)) (R, error) {
+	var none R
+	w := from.w
+	w.mu.Lock()
+	to := w.byAddr[address]
+	w.mu.Unlock()
+	if err := from.awake(ctx); err != nil {
+		return none, err
+	}
+	if to == nil {
+		return none, errors.New("no such host")
+	}
+	if !w.reaches(from, to) || w.lost() {
+		<-ctx.Done()
+		return none, errors.Join(ctx.Err(), from.awake(ctx))
+	}
+	count(from, proto.Size(req))
+	if err := pause(ctx, delay(from, to)); err != nil {
+		return none, err
+	}
+	type result struct {
+		res R
+		err error
+	}
+	answer := make(chan result, 1)
+	w.running.Go(func() {
+		_ = to.awake(context.Background()) // delivered late, but delivered
+		em, mm := to.managers()
+		if em == nil {
+			answer <- result{err: errors.New("connection refused")}
+			return
+		}
+		res, err := handle(em, mm, proto.CloneOf(req))
+		if err == nil {
+			count(to, proto.Size(res))
+		}
+		answer <- result{res, err}
+	})
+	select {
+	case <-ctx.Done():
+		return none, errors.Join(ctx.Err(), from.awake(ctx))
+	case r := <-answer:
+		if !w.reaches(to, from) {
+			<-ctx.Done()
+			return none, ctx.Err()
+		}
+		if err := pause(ctx, delay(to, from)); err != nil {
+			return none, err
+		}
+		if err := from.awake(ctx); err != nil || r.err != nil {
+			return none, errors.Join(err, r.err)
+		}
+		return proto.CloneOf(r.res), nil
+	}
+}
+
+func count(n *node, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent += bytes
+}
+
+type nodePeers struct{ n *node }
+
+func (p nodePeers) Probe(ctx context.Context, address string, req *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+	return call(ctx, p.n, address, req, func(_ *edition.Manager, m *member.Manager, q *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+		return m.HandleProbe(ctx, q)
+	})
+}
+
+func (p nodePeers) FetchEdition(ctx context.Context, address string, req *peerv1.FetchEditionRequest) (*peerv1.FetchEditionResponse, error) {
+	return call(ctx, p.n, address, req, func(m *edition.Manager, _ *member.Manager, q *peerv1.FetchEditionRequest) (*peerv1.FetchEditionResponse, error) {
+		return m.HandleFetchEdition(ctx, q)
+	})
+}
+
+// publish sets a value of the service.
+func (w *world) publish(name string, revision int64, text []byte) {
+	s := &w.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values[name] = platform.Value{Revision: revision, Text: text}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+type nodeService struct{ n *node }
+
+func (s nodeService) get(name string) (v platform.Value, changed chan struct{}, err error) {
+	svc := &s.n.w.service
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	if svc.down || s.n.noServe {
+		return v, nil, errors.New("connection refused")
+	}
+	v = svc.values[name]
+	if svc.useStale {
+		v = svc.stale[name]
+	}
+	if v.Revision == 0 {
+		return v, svc.changed, platform.ErrMissing
+	}
+	return v, svc.changed, nil
+}
+
+func (s nodeService) begin(ctx context.Context) error {
+	svc := &s.n.w.service
+	svc.mu.Lock()
+	svc.calls++
+	svc.perSec[int(time.Since(s.n.w.start)/time.Second)]++
+	svc.mu.Unlock()
+	if err := s.n.awake(ctx); err != nil {
+		return err
+	}
+	return pause(ctx, time.Millisecond)
+}
+
+func (s nodeService) Read(ctx context.Context, name string) (platform.Value, error) {
+	if err := s.begin(ctx); err != nil {
+		return platform.Value{}, err
+	}
+	v, _, err := s.get(name)
+	return v, errors.Join(err, s.n.awake(ctx))
+}
+
+func (s nodeService) Wait(ctx context.Context, name string, after int64, wait time.Duration) (platform.Value, bool, error) {
+	if err := s.begin(ctx); err != nil {
+		return platform.Value{}, false, err
+	}
+	end := time.After(wait)
+	for {
+		v, changed, err := s.get(name)
+		if err != nil {
+			return platform.Value{}, false, err
+		}
+		if v.Revision > after {
+			return v, true, s.n.awake(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Value{}, false, ctx.Err()
+		case <-end:
+			return platform.Value{}, false, s.n.awake(ctx)
+		case <-changed:
+		}
+	}
+}
+
+// tableText is a table whose texts differ by version.
+func tableText(version int64) []byte {
+	return fmt.Appendf(nil, "[region a]\nseats = 10.0.0.1:1\n[model m]\nmax_output = 10\n[team t]\nrate = %d\nburst = 100\n[team u]\nrate = 1\nburst = 100\n", version)
+}
+
+// inTime runs f in virtual time.
+func inTime(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, f)
+}
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
@@ -15,6 +14,7 @@
 type Core struct {
 	self    Member
 	members map[string]*entry
+	order   []string // names of members, sorted
 	rng     *rand.Rand
 	// changed collects the transitions since the last TakeChanges.
 	changed []Transition
@@ -116,6 +116,9 @@
 
 func (c *Core) remove(e *entry) {
 	delete(c.members, e.Name)
+	if i, ok := slices.BinarySearch(c.order, e.Name); ok {
+		c.order = slices.Delete(c.order, i, i+1)
+	}
 	c.news.drop(e.Name)
 	if slices.Contains(c.allBootstrap, e.PeerAddress) {
 		c.bootstrap = append(c.bootstrap, e.PeerAddress)
@@ -129,6 +132,8 @@
 	}
 	e := &entry{Member: m}
 	c.members[m.Name] = e
+	i, _ := slices.BinarySearch(c.order, m.Name)
+	c.order = slices.Insert(c.order, i, m.Name)
 	c.changed = append(c.changed, Transition{Member: m})
 	c.bootstrap = slices.DeleteFunc(c.bootstrap, func(a string) bool { return a == m.PeerAddress })
 	return e
@@ -137,10 +142,9 @@
 // Members returns all members but the instance itself, ordered by name.
 func (c *Core) Members() []Member {
 	out := make([]Member, 0, len(c.members))
-	for _, e := range c.members {
-		out = append(out, e.view())
+	for _, name := range c.order {
+		out = append(out, c.members[name].view())
 	}
-	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -196,14 +200,8 @@
 	}
 }
 
-func (c *Core) names() []string {
-	out := make([]string, 0, len(c.members))
-	for name := range c.members {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
+// names returns a copy, because members may be removed while it is used.
+func (c *Core) names() []string { return slices.Clone(c.order) }
 
 func (c *Core) set(e *entry, s State, now time.Duration) {
 	old := e.State
@@ -272,14 +270,19 @@
 
 // Random returns up to n members in use, chosen at random.
 func (c *Core) Random(n int) []Member {
-	var out []Member
-	for _, name := range c.names() {
+	var used []*entry
+	for _, name := range c.order {
 		if e := c.members[name]; e.Used() {
-			out = append(out, e.Member)
+			used = append(used, e)
 		}
 	}
-	c.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(n, len(out))]
+	out := make([]Member, min(n, len(used)))
+	for i := range out {
+		j := i + c.rng.IntN(len(used)-i)
+		used[i], used[j] = used[j], used[i]
+		out[i] = used[i].Member
+	}
+	return out
 }
 
 // Failed records that neither a direct nor an indirect probe, begun at
--- a/internal/member/manager.go
+++ b/internal/member/manager.go
@@ -75,6 +75,7 @@
 		listed   bool
 	}
 	view    atomic.Pointer[view]
+	first   chan []string // capacity 1: addresses to probe once at the start
 	probes  chan struct{}
 	relayed chan struct{}
 }
@@ -90,7 +91,7 @@
 	if cfg.Log == nil {
 		cfg.Log = event.Nop()
 	}
-	m := &Manager{cfg: cfg, probes: make(chan struct{}, maxProbes), relayed: make(chan struct{}, maxRelayed)}
+	m := &Manager{cfg: cfg, first: make(chan []string, 1), probes: make(chan struct{}, maxProbes), relayed: make(chan struct{}, maxRelayed)}
 	m.mu.core = NewCore(cfg.Self, cfg.Generation, cfg.Bootstrap, cfg.Seed)
 	m.view.Store(&view{self: m.mu.core.Self()})
 	return m
@@ -105,8 +106,13 @@
 	defer ticker.Stop()
 	var running sync.WaitGroup
 	defer running.Wait()
+	due := true
 	for {
-		for _, address := range m.tick() {
+		var addresses []string
+		if due {
+			addresses, due = m.tick(), false
+		}
+		for _, address := range addresses {
 			select {
 			case m.probes <- struct{}{}:
 			default:
@@ -120,7 +126,10 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case first := <-m.first:
+			running.Go(func() { m.Tell(ctx, first) })
 		case <-ticker.C:
+			due = true
 		}
 	}
 }
@@ -286,8 +295,8 @@
 
 // SetList takes a new instance list. After the first one the members of the
 // own region are probed at once, because their incarnations are needed for the
-// prefixes of idempotency keys.
-func (m *Manager) SetList(ctx context.Context, list *platform.InstanceList) {
+// prefixes of idempotency keys. It does not block.
+func (m *Manager) SetList(list *platform.InstanceList) {
 	var first []string
 	m.update(func(c *Core, now time.Duration) {
 		c.SetList(list, now)
@@ -301,7 +310,12 @@
 			}
 		}
 	})
-	m.tell(ctx, first)
+	if len(first) > 0 {
+		select {
+		case m.first <- first:
+		default:
+		}
+	}
 }
 
 // Leave announces to members of the region and some others that the instance
@@ -309,14 +323,12 @@
 func (m *Manager) Leave(ctx context.Context) {
 	var addresses []string
 	m.update(func(c *Core, _ time.Duration) { addresses = c.Leave() })
-	m.tell(ctx, addresses)
+	m.Tell(ctx, addresses)
 }
 
 // Tell sends a probe at once to each address. It carries the IDs of what is
 // in force, so that receivers fetch what is new to them.
-func (m *Manager) Tell(ctx context.Context, addresses []string) { m.tell(ctx, addresses) }
-
-func (m *Manager) tell(ctx context.Context, addresses []string) {
+func (m *Manager) Tell(ctx context.Context, addresses []string) {
 	var g errgroup.Group
 	g.SetLimit(maxAnnounce)
 	for _, a := range addresses {
