--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -303,7 +303,7 @@
 			return nil
 		case <-n.lists:
 			if list := n.editions.Lists().Current(); list != nil {
-				n.members.SetList(ctx, list)
+				n.members.SetList(list)
 			}
 		}
 	}
