Keep idle slots of plain services with holders until they are recalled

Cause: plain services report no load, so slots that no holder has are unusable for max_run after a change of grantor; idle slots returned to the grantor after a fraction of a second, and so all of them were lost with it. Change: the grantor tells holders to keep idle slots of such targets, gives an even part on the first want, and recalls when another holder lacks slots. Ruled out: handing them out earlier (a predecessor's request may still run); load reports of plain services (they publish none).

--- a/internal/grant/holdslots.go
+++ b/internal/grant/holdslots.go
@@ -45,6 +45,7 @@
 		takes   average
 		waiting int
 		recall  int
+		keep    bool // idle slots until they are recalled
 		load    Load
 		changed bool
 		sentIn  uint64
@@ -100,7 +101,7 @@
 	if now-t.mu.lastUse < largestFor {
 		spare = 1
 	}
-	if surplus := g.idle - desired - spare; surplus > 0 {
+	if surplus := g.idle - desired - spare; surplus > 0 && !t.mu.keep {
 		g.idle -= surplus
 		t.mu.changed = true
 	}
@@ -133,6 +134,9 @@
 		}
 		t.mu.claimed = 0
 	}
+	if g.GetGranted() > 0 || g.GetKeepIdle() {
+		t.mu.keep = g.GetKeepIdle()
+	}
 	t.mu.current.idle += int(g.GetGranted())
 	t.mu.current.until = max(t.mu.current.until, until)
 	// What is not idle is returned when its request ends.
--- a/internal/grant/slots.go
+++ b/internal/grant/slots.go
@@ -225,7 +225,11 @@
 			r.claims[name] = n
 		}
 	}
+	g.KeepIdle = ed.Targets[name] != nil && ed.Targets[name].Kind == table.Plain
 	give := max(0, min(int(t.GetWant()), s.free()))
+	if give > 0 && g.KeepIdle {
+		give = max(give, min(s.free(), l.part(s)-r.slots[name]))
+	}
 	s.held += give
 	r.slots[name] += give
 	g.Granted = uint32(give)
@@ -241,6 +245,18 @@
 	return g, nil
 }
 
+// part is an even part of a target's capacity among the live holders of the
+// region.
+func (l *Ledger) part(s *slots) int {
+	holders := 0
+	for _, r := range l.holders {
+		if r.live && !r.foreign {
+			holders++
+		}
+	}
+	return s.capacity / max(holders, 2)
+}
+
 // recall asks for idle slots that other holders lack, and for any slots that
 // exceed a lowered capacity: busy ones return when their requests end.
 func (l *Ledger) recall(now clock.Reading, s *slots, t *peerv1.TargetReport, g *peerv1.TargetGrant) {
