--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -78,11 +78,15 @@
 	conn  atomic.Pointer[countingConn]
 	base  atomic.Int64
 	other atomic.Bool // a connection of unknown kind was used
+	// reused is set for a kept connection, which the target may have closed
+	// for being idle.
+	reused atomic.Bool
 }
 
 func (s *sent) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			s.reused.Store(info.Reused)
 			c, ok := info.Conn.(*countingConn)
 			// A second connection for the same request means that net/http
 			// has repeated it; the first one is then no longer known.
@@ -108,12 +112,14 @@
 
 // transports are the connections to targets.
 type transports struct {
-	// shared keeps idle connections; it serves requests that may be repeated.
+	// shared keeps idle connections; it serves idempotent requests to plain
+	// services.
 	shared *http.Transport
 	// fresh uses a new connection for each request. net/http repeats a request
 	// with an Idempotency-Key header, a booking too, when a kept connection
-	// breaks; and a kept connection that the target has just closed would leave
-	// the outcome of a booking unknown for no reason.
+	// breaks; a kept connection that the target has just closed would leave the
+	// outcome of a booking unknown for no reason, and on an engine it would look
+	// like a crash.
 	fresh *http.Transport
 }
 
@@ -145,7 +151,7 @@
 }
 
 func (t *transports) pick(p access.Permit) *http.Transport {
-	if p.Idempotent {
+	if p.Idempotent && p.Model == "" {
 		return t.shared
 	}
 	return t.fresh
--- a/internal/dispatch/deliver.go
+++ b/internal/dispatch/deliver.go
@@ -145,12 +145,32 @@
 	if len(p) == 0 {
 		return nil
 	}
+	if err := r.afterPause(); err != nil {
+		return err
+	}
 	if r.out.FirstByte == 0 {
 		r.out.FirstByte = time.Since(r.c.Arrived)
 	}
 	return sinkFault(r.sink.Data(p))
 }
 
+// afterPause holds data back while the edition is not confirmed. What was
+// missed during a pause may forbid the request, so it is then checked at once.
+func (r *run) afterPause() error {
+	if r.l.Gate.open() {
+		return nil
+	}
+	if r.l.Gate.wait(r.ctx) == nil {
+		if e := r.l.Editions.Current(); e != nil {
+			r.recheck(e)
+		}
+	}
+	if r.ctx.Err() != nil {
+		return contextFault(r.ctx, true)
+	}
+	return nil
+}
+
 // sinkFault is a failure on the side of the caller; no other attempt helps.
 func sinkFault(err error) error {
 	if err == nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,9 +53,11 @@
 	if !ok || m.Incarnation != k.Incarnation || !c.Permit.Allowed[m.Region] {
 		return Outcome{}, unknown
 	}
+	ctx, stop := d.local.bounded(ctx)
+	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r := &run{l: d.local, c: c, sink: sink, cancel: cancel, exclude: map[string]bool{}, fingerprint: c.Fingerprint()}
+	r := &run{l: d.local, c: c, sink: sink, ctx: ctx, cancel: cancel, exclude: map[string]bool{}, fingerprint: c.Fingerprint()}
 	r.region.Store(&m.Region)
 	defer d.local.enlist(r)()
 	err := d.ask(ctx, r, m)
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -32,13 +32,14 @@
 		draining  bool
 		running   int
 		idle      chan struct{} // closed when draining and running is 0
+		opened    chan struct{} // closed when confirmed
 	}
 }
 
 // NewGate returns a closed gate; Run opens it.
 func NewGate(c Confirmer) *Gate {
 	g := &Gate{confirmer: c, wake: make(chan struct{}, 1)}
-	g.mu.idle = make(chan struct{})
+	g.mu.idle, g.mu.opened = make(chan struct{}), make(chan struct{})
 	return g
 }
 
@@ -46,7 +47,9 @@
 // calls it after the process did not run for a while.
 func (g *Gate) Paused() {
 	g.mu.Lock()
-	g.mu.confirmed = false
+	if g.mu.confirmed {
+		g.mu.confirmed, g.mu.opened = false, make(chan struct{})
+	}
 	g.mu.pauses++
 	g.mu.Unlock()
 	select {
@@ -84,16 +87,36 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.mu.confirmed = g.mu.pauses == before
+	if g.mu.pauses == before {
+		g.mu.confirmed = true
+		close(g.mu.opened)
+	}
 	return g.mu.confirmed
 }
 
-// Check returns nil if requests may be served now.
-func (g *Gate) Check() error {
+// open reports whether the edition is confirmed.
+func (g *Gate) open() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mu.confirmed
+}
+
+// wait waits until the edition is confirmed or ctx ends.
+func (g *Gate) wait(ctx context.Context) error {
 	g.mu.Lock()
-	ok := g.mu.confirmed
+	opened := g.mu.opened
 	g.mu.Unlock()
-	if !ok {
+	select {
+	case <-opened:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Check returns nil if requests may be served now.
+func (g *Gate) Check() error {
+	if !g.open() {
 		return result.New(result.NotReady, result.NotRun, "the instance has not confirmed its edition").WithRetryAfter(time.Second)
 	}
 	return g.confirmer.Fresh()
--- a/internal/dispatch/local.go
+++ b/internal/dispatch/local.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/access"
+	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
@@ -87,15 +88,11 @@
 // do runs a call; h is nil where no hop may be made.
 func (l *Local) do(ctx context.Context, c *Call, sink Sink, h hop) (Outcome, error) {
 	l.Budget.Request()
-	timeout := l.Bounds.RequestTimeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	ctx, stop := context.WithTimeout(ctx, timeout)
+	ctx, stop := l.bounded(ctx)
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r := &run{l: l, hop: h, c: c, sink: sink, cancel: cancel, exclude: map[string]bool{}, fingerprint: c.Fingerprint(),
+	r := &run{l: l, hop: h, c: c, sink: sink, ctx: ctx, cancel: cancel, exclude: map[string]bool{}, fingerprint: c.Fingerprint(),
 		attempts: c.Attempts, delivered: c.Resumed}
 	defer l.enlist(r)()
 	err := r.loop(ctx)
@@ -107,6 +104,14 @@
 	return r.out, nil
 }
 
+// bounded ends a call after the longest time that settings allow.
+func (l *Local) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	if l.Bounds.RequestTimeout > 0 {
+		return context.WithTimeout(ctx, l.Bounds.RequestTimeout)
+	}
+	return context.WithTimeout(ctx, defaultTimeout)
+}
+
 // maxRun is the longest run time of one attempt.
 func maxRun(e *table.Edition, p access.Permit) time.Duration {
 	if m := e.Models[p.Model]; m != nil {
@@ -129,6 +134,8 @@
 		return nil, c.Permit, result.New(result.NotReady, result.NotRun, "the instance has no edition yet")
 	}
 	if l.Suspects.Blocked(f) {
+		l.Trail.Add(audit.Change{At: time.Now(), Kind: audit.RequestBlocked, Subject: c.ID, Team: c.Permit.Team,
+			Reason: "fingerprint " + f.String(), Revision: e.Revision})
 		return nil, c.Permit, result.New(result.FingerprintBlock, result.NotRun, "this request crashed targets")
 	}
 	p, err := access.Recheck(e, c.Permit)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -24,6 +24,8 @@
 	region string
 	weight float64
 	maxRun time.Duration
+	// permit by the edition that confirmed the place.
+	permit access.Permit
 }
 
 func (p place) name() string {
@@ -63,7 +65,7 @@
 	choice := r.l.Chooser.Choose(route.Query{
 		Team: p.Team, Model: p.Model, Service: p.Service, PrefixHashes: r.c.PrefixHashes,
 		PromptTokens: r.c.PromptTokens, OutputTokens: r.c.OutputTokens,
-		Allowed: p.Allowed, Exclude: maps.Clone(r.exclude), LocalOnly: r.hop == nil,
+		Allowed: r.reach(p), Exclude: maps.Clone(r.exclude), LocalOnly: r.hop == nil,
 	})
 	r.l.Requests.Note(r.c.ID, "choice", strings.Join(choice.Reasons, "; "))
 	choice.Targets = slices.DeleteFunc(slices.Clone(choice.Targets), func(name string) bool {
@@ -82,6 +84,15 @@
 	return choice, nil
 }
 
+// reach is where the request may go from here.
+func (r *run) reach(p access.Permit) map[string]bool {
+	if r.hop != nil {
+		return p.Allowed
+	}
+	own := r.l.Instance.Region
+	return map[string]bool{own: p.Allowed[own]}
+}
+
 func serves(t *table.Target, p access.Permit, region string) bool {
 	if t == nil || t.Region != region || !p.Allowed[region] {
 		return false
@@ -153,7 +164,7 @@
 	if err != nil {
 		return place{}, false, err
 	}
-	pl := place{region: region, weight: weight(e, p), maxRun: maxRun(e, p)}
+	pl := place{region: region, weight: weight(e, p), maxRun: maxRun(e, p), permit: p}
 	if region == "" {
 		if !r.ticket.HasSlot {
 			return pl, false, result.New(result.InternalFault, result.NotRun, "admission gave no slot")
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -28,6 +28,7 @@
 	hop         hop
 	c           *Call
 	sink        Sink
+	ctx         context.Context // of the whole call
 	cancel      context.CancelCauseFunc
 	fingerprint Fingerprint
 	exclude     map[string]bool
@@ -122,7 +123,9 @@
 
 func (r *run) attempt(ctx context.Context, pl place) error {
 	if pl.target == nil {
-		a, err := r.hop.open(ctx, r.c, pl.region, r.exclude, r.attempts, r.delivered)
+		c := *r.c
+		c.Permit = pl.permit
+		a, err := r.hop.open(ctx, &c, pl.region, r.exclude, r.attempts, r.delivered)
 		if err != nil {
 			return err
 		}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -100,7 +100,7 @@
 	resp, err := l.transports.pick(c.Permit).RoundTrip(req)
 	if err != nil {
 		defer cancel()
-		return nil, connectionFault(ctx, s.mayHave(), err)
+		return nil, connectionFault(ctx, s, err)
 	}
 	a := &answer{
 		status: resp.StatusCode, header: resp.Header, target: t.Name, size: resp.ContentLength,
@@ -123,7 +123,8 @@
 }
 
 // connectionFault classifies an attempt without an answer.
-func connectionFault(ctx context.Context, mayHaveRun bool, err error) *attemptError {
+func connectionFault(ctx context.Context, s *sent, err error) *attemptError {
+	mayHaveRun := s.mayHave()
 	if ctx.Err() != nil {
 		return contextFault(ctx, mayHaveRun)
 	}
@@ -131,7 +132,7 @@
 		return fault(result.TargetFailed, false, "the target could not be reached", err)
 	}
 	f := fault(result.TargetFailed, true, "the target closed the connection without an answer", err)
-	f.crash = true
+	f.crash = !s.reused.Load()
 	return f
 }
 
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -123,7 +124,12 @@
 
 // target serves h as a target of the region.
 func (w *world) target(name, region string, kind table.TargetKind, h http.HandlerFunc) *httptest.Server {
-	s := httptest.NewServer(h)
+	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		// net/http notices a closed connection only after the body was read.
+		b, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(b))
+		h(rw, r)
+	}))
 	w.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 	w.address(name, region, kind, s.Listener.Addr().String())
 	return s
