--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -17,6 +17,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"github.com/wigeonhill/wigeonhill/internal/admit"
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
@@ -67,6 +70,8 @@
 	// prefer, if set, replaces the choice of the default chooser.
 	prefer func(q route.Query) route.Choice
 	peers  *http.Server
+	// confirm lets the edition be confirmed once for each value.
+	confirm chan struct{}
 }
 
 func newWorld(t *testing.T) *world {
@@ -126,8 +131,7 @@
 func (w *world) target(name, region string, kind table.TargetKind, h http.HandlerFunc) *httptest.Server {
 	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		// net/http notices a closed connection only after the body was read.
-		b, _ := io.ReadAll(r.Body)
-		r.Body = io.NopCloser(bytes.NewReader(b))
+		w.noKey("a request to a target", r)
 		h(rw, r)
 	}))
 	w.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
@@ -135,6 +139,26 @@
 	return s
 }
 
+// noKey guards invariant I5: it reads the request and looks for the key.
+func (w *world) noKey(what string, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(b))
+	if strings.Contains(fmt.Sprint(r.URL, r.Header, string(b)), key) {
+		w.t.Errorf("%s holds the key", what)
+	}
+}
+
+// Write takes the log lines of all instances.
+func (w *world) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte(key)) {
+		w.t.Errorf("a log line holds the key: %s", p)
+	}
+	return len(p), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (w *world) Sync() error { return nil }
+
 func (w *world) address(name, region string, kind table.TargetKind, address string) {
 	t := &table.Target{Name: name, Kind: kind, Address: address, Region: region, Capacity: 4}
 	if kind == table.Engine {
@@ -280,12 +304,12 @@
 	return a.busy, a.debit, append([]float64(nil), a.used...)
 }
 
-// confirmer confirms when told to.
-type confirmer struct{ ok chan struct{} }
+// confirmer confirms once for each value sent.
+type confirmer struct{ allow chan struct{} }
 
 func (c *confirmer) Confirm(ctx context.Context) error {
 	select {
-	case <-c.ok:
+	case <-c.allow:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -311,33 +335,40 @@
 	peerv1connect.UnimplementedPeerHandler
 }
 
-type option func(n *node, b *settings.Bounds, c *confirmer)
+type option func(b *settings.Bounds)
 
 // node starts an instance.
 func (w *world) node(name, region string, opts ...option) *node {
 	n := &node{w: w, region: region, inc: 0xabc, adm: &admitter{}, records: make(chan entry.Record, 2000), clock: &clock.Virtual{}}
-	conf := &confirmer{ok: make(chan struct{})}
-	close(conf.ok)
+	n.confirm = make(chan struct{}, 1)
+	n.confirm <- struct{}{}
+	conf := &confirmer{n.confirm}
 	b := settings.Bounds{MaxBody: 1 << 20, MaxHeader: 16 << 10, MaxStreams: 2000, StreamBuffer: 64 << 10, TeamBuffer: 8 << 20, ProcessBuffer: 16 << 20,
 		RequestTimeout: time.Minute, ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute}
 	for _, o := range opts {
-		o(n, &b, conf)
+		o(&b)
 	}
+	log := event.NewLogger(zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "m"}), w, zapcore.DebugLevel)))
 	inst := settings.Instance{Name: name, Region: region, Domain: "d1"}
 	n.gate = dispatch.NewGate(conf)
 	n.suspects = dispatch.NewSuspects(n.clock)
 	n.mem = dispatch.NewMemory(b)
 	n.local = dispatch.NewLocal(dispatch.LocalConfig{Instance: inst, Bounds: b, Editions: w, Chooser: n, Admitter: n.adm, Slots: n.adm,
-		Gate: n.gate, Suspects: n.suspects, Memory: n.mem, Budget: dispatch.NewBudget(), Requests: noAudit{}, Trail: noAudit{}, Clock: n.clock, Log: event.Nop()})
+		Gate: n.gate, Suspects: n.suspects, Memory: n.mem, Budget: dispatch.NewBudget(), Requests: noAudit{}, Trail: noAudit{}, Clock: n.clock, Log: log})
 	store := once.New(once.Config{Instance: name, Incarnation: n.inc, Clock: n.clock, Start: time.Now()})
 	clients, err := peerapi.NewClients(settings.Peers{Insecure: true})
 	check(w.t, err)
 	n.disp = dispatch.NewDispatcher(dispatch.Config{Local: n.local, Members: n, Peers: clients, Once: store, Incarnation: n.inc})
 	n.srv = entry.New(entry.Config{Instance: inst, Bounds: b, Editions: w, Gate: n.gate, Dispatcher: n.disp, Directory: n, Memory: n.mem,
-		Requests: noAudit{}, Observer: n, Log: event.Nop()})
+		Requests: noAudit{}, Observer: n, Log: log})
 	recv := dispatch.NewReceiver(dispatch.ReceiverConfig{Local: n.local, Once: store, Pools: noAudit{}})
 	n.peers, err = peerapi.NewServer(settings.Peers{Insecure: true}, peerHandler{Receiver: recv})
 	check(w.t, err)
+	inner := n.peers.Handler
+	n.peers.Handler = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.noKey("an inner message", r)
+		inner.ServeHTTP(rw, r)
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = n.gate.Run(ctx) })
@@ -347,11 +378,7 @@
 	w.mu.Lock()
 	w.nodes[name] = n
 	w.mu.Unlock()
-	select {
-	case <-conf.ok:
-		await(w.t, func() bool { return n.gate.Check() == nil })
-	default:
-	}
+	await(w.t, func() bool { return n.gate.Check() == nil })
 	return n
 }
 
