--- a/cmd/loadtool/demo.go
+++ b/cmd/loadtool/demo.go
@@ -23,6 +23,10 @@
 	loadFlags
 	Keep   bool `long:"keep" description:"keep the temporary directory with settings, logs, journals and plan.json"`
 	NoKill bool `long:"no-kill" description:"kill nothing"`
+	// A new grantor hands out unaccounted slots of plain services only after a
+	// grant and the service's max_run, 5.04 s in the demo's table. With
+	// --settle 0s the run includes this time after a cold start.
+	Settle time.Duration `long:"settle" default:"6s" description:"time between readiness and the load"`
 }
 
 // Execute runs the demo.
@@ -55,7 +59,10 @@
 	if err := start(ctx, f); err != nil {
 		return err
 	}
-	fmt.Printf("ready after %v; sending %g requests/s for %v\n", time.Since(begin).Round(10*time.Millisecond), o.Rate, o.Duration)
+	fmt.Printf("ready after %v; sending %g requests/s for %v after another %v\n", time.Since(begin).Round(10*time.Millisecond), o.Rate, o.Duration, c.Settle)
+	if !pause(ctx, c.Settle) {
+		return ctx.Err()
+	}
 	if !c.NoKill {
 		timer := time.AfterFunc(o.Duration/2, func() {
 			for _, p := range []*fleet.Proc{f.Instances[1], f.Engines[2]} {
@@ -85,6 +92,16 @@
 	return f.Start(ctx)
 }
 
+// pause reports whether d passed before ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // finish stops the fleet and removes its directory.
 func (c *demoCommand) finish(f *fleet.Fleet) {
 	if killed := f.Stop(stopWait); len(killed) > 0 {
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -51,6 +51,7 @@
 	Code      int // result code of a refusal or error
 	Sends     int
 	RequestID string        // of the last answer
+	Instance  string        // address of the last instance
 	Latency   time.Duration // since the request was due
 	FirstToken,
 	LongestGap time.Duration // streams; 0 otherwise
@@ -84,56 +85,57 @@
 // send follows the order of the directory until the request has ended.
 func (c *caller) send(ctx context.Context, r *Request, due time.Time) (out Outcome) {
 	defer func() { out.Latency = time.Since(due) }()
-	order, err := c.dir.get(ctx, false)
+	order, err := c.dir.get(ctx)
 	if err != nil {
 		return Outcome{Class: Lost, Detail: err.Error()}
 	}
 	key := ""
-	if r.Keyed {
-		key = idempotencyKey(order[0].KeyPrefix, r.Tag)
-	}
-	sent := false // a byte may have reached an instance
-	for i := 0; out.Sends < maxSends; i++ {
-		rep := c.attempt(ctx, r, order[i%len(order)].Address, key)
-		out.Sends++
-		out.Code, out.RequestID, out.Detail = rep.code, rep.requestID, rep.detail
-		if !rep.first.IsZero() {
-			out.FirstToken, out.LongestGap = rep.first.Sub(due), rep.gap
-		}
-		out.Cut = out.Cut || rep.cut
-		if !rep.unsent {
-			sent = true
-		}
-		// A refusal that names no other instance is final.
-		if rep.class == Refused && rep.next && out.Sends < maxSends {
-			continue
-		}
-		// An earlier attempt with this key is still running: wait for its answer.
-		if rep.code == int(result.KeyInUse) && sleep(ctx, keyInUseWait) {
-			continue
-		}
-		if rep.class == Lost && rep.unsent {
-			order, _ = c.dir.get(ctx, i%len(order) == len(order)-1)
-			continue
-		}
-		// Without a key a booking is not sent again once it may have arrived.
-		resend := rep.class == Lost && (r.Idempotent() || r.Keyed) || rep.class == InDoubt && r.Idempotent()
-		if resend && ctx.Err() == nil {
-			continue
+	mayHaveRun := false // an earlier attempt may have run
+	for out.Sends < maxSends && ctx.Err() == nil {
+		at := order[out.Sends%len(order)]
+		if r.Keyed && !mayHaveRun {
+			// Nothing ran under an earlier key, so the instance that is asked
+			// may decide.
+			key = idempotencyKey(at.KeyPrefix, r.Tag)
 		}
+		rep := c.attempt(ctx, r, at.Address, key)
+		out.add(&rep, at.Address, due)
 		out.Class = rep.class
-		if rep.class == Lost && !r.Idempotent() && !r.Keyed {
+		switch {
+		case rep.code == int(result.KeyInUse) && mayHaveRun:
+			// The earlier attempt still runs: wait for its answer.
+			sleep(ctx, keyInUseWait)
 			out.Class = InDoubt
+		case rep.class == Refused && rep.next, rep.class == Lost && rep.unsent:
+			c.dir.expire()
+		case rep.class == Refused, rep.class == Answered, rep.class == Crossed, rep.class == Truncated:
+			return out
+		default: // a connection failure or an error that says it may have run
+			mayHaveRun = true
+			if !r.Idempotent() && (rep.class == InDoubt || !r.Keyed) {
+				// Without a key a booking is not sent again.
+				out.Class = InDoubt
+				return out
+			}
+			out.Class = Lost
 		}
-		return out
 	}
-	out.Class = Lost
-	if !r.Idempotent() && !r.Keyed && sent {
-		out.Class = InDoubt
+	if out.Sends == 0 {
+		out.Class = Lost
 	}
 	return out
 }
 
+// add takes over what an attempt tells.
+func (o *Outcome) add(rep *reply, address string, due time.Time) {
+	o.Sends++
+	o.Instance, o.Code, o.RequestID, o.Detail = address, rep.code, rep.requestID, rep.detail
+	o.Cut = o.Cut || rep.cut
+	if !rep.first.IsZero() {
+		o.FirstToken, o.LongestGap = rep.first.Sub(due), rep.gap
+	}
+}
+
 // sleep reports whether d passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -79,10 +79,14 @@
 		last := slices.MaxFunc(own, func(a, b placed) int { return int(a.StartMs - b.StartMs) })
 		if last.region != r.Home {
 			res.SentAway++
+			if len(r.Team.Regions) > 0 && !slices.Contains(r.Team.Regions, r.Home) {
+				res.SentByResidency++
+			}
 		}
 	}
 	if served > 0 {
 		res.SentAwayShare = float64(res.SentAway) / float64(served)
+		res.ResidencyShare = float64(res.SentByResidency) / float64(served)
 	}
 	for i := range res.Teams {
 		res.Teams[i].checkTokens(runs)
--- a/internal/load/directory.go
+++ b/internal/load/directory.go
@@ -33,7 +33,7 @@
 // directory keeps the order that callers of one region and team follow.
 type directory struct {
 	client *http.Client
-	region string
+	query  string
 	key    string
 	// first lists the instances to ask: those of the own region, then others.
 	first []string
@@ -44,11 +44,12 @@
 	}
 }
 
-func newDirectory(client *http.Client, p *Plan, region, key string) *directory {
-	d := &directory{client: client, region: region, key: key}
+func newDirectory(client *http.Client, p *Plan, id callerID, key string) *directory {
+	d := &directory{client: client, key: key}
+	d.query = url.Values{"region": {id.region}, "caller": {fmt.Sprintf("%s-%s-%d", id.region, id.team, id.client)}}.Encode()
 	for _, own := range []bool{true, false} {
 		for _, in := range p.Instances {
-			if (in.Region == region) == own {
+			if (in.Region == id.region) == own {
 				d.first = append(d.first, in.Callers)
 			}
 		}
@@ -56,12 +57,19 @@
 	return d
 }
 
-// get returns the order; it asks again when the lifetime is over or refresh is
-// set, and keeps the old order if no instance answers.
-func (d *directory) get(ctx context.Context, refresh bool) ([]entryPoint, error) {
+// expire makes the next request ask again.
+func (d *directory) expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !refresh && time.Now().Before(d.mu.expires) {
+	d.mu.expires = time.Time{}
+}
+
+// get returns the order; it asks again when the lifetime is over and keeps the
+// old order if no instance answers.
+func (d *directory) get(ctx context.Context) ([]entryPoint, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if time.Now().Before(d.mu.expires) {
 		return d.mu.order, nil
 	}
 	var last error
@@ -87,7 +95,7 @@
 func (d *directory) ask(ctx context.Context, address string) (*directoryAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, directoryWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/directory?region="+url.QueryEscape(d.region), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/directory?"+d.query, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/generate.go
+++ b/internal/load/generate.go
@@ -18,6 +18,7 @@
 	questionChars  = 160
 	questionOutput = 24
 	histories      = 8 // shared prompt prefixes of one team
+	clients        = 4 // callers of one team in one region
 	largeFactor    = 4
 	// unkeyedBookings is the share of bookings without an Idempotency-Key.
 	unkeyedBookings = 0.2
@@ -37,7 +38,9 @@
 	Kind Kind
 	Team *Team
 	Home string // region of the caller
-	Tag  standin.Tag
+	// Client tells the callers of one team and region apart.
+	Client int
+	Tag    standin.Tag
 	// Method, Path and Body as sent.
 	Method, Path, Body string
 	Stream             bool
@@ -49,6 +52,14 @@
 	Item string
 }
 
+// callerID names a caller.
+type callerID struct {
+	region, team string
+	client       int
+}
+
+func (r *Request) caller() callerID { return callerID{r.Home, r.Team.Name, r.Client} }
+
 // Idempotent requests are resent after a connection failure.
 func (r *Request) Idempotent() bool { return r.Kind != Book }
 
@@ -80,6 +91,7 @@
 		}
 		r := &Request{At: at, Kind: Kinds[draw(rng, kinds)], Team: &p.Teams[draw(rng, teams)], Home: regions[draw(rng, homes)]}
 		r.Tag = standin.Tag{ID: fmt.Sprintf("s%d-%d", o.Seed, len(out)), Team: r.Team.Name}
+		r.Client = rng.IntN(clients)
 		r.fill(rng)
 		out = append(out, r)
 	}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -35,16 +35,21 @@
 	KeysSeen    int            `json:"keys_seen"`
 	// Overruns counts arrivals above a target's capacity; HighestOver is the
 	// most by which a target's capacity was exceeded (negative: room left).
-	Overruns      int                `json:"overruns"`
-	HighestOver   int                `json:"highest_over"`
-	WorstTarget   string             `json:"worst_target"`
-	SentAway      int                `json:"sent_away"`
-	SentAwayShare float64            `json:"sent_away_share"`
-	Latency       map[string]Summary `json:"latency_ms"` // by kind
-	FirstToken    Summary            `json:"first_token_ms"`
-	LongestGap    Summary            `json:"longest_gap_ms"`
-	Teams         []TeamResult       `json:"teams"`
-	Notes         []string           `json:"notes,omitempty"`
+	Overruns      int     `json:"overruns"`
+	HighestOver   int     `json:"highest_over"`
+	WorstTarget   string  `json:"worst_target"`
+	SentAway      int     `json:"sent_away"`
+	SentAwayShare float64 `json:"sent_away_share"`
+	// SentByResidency could not be served in the caller's region.
+	SentByResidency int                `json:"sent_by_residency"`
+	ResidencyShare  float64            `json:"residency_share"`
+	Latency         map[string]Summary `json:"latency_ms"` // by kind
+	// Instances counts requests by the instance that was asked last.
+	Instances  map[string]int `json:"instances"`
+	FirstToken Summary        `json:"first_token_ms"`
+	LongestGap Summary        `json:"longest_gap_ms"`
+	Teams      []TeamResult   `json:"teams"`
+	Notes      []string       `json:"notes,omitempty"`
 }
 
 // TeamResult is the part of one team.
@@ -60,7 +65,8 @@
 	Limit float64 `json:"limit"`
 	// Peak is the largest use above rate x t over all intervals; I7 bounds it
 	// by Burst.
-	Peak float64 `json:"peak"`
+	Peak       float64 `json:"peak"`
+	FirstToken Summary `json:"first_token_ms"`
 }
 
 // Summary holds percentiles in milliseconds.
@@ -89,13 +95,22 @@
 
 // NewResult checks outcomes against records and sums up.
 func NewResult(p *Plan, o Options, requests []*Request, outcomes []Outcome, records []*standin.Record) *Result {
-	res := &Result{Options: o, Sent: len(requests), Classes: map[Class]int{}, Codes: map[string]int{}, Latency: map[string]Summary{}}
+	res := &Result{Options: o, Sent: len(requests), Classes: map[Class]int{}, Codes: map[string]int{}, Latency: map[string]Summary{}, Instances: map[string]int{}}
+	names := map[string]string{}
+	for _, in := range p.Instances {
+		names[in.Callers] = in.Name
+		res.Instances[in.Name] = 0
+	}
 	for _, t := range p.Teams {
 		res.Teams = append(res.Teams, TeamResult{Name: t.Name, Rate: t.Rate, Burst: t.Burst})
 	}
 	res.check(p, requests, outcomes, records)
 	latency := map[Kind]histogram{}
 	first, gap := newHistogram(), newHistogram()
+	teamFirst := map[string]histogram{}
+	for _, t := range p.Teams {
+		teamFirst[t.Name] = newHistogram()
+	}
 	for i, r := range requests {
 		out := &outcomes[i]
 		res.Classes[out.Class]++
@@ -105,6 +120,7 @@
 		if out.Sends > 1 {
 			res.Resent++
 		}
+		res.Instances[names[out.Instance]]++
 		if out.Cut {
 			res.CutOff++
 		}
@@ -119,6 +135,7 @@
 			latency[r.Kind].add(out.Latency)
 			if out.FirstToken > 0 {
 				first.add(out.FirstToken)
+				teamFirst[t.Name].add(out.FirstToken)
 				gap.add(out.LongestGap)
 			}
 		case Refused:
@@ -130,6 +147,9 @@
 	for k, h := range latency {
 		res.Latency[string(k)] = h.summary()
 	}
+	for i := range res.Teams {
+		res.Teams[i].FirstToken = teamFirst[res.Teams[i].Name].summary()
+	}
 	res.FirstToken, res.LongestGap = first.summary(), gap.summary()
 	return res
 }
@@ -199,6 +219,11 @@
 	for _, c := range []Class{Answered, Refused, InDoubt, Lost, Crossed, Truncated} {
 		out = append(out, row{string(c), fmt.Sprint(res.Classes[c])})
 	}
+	var shares []int
+	for _, n := range res.Instances {
+		shares = append(shares, n)
+	}
+	sort.Ints(shares)
 	codes := make([]string, 0, len(res.Codes))
 	for c := range res.Codes {
 		codes = append(codes, c)
@@ -209,6 +234,7 @@
 	}
 	out = append(out,
 		row{"errors by code", strings.Join(codes, " ")},
+		row{"requests by instance", strings.Trim(fmt.Sprint(shares), "[]")},
 		row{"resent by callers", fmt.Sprint(res.Resent)},
 		row{"broke off after the header", fmt.Sprint(res.CutOff)},
 		row{"doubled bookings", fmt.Sprint(res.Doubled)},
@@ -217,15 +243,15 @@
 		row{"keys seen by targets", fmt.Sprint(res.KeysSeen)},
 		row{"arrivals over capacity", fmt.Sprint(res.Overruns)},
 		row{"highest in flight/capacity", res.WorstTarget},
-		row{"sent to another region", fmt.Sprintf("%.1f%%", 100*res.SentAwayShare)},
+		row{"sent to another region", fmt.Sprintf("%.1f%%, by residency %.1f%%", 100*res.SentAwayShare, 100*res.ResidencyShare)},
 		row{"first token p50/p95/p99 ms", res.FirstToken.String()},
 	)
 	for _, k := range Kinds {
 		out = append(out, row{string(k) + " p50/p95/p99 ms", res.Latency[string(k)].String()})
 	}
 	for _, t := range res.Teams {
-		out = append(out, row{"team " + t.Name, fmt.Sprintf("%d sent, %d answered, %d refused, %.0f of %.0f tokens, peak %.0f of %.0f",
-			t.Sent, t.Answered, t.Refused, t.Tokens, t.Limit, t.Peak, t.Burst)})
+		out = append(out, row{"team " + t.Name, fmt.Sprintf("%d sent, %d answered, %d refused, %.0f of %.0f tokens, peak %.0f of %.0f, first token %v",
+			t.Sent, t.Answered, t.Refused, t.Tokens, t.Limit, t.Peak, t.Burst, t.FirstToken)})
 	}
 	return out
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -15,10 +15,11 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
-	callers := map[[2]string]*caller{}
-	for _, region := range p.Regions() {
-		for _, t := range p.Teams {
-			callers[[2]string{region, t.Name}] = &caller{client, newDirectory(client, p, region, t.Key)}
+	callers := map[callerID]*caller{}
+	for _, r := range requests {
+		id := r.caller()
+		if callers[id] == nil {
+			callers[id] = &caller{client, newDirectory(client, p, id, r.Team.Key)}
 		}
 	}
 	out := make([]Outcome, len(requests))
@@ -38,7 +39,7 @@
 			defer wg.Done()
 			rctx, cancel := context.WithTimeout(ctx, o.Timeout)
 			defer cancel()
-			out[i] = callers[[2]string{r.Home, r.Team.Name}].send(rctx, r, start.Add(r.At))
+			out[i] = callers[r.caller()].send(rctx, r, start.Add(r.At))
 		}()
 	}
 	wg.Wait()
