Read cache events of engines in use; blame targets only for their own faults

Cause: the choice of targets knew prefix caches only from its own dispatches, so evictions and other instances' prompts went unseen. Any failed attempt, also one whose caller disconnected, made the target unused for a second or more. Ruled out: reading all engines of the region each second, which at 107 engines is more traffic than the 7 KB/s of control allow.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,6 +165,7 @@
 		region: s.Instance.Region, self: n.self, tracker: tracker, editions: n.editions, members: n.members,
 		admitter: n.admitter, loads: n.grants, clients: n.clients, now: time.Now,
 	}
+	n.routing.caches = newCacheWatch(n.routing.engineAddress, tracker.CacheEvents)
 	n.routing.mu.asked = make(map[string]time.Time)
 	n.routing.mu.failed = make(map[string]failure)
 	n.warmup = &warmup{region: s.Instance.Region, edition: n.editions.Current, admitter: n.admitter}
@@ -271,6 +272,7 @@
 		{"grants", n.grants.Run},
 		{"admission", n.admitter.Run},
 		{"routing", n.routing.Run},
+		{"cache events", n.routing.caches.Run},
 		{"warmup", n.warmup.Run},
 		{"orders", orders.Run},
 		{"gate", n.gate.Run},
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/platform"
+	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/route"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
@@ -39,6 +40,7 @@
 	members  *member.Manager
 	admitter *admit.Manager
 	loads    grant.Loads
+	caches   *cacheWatch
 	clients  *peerapi.Clients
 	now      func() time.Time
 	mu       struct {
@@ -73,10 +75,24 @@
 	ended := r.tracker.Started(q, target)
 	return func(err error) {
 		ended()
-		r.attempted(target, err != nil)
+		failed := targetFault(err)
+		r.attempted(target, failed)
+		if q.Model != "" {
+			r.caches.note(target, failed)
+		}
 	}
 }
 
+// targetFault tells a failure of the target from one of the caller or the
+// edition, which must not make a healthy target unused.
+func targetFault(err error) bool {
+	if err == nil {
+		return false
+	}
+	code := result.From(err).Code
+	return code == result.TargetFailed || code == result.TargetTimeout
+}
+
 // attempted avoids a target for a while after a failure.
 func (r *routing) attempted(target string, failed bool) {
 	r.mu.Lock()
@@ -93,6 +109,18 @@
 	}
 }
 
+// engineAddress returns the address of an engine of the own region.
+func (r *routing) engineAddress(target string) string {
+	e := r.editions.Current()
+	if e == nil {
+		return ""
+	}
+	if t := e.Targets[target]; t != nil && t.Kind == table.Engine && t.Region == r.region {
+		return t.Address
+	}
+	return ""
+}
+
 func (r *routing) leaving(target string) bool {
 	list := r.editions.Lists().Current()
 	return list != nil && list.LeavingTargets[target]
