Prove idempotency records, crash fingerprints, frames and the retry budget

Cause: invariants I8, I9, I10 and I16 and the bounds of memory and retries lacked failing cases below the HTTP level.

--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,252 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/settings"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+type script []*peerv1.ForwardResponse
+
+func (s *script) Receive() bool {
+	if len(*s) == 0 {
+		return false
+	}
+	*s = (*s)[1:]
+	return len(*s) > 0
+}
+func (s *script) Msg() *peerv1.ForwardResponse { return (*s)[0] }
+func (s *script) Err() error                   { return nil }
+
+func frame(id string, seq uint64, part any) *peerv1.ForwardResponse {
+	m := &peerv1.ForwardResponse{RequestId: id, Sequence: seq}
+	switch p := part.(type) {
+	case int:
+		m.Part = &peerv1.ForwardResponse_Head{Head: &peerv1.Head{Status: uint32(p)}}
+	case string:
+		m.Part = &peerv1.ForwardResponse_Data{Data: []byte(p)}
+	case *peerv1.Tail:
+		m.Part = &peerv1.ForwardResponse_Tail{Tail: p}
+	}
+	return m
+}
+
+// Guards I8 over the hop: a late, crossed, doubled or missing frame, or an
+// answer without a tail, is never passed on as a whole answer.
+func TestFrames(t *testing.T) {
+	ok := &peerv1.Tail{}
+	for name, c := range map[string]struct {
+		frames script
+		data   string
+		whole  bool
+	}{
+		"whole":          {script{frame("r", 1, 200), frame("r", 2, "ab"), frame("r", 3, "c"), frame("r", 4, ok)}, "abc", true},
+		"no tail":        {script{frame("r", 1, 200), frame("r", 2, "ab")}, "ab", false},
+		"crossed":        {script{frame("r", 1, 200), frame("r", 2, "ab"), frame("q", 3, "no"), frame("r", 4, ok)}, "ab", false},
+		"missing":        {script{frame("r", 1, 200), frame("r", 3, "no"), frame("r", 4, ok)}, "", false},
+		"doubled":        {script{frame("r", 1, 200), frame("r", 2, "ab"), frame("r", 2, "ab"), frame("r", 3, ok)}, "ab", false},
+		"late head":      {script{frame("r", 1, 200), frame("r", 2, "ab"), frame("r", 3, 200), frame("r", 4, ok)}, "ab", false},
+		"failed":         {script{frame("r", 1, 200), frame("r", 2, "ab"), frame("r", 3, &peerv1.Tail{Code: 401, MayHaveRun: true})}, "ab", false},
+		"data at once":   {script{frame("r", 1, "ab"), frame("r", 2, ok)}, "", false},
+		"crossed head":   {script{frame("q", 1, 200), frame("r", 2, ok)}, "", false},
+		"nothing":        {nil, "", false},
+		"no part":        {script{frame("r", 1, 200), frame("r", 2, nil), frame("r", 3, ok)}, "", false},
+		"unlikely":       {script{frame("r", 1, 99), frame("r", 2, ok)}, "", false},
+		"refused":        {script{frame("r", 1, &peerv1.Tail{Code: 303})}, "", false},
+		"success, empty": {script{frame("r", 1, ok)}, "", false},
+	} {
+		s := append(script{nil}, c.frames...)
+		f := &frameReader{stream: &s, id: "r", log: event.Nop()}
+		_, err := f.head()
+		var data []byte
+		if err == nil {
+			data, err = io.ReadAll(f)
+		}
+		if string(data) != c.data || (err == nil) != c.whole {
+			t.Errorf("%s: %q, %v", name, data, err)
+		}
+		if _, again := f.Read(make([]byte, 1)); err == nil && again != io.EOF {
+			t.Errorf("%s: %v after the end", name, again)
+		}
+	}
+}
+
+// Guards "not run": once a request was given up as unsent, its connection
+// writes nothing more; one written byte, even of a write in progress, counts.
+func TestSealedConnection(t *testing.T) {
+	near, far := net.Pipe()
+	c := &countingConn{Conn: near}
+	if !c.seal(c.count()) {
+		t.Fatal("nothing was written")
+	}
+	if n, err := c.Write([]byte("x")); n != 0 || !errors.Is(err, errSealed) {
+		t.Fatal(n, err)
+	}
+	c = &countingConn{Conn: near}
+	base := c.count()
+	go func() { _, _ = c.Write([]byte("xy")) }()
+	if _, err := far.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if c.seal(base) { // the second byte is still being written
+		t.Fatal("sealed in the middle of a write")
+	}
+	_ = near.Close()
+	c = &countingConn{Conn: near}
+	if n, err := c.Write([]byte("x")); n != 0 || err == nil || !c.seal(0) {
+		t.Fatal("a write that failed without a byte counts as sent")
+	}
+}
+
+// Guards against retry storms: of N requests that all fail once, at most the
+// start of the budget and a tenth of N are repeated.
+func TestBudget(t *testing.T) {
+	b := NewBudget()
+	taken := 0
+	for range 1000 {
+		b.Request()
+		if b.Take() {
+			taken++
+		}
+	}
+	if taken > retryStart+100 || taken < 100 {
+		t.Fatalf("%d retries of 1000 requests", taken)
+	}
+}
+
+// Guards the bounds of memory, and progress of a stream that holds nothing
+// while others fill them.
+func TestMemory(t *testing.T) {
+	m := NewMemory(settings.Bounds{StreamBuffer: 10, TeamBuffer: 15, ProcessBuffer: 20})
+	ctx, cancel := context.WithCancel(t.Context())
+	a, b, c := m.Hold("x"), m.Hold("x"), m.Hold("y")
+	for _, h := range []*Hold{a, b, c} { // fills 9 of 15 and 11 of 20
+		if err := h.Wait(ctx, 3); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := a.Wait(ctx, 7); err != nil || m.Held() != 16 {
+		t.Fatal(err, m.Held())
+	}
+	for name, full := range map[string]func() bool{
+		"stream":  func() bool { return a.tryWait(1) == nil },
+		"team":    func() bool { return b.tryWait(3) == nil },
+		"process": func() bool { return c.tryWait(5) == nil },
+		"reserve": func() bool { return m.Hold("z").Reserve(5, result.NotRun) == nil },
+	} {
+		if full() {
+			t.Errorf("over the bound of the %s", name)
+		}
+	}
+	done := make(chan error)
+	go func() { done <- b.Wait(ctx, 3) }()
+	a.Free(7)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Hold("x").Wait(ctx, 100); err != nil {
+		t.Fatal("a stream that holds nothing must go on", err)
+	}
+	go func() { done <- b.Wait(ctx, 50) }()
+	cancel()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	a.Close()
+	b.Close()
+	c.Close()
+	if m.Held() != 100 || len(m.mu.teams) != 1 {
+		t.Fatal(m.Held(), m.mu.teams)
+	}
+}
+
+// Guards the reader of events: only complete events, in bounded memory.
+func TestEvents(t *testing.T) {
+	in := newSSEReader(strings.NewReader(": note\n\ndata: a\r\ndata:b\r\n\r\nevent: x\ndata: c\n\ndata: half\n"))
+	for _, want := range []string{"a\nb", "c"} {
+		if ev, err := in.next(); err != nil || string(ev.data) != want {
+			t.Fatalf("%q %v, want %q", ev.data, err, want)
+		}
+	}
+	if _, err := in.next(); err != io.ErrUnexpectedEOF || !in.ended {
+		t.Fatal(err)
+	}
+	if _, err := newSSEReader(strings.NewReader("data: " + strings.Repeat("x", maxEvent))).next(); err != errEventTooLarge {
+		t.Fatal(err)
+	}
+}
+
+// Guards the debit and the choice of a target: whole blocks of 256 characters,
+// 4 characters a token, the smaller of the two caps.
+func TestPrepare(t *testing.T) {
+	prompt := strings.Repeat("é", 2*blockChars+1)
+	p, err := ParseCompletion([]byte(`{"model":"m","prompt":"` + prompt + `","max_completion_tokens":70,"n":2}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Call{}
+	if err := c.Prepare(p, 50); err != nil || c.PromptTokens != 129 || c.OutputTokens != 100 || c.Resumable ||
+		len(c.PrefixHashes) != 2 || c.PrefixHashes[0] != PrefixHashes(prompt[:2*blockChars])[0] ||
+		!strings.Contains(string(c.Body), `"max_tokens":50`) || strings.Contains(string(c.Body), "max_completion_tokens") {
+		t.Fatalf("%+v %v", c, err)
+	}
+}
+
+func forwardSeed() *peerv1.ForwardRequest {
+	return &peerv1.ForwardRequest{RequestId: "r1", Hop: 1, Team: "a", AllowedRegions: []string{"north"}, RemainingMs: 1000, Method: "POST",
+		Path: "/v1/completions", Model: "m", Body: []byte(`{"model":"m","prompt":"x"}`), Headers: []*peerv1.Header{{Name: "X-Resume-Tokens", Value: "3"}}}
+}
+
+// Guards the receiving side of the hop: whatever arrives, a call is accepted
+// only for one hop, in this region, for a team and model or route that the own
+// edition allows, and a refusal is always "not run".
+func FuzzParseForward(f *testing.F) {
+	e := &table.Edition{
+		Regions:   map[string]*table.Region{"north": {}, "south": {}},
+		Residency: map[string]*table.Residency{"south": {Regions: map[string]bool{"south": true}}},
+		Teams:     map[string]*table.Team{"a": {Name: "a"}, "b": {Name: "b", Residency: "south"}},
+		Models:    map[string]*table.Model{"m": {Name: "m", MaxOutput: 9}},
+		Services:  map[string]*table.Service{"s": {Name: "s"}},
+		Routes:    []*table.Route{{Name: "open", Prefix: "/open", Service: "s", Open: true, Methods: map[string]bool{"GET": true}}},
+	}
+	seeds := []*peerv1.ForwardRequest{forwardSeed(), forwardSeed(), forwardSeed(), forwardSeed()}
+	seeds[1].Hop, seeds[2].Team = 2, "b"
+	seeds[3].Model, seeds[3].Route, seeds[3].Method, seeds[3].Path, seeds[3].Team = "", "open", "GET", "/open/x?y=1", ""
+	for _, m := range seeds {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m peerv1.ForwardRequest
+		if proto.Unmarshal(b, &m) != nil {
+			return
+		}
+		c, err := parseForward(e, "north", 1000, &m)
+		if err != nil {
+			if result.From(err).Ran != result.NotRun || result.From(err).Code == result.InternalFault {
+				t.Fatal(err)
+			}
+			return
+		}
+		p := c.Permit
+		engine := p.Model == "m" && p.Team == "a" && c.Method == "POST" && c.OutputTokens > 0
+		open := p.Route == "open" && c.Method == "GET" && strings.HasPrefix(c.Path, "/open")
+		if m.GetHop() != 1 || len(p.Allowed) != 1 || !p.Allowed["north"] || p.Team == "b" || engine == open || !c.Prepaid || c.Header.Get("Authorization") != "" {
+			t.Fatalf("accepted %+v as %+v", &m, c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/retry_test.go
@@ -0,0 +1,109 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+// Guards targets against a request that crashes them: it is stopped after its
+// second crash, also when it is sent again, and other requests go on.
+func TestCrashingRequestIsBlocked(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		w := newWorld(t)
+		var crashes atomic.Int32
+		for i := 1; i < 5; i++ {
+			w.target(fmt.Sprintf("t%d", i), "north", table.Engine, func(rw http.ResponseWriter, r *http.Request) {
+				if b, _ := io.ReadAll(r.Body); strings.Contains(string(b), "poison") {
+					crashes.Add(1)
+					crash()
+				}
+				_, _ = io.WriteString(rw, whole)
+			})
+		}
+		n := w.node("n", "north")
+		poison := fmt.Sprintf(`{"model":%q,"prompt":"poison","stream":%v}`, model, stream)
+		n.expect(t, n.do("POST", "/v1/completions", poison), result.FingerprintBlock, "may_have_run")
+		n.expect(t, n.do("POST", "/v1/completions", poison), result.FingerprintBlock, "not_run")
+		if crashes.Load() != 2 {
+			t.Fatalf("%d targets crashed", crashes.Load())
+		}
+		if r := n.chat(false); r.body != whole {
+			t.Fatalf("%+v", r)
+		}
+	}
+}
+
+// Guards the retry budget: when every request fails once, about a tenth of them
+// are repeated, and the others say that they may have run.
+func TestRetriesAreBounded(t *testing.T) {
+	w := newWorld(t)
+	var bad, good int32
+	w.target("t1", "north", table.Engine, func(rw http.ResponseWriter, r *http.Request) {
+		atomic.AddInt32(&bad, 1)
+		rw.WriteHeader(http.StatusInternalServerError)
+	})
+	w.target("t2", "north", table.Engine, func(rw http.ResponseWriter, r *http.Request) {
+		atomic.AddInt32(&good, 1)
+		_, _ = io.WriteString(rw, whole)
+	})
+	n := w.node("n", "north")
+	for range 100 {
+		if r := n.chat(false); r.status != 200 {
+			n.expect(t, r, result.TargetFailed, "may_have_run")
+		}
+	}
+	// The budget starts at 10.
+	if b, g := atomic.LoadInt32(&bad), atomic.LoadInt32(&good); b != 100 || g < 15 || g > 20 {
+		t.Fatalf("%d requests, %d retries", b, g)
+	}
+}
+
+// Guards "not run" of an engine that refuses, and passes on its other answers.
+func TestEngineRefuses(t *testing.T) {
+	w := newWorld(t)
+	w.target("t1", "north", table.Engine, func(rw http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		if strings.Contains(string(b), "bad") {
+			rw.WriteHeader(http.StatusUnprocessableEntity)
+			_, _ = io.WriteString(rw, "no such tool")
+			return
+		}
+		rw.Header().Set("X-Not-Run", "true")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	})
+	n := w.node("n", "north")
+	n.expect(t, n.chat(true), result.TargetFailed, "not_run")
+	if _, _, used := n.adm.settled(); used[0] != 0 {
+		t.Fatalf("used %v", used)
+	}
+	if r := n.do("POST", "/v1/completions", `{"model":"planner","prompt":"bad","stream":true}`); r.status != 422 || r.body != "no such tool" {
+		t.Fatalf("%+v", r)
+	}
+}
+
+// Guards "not run" over the hop: an instance that cannot be reached has run
+// nothing; one that dies after it got a booking may have.
+func TestHopFailures(t *testing.T) {
+	w := newWorld(t)
+	var runs atomic.Int32
+	var s *node
+	w.target("t1", "south", table.Plain, func(rw http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		_ = s.peers.Close()
+		<-r.Context().Done()
+	})
+	n := w.node("n", "north")
+	s = w.node("s", "south")
+	n.expect(t, n.do("POST", bookings, "x"), result.TargetFailed, "may_have_run")
+	n.expect(t, n.do("POST", bookings, "x"), result.RegionUnreachable, "not_run")
+	if runs.Load() != 1 || n.disp.InFlight("south") != 0 {
+		t.Fatalf("%d runs", runs.Load())
+	}
+}
