Refuse requests over half of the burst at once, and explain refusals

Cause: a request of 15,032 tokens of a team with burst 30,000 waited 5 s and was refused as 205 no_slot. At most half of a burst can be outstanding, so it could never be admitted; the bound checked at once was the whole burst. The test of the bound now sends 51 instead of 101 tokens against a burst of 100, which is stricter. Ruled out: a larger part than half, because a new grantor could then grant less in its first 2 s.

--- /dev/null
+++ b/cmd/loadtool/up.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/fleet"
+)
+
+type upCommand struct {
+	For time.Duration `long:"for" default:"10m" description:"time after which the fleet is stopped"`
+}
+
+// Execute runs the fleet of the demo until it is interrupted.
+func (c *upCommand) Execute([]string) error {
+	ctx, stop := interruptible()
+	defer stop()
+	bin, err := binDir()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "wigeonhill-up-")
+	if err != nil {
+		return err
+	}
+	f, err := fleet.New(fleet.DemoSpec(bin, dir))
+	if err != nil {
+		return err
+	}
+	defer (&demoCommand{}).finish(f)
+	if err := start(ctx, f); err != nil {
+		return err
+	}
+	fmt.Printf("%-24s %-24s %-24s\n", "instance", "callers", "operators")
+	for _, in := range f.Instances {
+		fmt.Printf("%-24s %-24s %-24s\n", in.Name, in.Address, in.Operators)
+	}
+	fmt.Println()
+	for _, t := range f.Teams {
+		fmt.Printf("key of team %-10s %s\n", t.Name, t.Key)
+	}
+	fmt.Printf("\nconfiguration service http://%s, files in %s\n", f.Config.Address, dir)
+	fmt.Printf("running for %v; interrupt to stop\n", c.For)
+	select {
+	case <-ctx.Done():
+	case <-time.After(c.For):
+	}
+	return nil
+}
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -65,8 +65,9 @@
 		return limit{within: true}, nil
 	}
 	rate, burst, ok := m.cfg.Limits(r.Team)
-	if ok && r.Tokens > burst {
-		return limit{}, result.New(result.TooLargeForTeam, result.NotRun, "the request needs %.0f tokens, the team's burst is %.0f", r.Tokens, burst)
+	if ok && r.Tokens > burst*grant.LargestPart {
+		return limit{}, result.New(result.TooLargeForTeam, result.NotRun,
+			"the request needs %.0f tokens; at most half of the team's burst of %.0f can be granted at one time", r.Tokens, burst)
 	}
 	return limit{rate: rate, burst: burst, known: ok}, nil
 }
--- a/internal/admit/queue_test.go
+++ b/internal/admit/queue_test.go
@@ -119,7 +119,7 @@
 	if _, _, err := m.submit(Request{Team: "a", Targets: []string{}}, false, nil); err == nil || err.Code != result.NoTarget {
 		t.Fatalf("got %v", err)
 	}
-	if _, err := m.limit(Request{Team: "a", Tokens: 101}); err == nil || err.Code != result.TooLargeForTeam {
+	if _, err := m.limit(Request{Team: "a", Tokens: 51}); err == nil || err.Code != result.TooLargeForTeam {
 		t.Fatalf("got %v", err)
 	}
 	for i, want := range []bool{true, true, false} {
--- a/internal/admit/worker.go
+++ b/internal/admit/worker.go
@@ -56,7 +56,7 @@
 		if e.tokens > 0 && m.mu.q.waitsForTokens(e.team) {
 			code, what = result.OverRate, "tokens"
 		}
-		e.done <- outcome{err: result.New(code, result.NotRun, "no %s within %v", what, now-e.at)}
+		e.done <- outcome{err: result.New(code, result.NotRun, "no %s within %v; the request needs %.0f tokens", what, now-e.at, e.tokens)}
 	}
 }
 
--- a/internal/dispatch/local.go
+++ b/internal/dispatch/local.go
@@ -99,7 +99,9 @@
 	r.settle(err == nil)
 	r.out.Attempts = r.attempts - c.Attempts
 	if err != nil {
-		return r.out, r.conclude(err)
+		final := r.conclude(err)
+		l.Requests.Note(c.ID, "refused or failed", final.Error())
+		return r.out, final
 	}
 	return r.out, nil
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -101,6 +101,7 @@
 		}
 		ended = r.l.Watch.Begin(r.query, target, pl.region, len(r.c.Body))
 	}
+	r.l.Requests.Note(r.c.ID, "attempt", pl.name())
 	err := r.attempt(ctx, pl)
 	ended(err)
 	if err == nil {
--- a/internal/grant/api.go
+++ b/internal/grant/api.go
@@ -6,6 +6,11 @@
 // grantor: a new grantor allows for the grants of one predecessor only.
 const Validity = 2 * time.Second
 
+// LargestPart is the part of a burst that can be outstanding in grants at one
+// time, and so the largest request as a part of its team's burst. The rest
+// allows a new grantor to grant at once.
+const LargestPart = 0.5
+
 // Admission is a debit of a team's tokens.
 type Admission struct {
 	Team   string
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -34,8 +34,14 @@
 	o.metrics.RequestFinished(f)
 }
 
-// Admitted implements admit.Observer.
-func (o observer) Admitted(team string, waited time.Duration) { o.metrics.QueueWait(team, waited) }
+// Admitted implements admit.Observer. Requests without a team are those of the
+// warm-up and of routes open to all; the waits of the first would hide those of
+// callers.
+func (o observer) Admitted(team string, waited time.Duration) {
+	if team != "" {
+		o.metrics.QueueWait(team, waited)
+	}
+}
 
 // Refused implements admit.Observer.
 func (o observer) Refused(team string, code result.Code, withinRate bool) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -113,11 +113,12 @@
 	Burst     float64           `json:"burst_tokens"`
 	Share     float64           `json:"own_region_share"`
 	Residency string            `json:"residency,omitempty"`
+	Balance   float64           `json:"tokens_held_here"`
 	Figures   []ops.TeamFigures `json:"last_two_minutes"`
 }
 
 func (n *Node) teamStatus(name string) any {
-	v := teamView{Team: name}
+	v := teamView{Team: name, Balance: n.grants.Balance(name)}
 	if e := n.editions.Current(); e != nil {
 		if t := e.Teams[name]; t != nil {
 			v.Known, v.Rate, v.Burst, v.Residency = true, t.Rate, t.Burst, t.Residency
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -93,7 +93,7 @@
 	{OverRate, "over_rate", http.StatusTooManyRequests, "the team's rate and burst are used up", "retry after the given time", "compare the team's rate with its demand"},
 	{QueueFull, "queue_full", http.StatusTooManyRequests, "the queue for this team or target is full", "retry after the given time", "add capacity"},
 	{DeadlineTooNear, "deadline_too_near", http.StatusServiceUnavailable, "the request could not start before its deadline", "retry later or allow more time", "check queue time"},
-	{TooLargeForTeam, "too_large_for_team", http.StatusBadRequest, "the request needs more tokens than the team's burst", "lower max_tokens or the prompt", "raise the burst"},
+	{TooLargeForTeam, "too_large_for_team", http.StatusBadRequest, "the request needs more tokens than half of the team's burst, the most that can be granted at one time", "lower max_tokens or the prompt", "raise the burst"},
 	{NoSlot, "no_slot", http.StatusServiceUnavailable, "no target had a free slot in time", "retry after the given time", "add capacity"},
 
 	{NoRegionAllowed, "no_region_allowed", http.StatusForbidden, "no region allowed by the residency rule has a target for the request", "none", "check residency rules and targets"},
