Prove partitions with nodes in one process and connections that fall silent

Cause: a region that is cut off, an instance cut off within its region and a team that spends on all sides of a cut were proved for the state machines only. Change: a test network opens the connections between nodes and silences them, as a lost link does; three tests over real nodes and stand-in engines. Ruled out: closing connections instead (a lost link sends no reset), and network namespaces (no isolation tools).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,10 +73,18 @@
 
 // New builds an instance and opens its listeners.
 func New(s *settings.Settings, version string, log *event.Logger) (*Node, error) {
+	clients, err := peerapi.NewClients(s.Peers)
+	if err != nil {
+		return nil, err
+	}
+	return newNode(s, version, log, clients)
+}
+
+func newNode(s *settings.Settings, version string, log *event.Logger, clients *peerapi.Clients) (*Node, error) {
 	n := &Node{
 		settings: s, version: version, clock: clock.NewSystem(), started: time.Now(),
 		log:   log.With(zap.String("instance", s.Instance.Name)),
-		lists: make(chan struct{}, 1),
+		lists: make(chan struct{}, 1), clients: clients,
 	}
 	incarnation, err := newIncarnation()
 	if err != nil {
@@ -86,9 +94,6 @@
 		Instance: s.Instance.Name, Incarnation: incarnation, PeerAddress: s.Listen.Peers,
 		Region: s.Instance.Region, Domain: s.Instance.Domain,
 	}
-	if n.clients, err = peerapi.NewClients(s.Peers); err != nil {
-		return nil, err
-	}
 	n.buildState()
 	n.buildPath()
 	return n, n.listen()
--- a/internal/peerapi/client.go
+++ b/internal/peerapi/client.go
@@ -1,6 +1,7 @@
 package peerapi
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"net"
@@ -46,12 +47,20 @@
 	}
 }
 
+// Dial opens a connection to a peer address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClients returns a pool that uses mutual TLS, or plain text if p.Insecure.
 func NewClients(p settings.Peers) (*Clients, error) {
+	return NewClientsWithDial(p, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// NewClientsWithDial is NewClients with connections opened by dial.
+func NewClientsWithDial(p settings.Peers, dial Dial) (*Clients, error) {
 	c := &Clients{scheme: "https"}
 	c.mu.byAddress = map[string]peerv1connect.PeerClient{}
 	c.transport = &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:           dial,
 		TLSHandshakeTimeout:   dialTimeout,
 		IdleConnTimeout:       idleTimeout,
 		ResponseHeaderTimeout: 0, // calls carry their own deadline
