Prove that a request which crashes targets is stopped everywhere

Change: a test with four nodes in three regions and engines that drop the connection on a marker. Ruled out: killing engine processes, which a test in one process cannot do; a dropped connection is what an instance sees of a crash. Conclusion: proved for crashes that show as lost connections.

--- a/internal/node/network_test.go
+++ b/internal/node/network_test.go
@@ -1,13 +1,16 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,6 +145,10 @@
 	engines []*standin.Engine
 	rate    float64
 	started time.Time
+	// poison, if set, makes an engine drop the connection of each request that
+	// contains it, as one does that crashes and is restarted at once.
+	poison  string
+	crashes atomic.Int64
 }
 
 const (
@@ -170,7 +177,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		srv := httptest.NewServer(e.Handler())
+		srv := httptest.NewServer(w.fragile(e.Handler()))
 		t.Cleanup(srv.Close)
 		w.engines = append(w.engines, e)
 		fmt.Fprintf(&table, "[region %s]\nseats = %s\n", region, strings.Join(seats, ", "))
@@ -187,6 +194,18 @@
 	return w
 }
 
+func (w *world) fragile(engine http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err == nil && w.poison != "" && bytes.Contains(body, []byte(w.poison)) {
+			w.crashes.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		engine.ServeHTTP(rw, r)
+	})
+}
+
 func (w *world) settings(name, region string) *settings.Settings {
 	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if !w.net.reachesService(name) {
