Add soak: random faults under load; tell a key of a gone instance apart

Cause: single faults were tested, overlapping ones were not. The first soak showed bookings in doubt that provably had not run: keys naming a restarted instance were answered 405, as were bookings whose fate is really unknown. Code 406 instance_gone says that this attempt did nothing; the load tool's caller then builds a new key if it never sent the old one. Ruled out: running the booking under the old key (an earlier attempt may have run).

--- a/cmd/loadtool/main.go
+++ b/cmd/loadtool/main.go
@@ -136,6 +136,7 @@
 		{"run", "drive running instances and check the answers", &runCommand{}},
 		{"compare", "print result files side by side", &compareCommand{}},
 		{"demo", "start a fleet on loopback, kill parts of it under load and check", &demoCommand{}},
+		{"soak", "run the fleet under load with random faults and check", &soakCommand{}},
 		{"up", "run the fleet of the demo and print its addresses and keys", &upCommand{}},
 		{"measure", "measure CPU, memory and bytes of instances", &measureCommand{}},
 	} {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,7 +50,11 @@
 func (d *Dispatcher) resend(ctx context.Context, c *Call, k once.Key, sink Sink) (Outcome, error) {
 	unknown := result.New(result.OutcomeUnknown, result.MayHaveRun, "the instance named in the idempotency key cannot be asked")
 	m, ok := d.Members.ByName(k.Instance)
-	if !ok || m.Incarnation != k.Incarnation || !c.Permit.Allowed[m.Region] {
+	if !ok || m.Incarnation != k.Incarnation {
+		return Outcome{}, result.New(result.InstanceGone, result.MayHaveRun,
+			"the instance named in the idempotency key is gone; this attempt was not run, an earlier one may have run")
+	}
+	if !c.Permit.Allowed[m.Region] {
 		return Outcome{}, unknown
 	}
 	ctx, stop := d.local.bounded(ctx)
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -106,6 +106,8 @@
 			// The earlier attempt still runs: wait for its answer.
 			sleep(ctx, keyInUseWait)
 			out.Class = InDoubt
+		case rep.code == int(result.InstanceGone) && !mayHaveRun:
+			c.dir.expire() // the key was new, so nothing has run
 		case rep.class == Refused && rep.next, rep.class == Lost && rep.unsent:
 			c.dir.expire()
 		case rep.class == Refused, rep.class == Answered, rep.class == Crossed, rep.class == Truncated:
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -58,6 +58,7 @@
 	StreamInterrupted Code = 403
 	NoTarget          Code = 404
 	OutcomeUnknown    Code = 405
+	InstanceGone      Code = 406
 
 	ShuttingDown  Code = 501
 	NotReady      Code = 502
@@ -105,6 +106,7 @@
 	{StreamInterrupted, "stream_interrupted", http.StatusBadGateway, "the stream ended before the answer was complete and could not be resumed", "retry", "check the target"},
 	{NoTarget, "no_target", http.StatusServiceUnavailable, "no live target serves this request", "retry after the given time", "check targets and the instance list"},
 	{OutcomeUnknown, "outcome_unknown", http.StatusConflict, "an earlier attempt with this idempotency key may have run; it was not run again", "look up the outcome before booking again", "none"},
+	{InstanceGone, "instance_gone", http.StatusConflict, "the instance named in the idempotency key is gone; this attempt was not run, an earlier one with this key may have run", "if no earlier attempt was sent, fetch /v1/directory and build a new key; else look up the outcome", "none"},
 
 	{ShuttingDown, "shutting_down", http.StatusServiceUnavailable, "the instance is shutting down", "use the next instance of the directory", "none"},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, "the instance has not confirmed an edition yet", "use the next instance of the directory", "see /readyz"},
