Grant renewals below the ballot of a failed campaign

Change: a renewal says so, and a seat whose promise has run out grants it below the highest ballot it has seen; that ballot is kept, so that campaigns still rise above it and fencing numbers never fall. Ruled out: raising the ballot of a grantor in mid-term, because holders would have to start over with a new ledger; forgetting the higher ballot.

--- a/internal/term/candidate.go
+++ b/internal/term/candidate.go
@@ -74,7 +74,7 @@
 	c.last++
 	r := &Round{
 		Number:  c.last,
-		Request: &peerv1.VoteRequest{Shard: c.shard.ID(), Candidate: c.self, Ballot: c.ballot},
+		Request: &peerv1.VoteRequest{Shard: c.shard.ID(), Candidate: c.self, Ballot: c.ballot, Renews: c.phase == granting},
 		Seats:   seats,
 		sent:    now,
 		granted: make(map[string]bool),
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -58,6 +58,32 @@
 	}
 }
 
+// Guards against a seat that is lost to the grantor after a failed campaign of
+// another instance: it had promised a higher ballot and refused every renewal,
+// so that the loss of one further seat ended the term.
+func TestVoterGrantsRenewalsBelowAFailedCampaign(t *testing.T) {
+	v := NewVoter(at(0))
+	now := abstention
+	if r := vote(t, v, now, identity("failed", 1), 9); !r.Granted {
+		t.Fatalf("refused: %v", r)
+	}
+	renewal := &peerv1.VoteRequest{Shard: shard.ID(), Candidate: identity("grantor", 1), Ballot: 5, Renews: true}
+	if r, _ := v.Vote(at(now+1), renewal); r.GetGranted() {
+		t.Fatal("renewed while another promise was alive")
+	}
+	now += abstention
+	if r, _ := v.Vote(at(now), renewal); !r.GetGranted() || r.GetBallot() != 5 {
+		t.Fatalf("renewal refused: %v", r)
+	}
+	now += abstention
+	if r := vote(t, v, now, identity("next", 1), 9); r.Granted {
+		t.Fatal("a campaign did not have to rise above the highest ballot")
+	}
+	if r := vote(t, v, now, identity("next", 1), 10); !r.Granted {
+		t.Fatalf("refused: %v", r)
+	}
+}
+
 // Guards against a request without the fields that a promise is keyed by.
 func TestVoterRefusesIncompleteRequests(t *testing.T) {
 	v := NewVoter(at(0))
--- a/internal/term/voter.go
+++ b/internal/term/voter.go
@@ -16,8 +16,9 @@
 
 type promise struct {
 	candidate *peerv1.Identity
-	ballot    uint64
-	until     time.Duration // lower reading
+	// ballot is the highest one promised, so that later campaigns rise above it.
+	ballot uint64
+	until  time.Duration // lower reading
 }
 
 // Voter promises terms. It is not safe for concurrent use.
@@ -59,18 +60,23 @@
 	case v.Abstains(now):
 		resp.Abstains = true
 		return resp, nil
-	case live && !same, req.GetBallot() < p.ballot, req.GetBallot() == p.ballot && !same:
+	case live && !same:
+		return resp, nil
+	case !req.GetRenews() && (req.GetBallot() < p.ballot || req.GetBallot() == p.ballot && !same):
+		// Only campaigns must rise above what was promised before. A renewal
+		// below it means that the other campaign failed: its term would have
+		// ended this one.
 		return resp, nil
 	case !v.room(now, shard):
 		return resp, nil
 	}
 	p = promise{
 		candidate: proto.CloneOf(req.GetCandidate()),
-		ballot:    req.GetBallot(),
+		ballot:    max(p.ballot, req.GetBallot()),
 		until:     now.Lower + clock.ForGrantor(Length),
 	}
 	v.promises[shard] = p
-	resp.Granted, resp.Ballot, resp.Holder = true, p.ballot, p.candidate
+	resp.Granted, resp.Ballot, resp.Holder = true, req.GetBallot(), p.candidate
 	return resp, nil
 }
 
