Carry the end of an admission over the hop; test access; measure the path

The last check before the first byte was made at the sender only.

Change: the sender names the time left in the header X-Start-Within-Ms of the Forward message; the receiver does not start the request later. An error that says only that no other place is left no longer hides the reason of the attempt before it.

Ruled out: a new field in the message. The time on the wire is not counted.

--- /dev/null
+++ b/internal/access/access_test.go
@@ -0,0 +1,127 @@
+package access
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/table"
+)
+
+const (
+	homeKey = "key-of-team-home"
+	wideKey = "key-of-team-wide"
+)
+
+func edition() *table.Edition {
+	set := func(names ...string) map[string]bool {
+		m := map[string]bool{}
+		for _, n := range names {
+			m[n] = true
+		}
+		return m
+	}
+	e := &table.Edition{
+		Regions:   map[string]*table.Region{"a": {}, "b": {}, "c": {}},
+		Residency: map[string]*table.Residency{"ab": {Regions: set("a", "b")}, "bc": {Regions: set("b", "c")}, "c": {Regions: set("c")}},
+		Teams: map[string]*table.Team{"home": {Name: "home", Residency: "ab", Models: set("m", "far"), Routes: set("stock")},
+			"wide": {Name: "wide"}},
+		Keys:   map[table.KeyHash]*table.Key{},
+		Models: map[string]*table.Model{"m": {Name: "m", Residency: "bc"}, "far": {Name: "far", Residency: "c"}, "free": {Name: "free"}, "lost": {Name: "lost", Residency: "unknown"}},
+		Routes: []*table.Route{
+			{Name: "stock", Prefix: "/stock", Service: "s", Methods: set("GET", "POST"), Idempotent: set("GET"), Tokens: 2},
+			{Name: "open", Prefix: "/open", Service: "s", Methods: set("GET"), Open: true},
+		},
+	}
+	for key, team := range map[string]string{homeKey: "home", wideKey: "wide"} {
+		h := table.KeyHash(sha256.Sum256([]byte(key)))
+		e.Keys[h] = &table.Key{Team: team, Hash: h}
+	}
+	return e
+}
+
+func regions(p Permit) string {
+	var out []string
+	for r := range p.Allowed {
+		out = append(out, r)
+	}
+	sort.Strings(out)
+	return strings.Join(out, "")
+}
+
+// Guards rights and residency: both rules must allow a region, and nothing is
+// allowed by a rule, team or key that the edition does not know.
+func TestDecisions(t *testing.T) {
+	e := edition()
+	model := func(key, m string) func() (Permit, error) {
+		return func() (Permit, error) { return ForModel(e, key, m) }
+	}
+	route := func(key, method, path string) func() (Permit, error) {
+		return func() (Permit, error) { return ForRoute(e, key, method, path) }
+	}
+	for name, c := range map[string]struct {
+		ask     func() (Permit, error)
+		code    result.Code
+		regions string
+	}{
+		"both rules":          {model(homeKey, "m"), 0, "b"},
+		"one rule":            {model(wideKey, "m"), 0, "bc"},
+		"no rule":             {model(wideKey, "free"), 0, "abc"},
+		"no common region":    {model(homeKey, "far"), result.NoRegionAllowed, ""},
+		"unknown rule":        {model(wideKey, "lost"), result.NoRegionAllowed, ""},
+		"model not allowed":   {model(homeKey, "free"), result.RouteNotAllowed, ""},
+		"unknown model":       {model(wideKey, "none"), result.UnknownModel, ""},
+		"unknown key":         {model("other", "m"), result.UnknownKey, ""},
+		"no key":              {model("", "m"), result.UnknownKey, ""},
+		"route":               {route(homeKey, "POST", "/stock/1"), 0, "ab"},
+		"route needs a key":   {route("", "GET", "/stock/1"), result.UnknownKey, ""},
+		"open route":          {route("", "GET", "/open"), 0, "abc"},
+		"open route, bad key": {route("other", "GET", "/open"), result.UnknownKey, ""},
+		"open, not allowed":   {route(homeKey, "GET", "/open"), result.RouteNotAllowed, ""},
+		"method":              {route(homeKey, "PUT", "/stock/1"), result.UnknownRoute, ""},
+		"dot segment":         {route(homeKey, "GET", "/stock/../open"), result.BadRequest, ""},
+		"encoded slash":       {route(homeKey, "GET", "/stock/..%2Fopen"), result.BadRequest, ""},
+	} {
+		p, err := c.ask()
+		if c.code == 0 && (err != nil || regions(p) != c.regions) || c.code != 0 && (err == nil || result.From(err).Code != c.code) {
+			t.Errorf("%s: %v %v, want %v %q", name, regions(p), err, c.code, c.regions)
+		}
+	}
+	p, _ := ForRoute(e, homeKey, "POST", "/stock/1")
+	if p.Idempotent || p.Tokens != 2 {
+		t.Errorf("%+v", p)
+	}
+	// The key now belongs to another team.
+	e.Keys[p.Key].Team = "wide"
+	if _, err := Recheck(e, p); err == nil || result.From(err).Code != result.KeyWithdrawn {
+		t.Error(err)
+	}
+}
+
+// Guards the key and connection headers: none of them goes on.
+func TestEndToEnd(t *testing.T) {
+	h := http.Header{"Authorization": {"Bearer " + homeKey}, "Connection": {"close, X-Mine", "X-Other"}, "X-Mine": {"1"}, "X-Other": {"1"}, "Te": {"trailers"},
+		"Cookie": {"a=1", "k=" + homeKey}, "X-Attempt": {"9"}, "X-Short": {"abc"}, "Accept": {"text/plain"}}
+	got := EndToEnd(h, homeKey)
+	var names []string
+	for name := range got {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	if !slices.Equal(names, []string{"Accept", "X-Short"}) || len(h) != 9 {
+		t.Errorf("%v", names)
+	}
+	if got := EndToEnd(h, "abc"); got.Get("X-Short") != "" || got.Get("Accept") == "" {
+		t.Errorf("a short key: %v", got)
+	}
+	if got := StripQuery("a=1&k="+homeKey+"&b=%20", homeKey); got != "a=1&b=%20" {
+		t.Error(got)
+	}
+	if CheckNoKey("/x/key-of%2Dteam-home", nil, homeKey) == nil || CheckNoKey("/x", []byte("..."+homeKey), homeKey) == nil || CheckNoKey("/x", []byte("y"), homeKey) != nil {
+		t.Error("a key in the path or body was not found")
+	}
+}
--- a/internal/access/scrub.go
+++ b/internal/access/scrub.go
@@ -1,6 +1,7 @@
 package access
 
 import (
+	"bytes"
 	"net/http"
 	"net/url"
 	"strings"
@@ -21,7 +22,8 @@
 
 // reserved headers are set by the gateway; a caller's or target's are dropped.
 var reserved = []string{
-	"Authorization", "X-Request-Id", "X-Attempt", "X-Priority", "X-Run-Timeout-Ms", "X-Resume-Tokens", "X-Not-Run",
+	"Authorization", "X-Request-Id", "X-Attempt", "X-Priority", "X-Run-Timeout-Ms", "X-Resume-Tokens",
+	"X-Not-Run", "X-Start-Within-Ms",
 }
 
 // EndToEnd returns a copy of h without hop-by-hop headers, headers that the
@@ -72,7 +74,7 @@
 	if err != nil {
 		return result.New(result.BadRequest, result.NotRun, "the path is not valid")
 	}
-	if carries(plain, key) || carries(string(body), key) {
+	if carries(plain, key) || len(key) >= minScan && bytes.Contains(body, []byte(key)) {
 		return result.New(result.BadRequest, result.NotRun, "the path or body contains the caller's key")
 	}
 	return nil
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -38,7 +38,11 @@
 	Prepaid  bool
 	Attempts int
 	Resumed  int
-	Arrived  time.Time
+	// StartBy is when the sender's admission ends; zero if it was used before
+	// or has no end. The request must not reach a target later for the first
+	// time.
+	StartBy time.Time
+	Arrived time.Time
 }
 
 // Tokens is the debit of the call.
--- a/internal/dispatch/hop.go
+++ b/internal/dispatch/hop.go
@@ -21,6 +21,10 @@
 // resumeHeader carries the tokens delivered before the hop.
 const resumeHeader = "X-Resume-Tokens"
 
+// startHeader carries the time in milliseconds for which the admission of the
+// sender is still valid. The time on the wire is not counted.
+const startHeader = "X-Start-Within-Ms"
+
 // instanceKey names an instance in the set of excluded places.
 func instanceKey(name string) string { return "instance " + name }
 
@@ -113,6 +117,9 @@
 	if resumed > 0 {
 		req.Headers = append(req.Headers, &peerv1.Header{Name: resumeHeader, Value: strconv.Itoa(resumed)})
 	}
+	if !c.StartBy.IsZero() {
+		req.Headers = append(req.Headers, &peerv1.Header{Name: startHeader, Value: strconv.FormatInt(time.Until(c.StartBy).Milliseconds(), 10)})
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		req.RemainingMs = uint32(max(time.Until(deadline).Milliseconds(), 1))
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -143,6 +143,9 @@
 	if d, ok := ctx.Deadline(); ok && (req.Deadline.IsZero() || d.Before(req.Deadline)) {
 		req.Deadline = d
 	}
+	if by := r.c.StartBy; !by.IsZero() && !r.spent && by.Before(req.Deadline) {
+		req.Deadline = by
+	}
 	if !r.admitted {
 		t, err := r.l.Admitter.Admit(ctx, req)
 		if err != nil {
@@ -208,6 +211,9 @@
 	if !p.Allowed[pl.region] {
 		return pl, false, nil
 	}
+	if by := r.c.StartBy; !by.IsZero() && !r.spent && time.Now().After(by) {
+		return pl, false, result.New(result.DeadlineTooNear, result.NotRun, "the admission at the sender has ended")
+	}
 	// A request that was sent once has spent its tokens within their validity.
 	return pl, r.spent || r.l.Admitter.Spendable(r.ticket), nil
 }
--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -165,6 +165,9 @@
 	if resumed, err := strconv.Atoi(headers.Get(resumeHeader)); err == nil && resumed > 0 && resumed < maxResume {
 		c.Resumed = resumed
 	}
+	if start, err := strconv.Atoi(headers.Get(startHeader)); err == nil {
+		c.StartBy = c.Arrived.Add(time.Duration(min(start, maxRemainMs)) * time.Millisecond)
+	}
 	if c.Header = access.EndToEnd(headers, ""); c.Permit.Model == "" {
 		return c, nil
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -62,11 +62,11 @@
 		if err = r.try(ctx, pl); err == nil {
 			return nil
 		}
-		r.last = err
 		r.l.Requests.Note(r.c.ID, "attempt failed", err.Error())
 		if !r.again(ctx, err) {
-			return err
+			return r.preferLast(err)
 		}
+		r.last = r.preferLast(err)
 		r.dropSlot()
 		r.region.Store(nil)
 	}
@@ -125,6 +125,9 @@
 	if pl.target == nil {
 		c := *r.c
 		c.Permit = pl.permit
+		if end := r.ticket.Admission.ValidUntil; end > 0 && !r.spent {
+			c.StartBy = time.Now().Add(end - r.l.Clock.Now().Upper)
+		}
 		a, err := r.hop.open(ctx, &c, pl.region, r.exclude, r.attempts, r.delivered)
 		if err != nil {
 			return err
--- a/internal/entry/slow_bench_test.go
+++ b/internal/entry/bench_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"io"
 	"net/http"
 	"runtime"
 	"strings"
@@ -52,3 +53,28 @@
 		})
 	}
 }
+
+// BenchmarkRequest measures a whole completion from caller to engine on
+// loopback: directly, through one instance, and over the hop.
+func BenchmarkRequest(b *testing.B) {
+	w := newWorld(b)
+	target := w.target("t1", "south", table.Engine, func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, whole) })
+	for _, c := range []struct{ name, url string }{
+		{"direct", target.URL}, {"one instance", w.node("s", "south").url}, {"over the hop", w.node("n", "north").url},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				req, _ := http.NewRequest("POST", c.url+"/v1/chat/completions", strings.NewReader(chat(false)))
+				if c.name != "direct" {
+					req.Header.Set("Authorization", "Bearer "+key)
+				}
+				resp, err := http.DefaultClient.Do(req)
+				check(b, err)
+				if body, _ := io.ReadAll(resp.Body); string(body) != whole {
+					b.Fatalf("%s", body)
+				}
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
