Keep unread streams from blocking other calls to a peer; compress editions only

Cause: the window of a connection (16 MB) was smaller than its streams can fill, so 400 forwarded streams with slow callers blocked every other call to that peer, such as Renew.

Change: the connection window holds the windows of 4,096 streams. Messages below 64 KiB are not compressed.

Ruled out: separate connections for control calls; not needed once the window cannot be used up.

--- a/internal/peerapi/client.go
+++ b/internal/peerapi/client.go
@@ -26,9 +26,9 @@
 	// streamWindow bounds the bytes of one stream that wait unread in this
 	// process. The default of net/http is 4 MB, which a slow caller could fill.
 	streamWindow = 64 << 10
-	// connWindow is shared by the streams of a connection; a small one would
-	// let slow streams stop the others.
-	connWindow = 16 << 20
+	// connWindow is shared by the calls on a connection; in a smaller one, streams
+	// that nobody reads would stop all other calls to the peer.
+	connWindow = maxPeerStreams * streamWindow
 	// maxMessage bounds one message in bytes; an edition is at most 1 MB.
 	maxMessage = 20 << 20
 	// maxClients bounds the pool; addresses come from the instance list.
--- a/internal/peerapi/peerapi_test.go
+++ b/internal/peerapi/peerapi_test.go
@@ -29,6 +29,49 @@
 	return connect.NewResponse(&peerv1.PoolStatusResponse{Capacity: 7}), nil
 }
 
+// Forward sends until the other side is gone.
+func (pools) Forward(_ context.Context, _ *connect.Request[peerv1.ForwardRequest], s *connect.ServerStream[peerv1.ForwardResponse]) error {
+	piece := &peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Data{Data: make([]byte, 16<<10)}}
+	for {
+		if err := s.Send(piece); err != nil {
+			return err
+		}
+	}
+}
+
+// Guards the other calls to a peer against streams that nobody reads: they must
+// not use up the flow control window of the connection they share.
+func TestUnreadStreamsDoNotBlockCalls(t *testing.T) {
+	srv, err := NewServer(settings.Peers{Insecure: true}, pools{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	clients, err := NewClients(settings.Peers{Insecure: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	client := clients.Client(l.Addr().String())
+	for range 400 {
+		s, err := client.Forward(ctx, connect.NewRequest(&peerv1.ForwardRequest{}))
+		if err != nil || !s.Receive() {
+			t.Fatal(err, s.Err())
+		}
+	}
+	for range 20 {
+		if _, err := client.PoolStatus(ctx, connect.NewRequest(&peerv1.PoolStatusRequest{})); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // authority signs certificates of instances.
 type authority struct {
 	t    *testing.T
--- a/internal/peerapi/server.go
+++ b/internal/peerapi/server.go
@@ -16,6 +16,10 @@
 	// maxPeerStreams bounds the calls of one peer connection; the default of
 	// 250 would be reached by one busy neighbour.
 	maxPeerStreams = 4096
+	// minCompress is the smallest message that is compressed, in bytes. It is
+	// meant for editions; connect compresses every answer by default, which costs
+	// more than the rest of a streamed token.
+	minCompress = 64 << 10
 )
 
 // NewServer returns the HTTP/2 server of the inner protocol. The caller listens
@@ -23,7 +27,7 @@
 func NewServer(p settings.Peers, h peerv1connect.PeerHandler) (*http.Server, error) {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerHandler(h,
-		connect.WithReadMaxBytes(maxMessage), connect.WithSendMaxBytes(maxMessage)))
+		connect.WithReadMaxBytes(maxMessage), connect.WithSendMaxBytes(maxMessage), connect.WithCompressMinBytes(minCompress)))
 	srv := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
