Ask other regions for their pool status; date the last measurements

Cause: the choice of a region needs the other region's free capacity, and nothing asked for it. A resend did not carry the end of its admission.

Change: PoolAsker answers from a cache of 1 s without blocking and asks in the background; a resend carries the same end of admission as a forwarded request; running requests are checked outside the lock.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -79,9 +79,10 @@
 	if err == nil {
 		err = r.admit(ctx, e, p, nil)
 	}
+	var pl place
 	ok := false
 	if err == nil {
-		_, ok, err = r.confirm(m.Region)
+		pl, ok, err = r.confirm(m.Region)
 	}
 	if err == nil && !ok {
 		err = result.New(result.DeadlineTooNear, result.NotRun, "the request could not be sent while its admission was valid")
@@ -90,7 +91,7 @@
 		return &attemptError{err: MayHaveRun(err), final: true}
 	}
 	r.out.Region, r.out.Attempts = m.Region, 1
-	a, err := d.send(ctx, r.c, m, 1, 0, true)
+	a, err := d.send(ctx, r.hopCall(pl.permit), m, 1, 0, true)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/local.go
+++ b/internal/dispatch/local.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,15 +60,20 @@
 // before its dispatch.
 func (l *Local) CheckRunning() {
 	e := l.Editions.Current()
+	for _, r := range l.unchecked(e) {
+		r.recheck(e)
+	}
+}
+
+// unchecked returns the running requests if e was not yet applied to them.
+func (l *Local) unchecked(e *table.Edition) []*run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e == nil || e == l.mu.checked {
-		return
+		return nil
 	}
 	l.mu.checked = e
-	for r := range l.mu.running {
-		r.recheck(e)
-	}
+	return slices.Collect(maps.Keys(l.mu.running))
 }
 
 func (l *Local) enlist(r *run) (leave func()) {
--- /dev/null
+++ b/internal/dispatch/pools.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+)
+
+const (
+	// poolFresh is how long an answer about another region is used.
+	poolFresh = time.Second
+	// poolTimeout ends a question; after it the region counts as unreachable.
+	poolTimeout = time.Second
+	poolWorkers = 8
+	maxPools    = 4096
+)
+
+// PoolState is what another region said about a model or service.
+type PoolState struct {
+	Capacity, Running, Queued int
+	Wait                      time.Duration
+	// Reachable is false if the last question was not answered.
+	Reachable bool
+}
+
+type poolKey struct{ region, model, service string }
+
+type poolEntry struct {
+	state  PoolState
+	known  bool
+	at     time.Duration
+	asking bool
+}
+
+// PoolAsker asks other regions how busy they are, with PoolStatus.
+type PoolAsker struct {
+	members Members
+	peers   Peers
+	clock   clock.Clock
+	asks    chan poolKey
+	mu      struct {
+		sync.Mutex
+		pools map[poolKey]*poolEntry
+	}
+}
+
+// NewPoolAsker returns a PoolAsker. Run must run beside it.
+func NewPoolAsker(m Members, p Peers, c clock.Clock) *PoolAsker {
+	a := &PoolAsker{members: m, peers: p, clock: c, asks: make(chan poolKey, maxPools)}
+	a.mu.pools = map[poolKey]*poolEntry{}
+	return a
+}
+
+// State returns the last answer of a region and, if it is older than a second,
+// has the region asked again. It never blocks; ok is false before the first
+// answer. Call it only while the own region is short.
+func (a *PoolAsker) State(region, model, service string) (s PoolState, ok bool) {
+	k := poolKey{region, model, service}
+	now := a.clock.Now().Lower
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := a.mu.pools[k]
+	if e == nil {
+		if len(a.mu.pools) >= maxPools {
+			a.forget(now)
+		}
+		e = &poolEntry{}
+		a.mu.pools[k] = e
+	}
+	if !e.asking && (!e.known || now-e.at >= poolFresh) {
+		select {
+		case a.asks <- k:
+			e.asking = true
+		default:
+		}
+	}
+	return e.state, e.known
+}
+
+// forget drops entries that nobody has asked for lately, or all of them.
+func (a *PoolAsker) forget(now time.Duration) {
+	for k, e := range a.mu.pools {
+		if !e.asking && now-e.at >= poolFresh {
+			delete(a.mu.pools, k)
+		}
+	}
+	if len(a.mu.pools) >= maxPools {
+		clear(a.mu.pools)
+	}
+}
+
+// Run asks until ctx ends.
+func (a *PoolAsker) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for range poolWorkers {
+		wg.Go(func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case k := <-a.asks:
+					a.put(k, a.ask(ctx, k))
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
+// ask asks the instances of the region in turn until one answers.
+func (a *PoolAsker) ask(ctx context.Context, k poolKey) PoolState {
+	ctx, cancel := context.WithTimeout(ctx, poolTimeout)
+	defer cancel()
+	for _, m := range a.members.InRegion(k.region) {
+		resp, err := a.peers.Client(m.PeerAddress).PoolStatus(ctx, connect.NewRequest(&peerv1.PoolStatusRequest{Model: k.model, Service: k.service}))
+		if err == nil {
+			r := resp.Msg
+			return PoolState{Capacity: int(r.GetCapacity()), Running: int(r.GetRunning()), Queued: int(r.GetQueued()),
+				Wait: time.Duration(r.GetWaitMs()) * time.Millisecond, Reachable: true}
+		}
+	}
+	return PoolState{}
+}
+
+func (a *PoolAsker) put(k poolKey, s PoolState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e := a.mu.pools[k]; e != nil {
+		*e = poolEntry{state: s, known: true, at: a.clock.Now().Lower}
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -123,12 +123,7 @@
 
 func (r *run) attempt(ctx context.Context, pl place) error {
 	if pl.target == nil {
-		c := *r.c
-		c.Permit = pl.permit
-		if end := r.ticket.Admission.ValidUntil; end > 0 && !r.spent {
-			c.StartBy = time.Now().Add(end - r.l.Clock.Now().Upper)
-		}
-		a, err := r.hop.open(ctx, &c, pl.region, r.exclude, r.attempts, r.delivered)
+		a, err := r.hop.open(ctx, r.hopCall(pl.permit), pl.region, r.exclude, r.attempts, r.delivered)
 		if err != nil {
 			return err
 		}
@@ -157,6 +152,17 @@
 	return err
 }
 
+// hopCall is the call as it goes over the hop: by the edition that confirmed
+// it, and with the end of the admission if that was not used before.
+func (r *run) hopCall(p access.Permit) *Call {
+	c := *r.c
+	c.Permit = p
+	if end := r.ticket.Admission.ValidUntil; end > 0 && !r.spent {
+		c.StartBy = time.Now().Add(end - r.l.Clock.Now().Upper)
+	}
+	return &c
+}
+
 // again reports whether another attempt may be made.
 func (r *run) again(ctx context.Context, err error) bool {
 	var f *attemptError
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -67,6 +67,7 @@
 	// prefer, if set, replaces the choice of the default chooser.
 	prefer func(q route.Query) route.Choice
 	peers  *http.Server
+	asked  atomic.Int32
 	// confirm lets the edition be confirmed once for each value.
 	confirm chan struct{}
 }
@@ -228,6 +229,12 @@
 	return map[string]string{"asked": region + "/" + domain}
 }
 
+// PoolStatus implements dispatch.Pools.
+func (n *node) PoolStatus(string, string) (capacity, running, queued int, wait time.Duration) {
+	n.asked.Add(1)
+	return 4, 1, 2, time.Second
+}
+
 // admitter admits at once and counts what is held.
 type admitter struct {
 	mu       sync.Mutex
@@ -328,10 +335,9 @@
 
 type noAudit struct{}
 
-func (noAudit) Note(string, string, string)                              {}
-func (noAudit) End(string, string, int, time.Duration)                   {}
-func (noAudit) Add(audit.Change)                                         {}
-func (noAudit) PoolStatus(string, string) (a, b, c int, d time.Duration) { return }
+func (noAudit) Note(string, string, string)            {}
+func (noAudit) End(string, string, int, time.Duration) {}
+func (noAudit) Add(audit.Change)                       {}
 
 // peerHandler serves what the receiver has of the inner protocol.
 type peerHandler struct {
@@ -370,7 +376,7 @@
 	n.disp = dispatch.NewDispatcher(dispatch.Config{Local: n.local, Members: n, Peers: clients, Once: store, Incarnation: n.inc})
 	n.srv = entry.New(entry.Config{Instance: inst, Bounds: b, Editions: w, Gate: n.gate, Dispatcher: n.disp, Directory: n, Memory: n.mem,
 		Requests: noAudit{}, Observer: n, Log: log})
-	recv := dispatch.NewReceiver(dispatch.ReceiverConfig{Local: n.local, Once: store, Pools: noAudit{}})
+	recv := dispatch.NewReceiver(dispatch.ReceiverConfig{Local: n.local, Once: store, Pools: n})
 	n.peers, err = peerapi.NewServer(settings.Peers{Insecure: true}, peerHandler{Receiver: recv})
 	check(w.t, err)
 	inner := n.peers.Handler
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -1,14 +1,19 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/settings"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -139,3 +144,32 @@
 		t.Fatalf("%+v after %d further crashes", r, crashes.Load())
 	}
 }
+
+// Guards the choice of a region against answers of a region that is gone, and
+// the other region against more than one question a second.
+func TestPoolAsker(t *testing.T) {
+	w := newWorld(t)
+	n, s := w.node("n", "north"), w.node("s", "south")
+	clients, err := peerapi.NewClients(settings.Peers{Insecure: true})
+	check(t, err)
+	defer clients.Close()
+	a := dispatch.NewPoolAsker(n, clients, n.clock)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { _ = a.Run(ctx); close(ended) }()
+	state := func() dispatch.PoolState { st, _ := a.State("south", model, ""); return st }
+	if _, ok := a.State("south", model, ""); ok {
+		t.Fatal("an answer before the question")
+	}
+	await(t, func() bool {
+		return state() == dispatch.PoolState{Capacity: 4, Running: 1, Queued: 2, Wait: time.Second, Reachable: true}
+	})
+	_ = s.peers.Close()
+	if asked := s.asked.Load(); !state().Reachable || asked != 1 {
+		t.Fatalf("asked %d times within a second", asked)
+	}
+	n.clock.Advance(time.Second)
+	await(t, func() bool { return !state().Reachable })
+	cancel()
+	recv(t, ended)
+}
