--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -1,14 +1,19 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/settings"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -107,3 +112,64 @@
 		t.Fatalf("%d runs", runs.Load())
 	}
 }
+
+// Guards the requests that ran beside one that crashes targets: after a crash
+// they are kept apart, so that the second crash tells which one it was.
+func TestCompanionsAreKeptApart(t *testing.T) {
+	w := newWorld(t)
+	var crashes atomic.Int32
+	both := make(chan struct{}, 2)
+	for i := 1; i < 6; i++ {
+		w.target(fmt.Sprintf("t%d", i), "north", table.Engine, func(rw http.ResponseWriter, r *http.Request) {
+			b, _ := io.ReadAll(r.Body)
+			if r.Header.Get("X-Attempt") == "1" {
+				both <- struct{}{}
+				await(t, func() bool { return len(both) == 2 })
+				crash()
+			}
+			if strings.Contains(string(b), "poison") {
+				crashes.Add(1)
+				crash()
+			}
+			await(t, func() bool { return crashes.Load() > 0 })
+			_, _ = io.WriteString(rw, whole)
+		})
+	}
+	n := w.node("n", "north")
+	innocent := make(chan reply, 1)
+	go func() { innocent <- n.chat(false) }()
+	r := n.do("POST", "/v1/completions", `{"model":"planner","prompt":"poison"}`)
+	n.expect(t, r, result.FingerprintBlock, "may_have_run")
+	if r := recv(t, innocent); r.body != whole || crashes.Load() != 1 {
+		t.Fatalf("%+v after %d further crashes", r, crashes.Load())
+	}
+}
+
+// Guards the choice of a region against answers of a region that is gone, and
+// the other region against more than one question a second.
+func TestPoolAsker(t *testing.T) {
+	w := newWorld(t)
+	n, s := w.node("n", "north"), w.node("s", "south")
+	clients, err := peerapi.NewClients(settings.Peers{Insecure: true})
+	check(t, err)
+	defer clients.Close()
+	a := dispatch.NewPoolAsker(n, clients, n.clock)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { _ = a.Run(ctx); close(ended) }()
+	state := func() dispatch.PoolState { st, _ := a.State("south", model, ""); return st }
+	if _, ok := a.State("south", model, ""); ok {
+		t.Fatal("an answer before the question")
+	}
+	await(t, func() bool {
+		return state() == dispatch.PoolState{Capacity: 4, Running: 1, Queued: 2, Wait: time.Second, Reachable: true}
+	})
+	_ = s.peers.Close()
+	if asked := s.asked.Load(); !state().Reachable || asked != 1 {
+		t.Fatalf("asked %d times within a second", asked)
+	}
+	n.clock.Advance(time.Second)
+	await(t, func() bool { return !state().Reachable })
+	cancel()
+	recv(t, ended)
+}
