--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/member"
 	"github.com/wigeonhill/wigeonhill/internal/once"
 	"github.com/wigeonhill/wigeonhill/internal/ops"
+	"github.com/wigeonhill/wigeonhill/internal/order"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/platform"
@@ -52,6 +53,7 @@
 	grants   *grant.Manager
 	admitter *admit.Manager
 	routing  *routing
+	warmup   *warmup
 	gate     *dispatch.Gate
 	local    *dispatch.Local
 	memory   *dispatch.Memory
@@ -165,6 +167,7 @@
 	}
 	n.routing.mu.asked = make(map[string]time.Time)
 	n.routing.mu.failed = make(map[string]failure)
+	n.warmup = &warmup{region: s.Instance.Region, edition: n.editions.Current, admitter: n.admitter}
 	n.memory = dispatch.NewMemory(s.Bounds)
 	n.once = once.New(once.Config{
 		Instance: s.Instance.Name, Incarnation: n.self.Incarnation, Clock: n.clock, Start: time.Now(),
@@ -256,6 +259,9 @@
 	dog := &watchdog{clock: n.clock, log: n.log, paused: []func(){
 		n.terms.Paused, n.grants.Paused, n.editions.NotePause, n.gate.Paused,
 	}}
+	orders := order.NewManager(order.Config{
+		Clock: n.clock, Editions: n.editions, Terms: n.terms, HTTP: &http.Client{Timeout: loadTimeout}, Log: n.log, Trail: n.trail,
+	})
 	return []manager{
 		{"watchdog", dog.Run},
 		{"editions", n.editions.Run},
@@ -265,6 +271,8 @@
 		{"grants", n.grants.Run},
 		{"admission", n.admitter.Run},
 		{"routing", n.routing.Run},
+		{"warmup", n.warmup.Run},
+		{"orders", orders.Run},
 		{"gate", n.gate.Run},
 		{"checks", n.local.RunChecks},
 		{"operators", n.ops.Run},
@@ -295,7 +303,7 @@
 			return nil
 		case <-n.lists:
 			if list := n.editions.Lists().Current(); list != nil {
-				n.members.SetList(ctx, list)
+				n.members.SetList(list)
 			}
 		}
 	}
