--- a/cmd/loadtool/measure.go
+++ b/cmd/loadtool/measure.go
@@ -28,7 +28,7 @@
 		c.Sizes = []int{3, 9, 30}
 	}
 	fmt.Println("figures of one instance: mean (largest)")
-	fmt.Println("instances  state  CPU % of a core  RSS MiB      KB/s read    KB/s written  config calls/s")
+	fmt.Println("instances  state  CPU % of a core  RSS MiB        anonymous MiB  KB/s read    KB/s written  config calls/s")
 	for _, n := range c.Sizes {
 		if err := c.measure(ctx, n); err != nil {
 			return err
@@ -95,16 +95,17 @@
 	if err != nil {
 		return err
 	}
-	var cpu, rss, read, written []float64
+	var cpu, rss, anon, read, written []float64
 	for i, a := range after.procs {
 		b := before.procs[i]
 		cpu = append(cpu, 100*(a.CPU-b.CPU).Seconds()/seconds)
 		rss = append(rss, float64(a.RSS)/(1<<20))
+		anon = append(anon, float64(a.Anon)/(1<<20))
 		read = append(read, float64(a.Read-b.Read)/1000/seconds)
 		written = append(written, float64(a.Written-b.Written)/1000/seconds)
 	}
-	fmt.Printf("%-9d  %-5s  %-15s  %-11s  %-11s  %-12s  %.1f\n", len(f.Instances), state,
-		meanMax(cpu), meanMax(rss), meanMax(read), meanMax(written), float64(after.calls-before.calls)/seconds)
+	fmt.Printf("%-9d  %-5s  %-15s  %-13s  %-13s  %-11s  %-12s  %.1f\n", len(f.Instances), state,
+		meanMax(cpu), meanMax(rss), meanMax(anon), meanMax(read), meanMax(written), float64(after.calls-before.calls)/seconds)
 	return nil
 }
 
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -20,6 +20,8 @@
 type Usage struct {
 	CPU time.Duration
 	RSS int64 // bytes now
+	// Anon is the part of RSS that is not the program file, in bytes.
+	Anon int64
 	// Read and Written count the bytes of read and write calls, which include
 	// TCP sockets and log files but not UDP datagrams.
 	Read, Written int64
@@ -41,6 +43,14 @@
 	}
 	pages, _ := strconv.ParseInt(fields[21], 10, 64)
 	u.RSS = pages * int64(os.Getpagesize())
+	status, err := os.ReadFile(dir + "status")
+	if err != nil {
+		return u, err
+	}
+	if _, rest, ok := strings.Cut(string(status), "RssAnon:"); ok {
+		_, _ = fmt.Sscan(rest, &u.Anon)
+		u.Anon <<= 10 // given in KiB
+	}
 	io, err := os.ReadFile(dir + "io")
 	if err != nil {
 		return u, err
--- a/internal/load/generate.go
+++ b/internal/load/generate.go
@@ -17,8 +17,8 @@
 	careOutput     = 96   // max_tokens
 	questionChars  = 160
 	questionOutput = 24
-	histories      = 8 // shared prompt prefixes of one team
-	clients        = 4 // callers of one team in one region
+	histories      = 8  // shared prompt prefixes of one team
+	clients        = 20 // callers of one team in one region
 	largeFactor    = 4
 	// unkeyedBookings is the share of bookings without an Idempotency-Key.
 	unkeyedBookings = 0.2
