--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,10 +73,18 @@
 
 // New builds an instance and opens its listeners.
 func New(s *settings.Settings, version string, log *event.Logger) (*Node, error) {
+	clients, err := peerapi.NewClients(s.Peers)
+	if err != nil {
+		return nil, err
+	}
+	return newNode(s, version, log, clients)
+}
+
+func newNode(s *settings.Settings, version string, log *event.Logger, clients *peerapi.Clients) (*Node, error) {
 	n := &Node{
 		settings: s, version: version, clock: clock.NewSystem(), started: time.Now(),
 		log:   log.With(zap.String("instance", s.Instance.Name)),
-		lists: make(chan struct{}, 1),
+		lists: make(chan struct{}, 1), clients: clients,
 	}
 	incarnation, err := newIncarnation()
 	if err != nil {
@@ -86,9 +94,6 @@
 		Instance: s.Instance.Name, Incarnation: incarnation, PeerAddress: s.Listen.Peers,
 		Region: s.Instance.Region, Domain: s.Instance.Domain,
 	}
-	if n.clients, err = peerapi.NewClients(s.Peers); err != nil {
-		return nil, err
-	}
 	n.buildState()
 	n.buildPath()
 	return n, n.listen()
@@ -165,6 +170,7 @@
 		region: s.Instance.Region, self: n.self, tracker: tracker, editions: n.editions, members: n.members,
 		admitter: n.admitter, loads: n.grants, clients: n.clients, now: time.Now,
 	}
+	n.routing.caches = newCacheWatch(n.routing.engineAddress, tracker.CacheEvents)
 	n.routing.mu.asked = make(map[string]time.Time)
 	n.routing.mu.failed = make(map[string]failure)
 	n.warmup = &warmup{region: s.Instance.Region, edition: n.editions.Current, admitter: n.admitter}
@@ -271,6 +277,7 @@
 		{"grants", n.grants.Run},
 		{"admission", n.admitter.Run},
 		{"routing", n.routing.Run},
+		{"cache events", n.routing.caches.Run},
 		{"warmup", n.warmup.Run},
 		{"orders", orders.Run},
 		{"gate", n.gate.Run},
