--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -43,15 +44,18 @@
 	peers   Peers
 	clock   clock.Clock
 	asks    chan poolKey
+	told    func(region, model, service string, s PoolState)
+	turn    atomic.Uint32
 	mu      struct {
 		sync.Mutex
 		pools map[poolKey]*poolEntry
 	}
 }
 
-// NewPoolAsker returns a PoolAsker. Run must run beside it.
-func NewPoolAsker(m Members, p Peers, c clock.Clock) *PoolAsker {
-	a := &PoolAsker{members: m, peers: p, clock: c, asks: make(chan poolKey, maxPools)}
+// NewPoolAsker returns a PoolAsker. Run must run beside it. told, if not nil,
+// is called with each answer.
+func NewPoolAsker(m Members, p Peers, c clock.Clock, told func(region, model, service string, s PoolState)) *PoolAsker {
+	a := &PoolAsker{members: m, peers: p, clock: c, asks: make(chan poolKey, maxPools), told: told}
 	a.mu.pools = map[poolKey]*poolEntry{}
 	return a
 }
@@ -104,7 +108,11 @@
 				case <-ctx.Done():
 					return
 				case k := <-a.asks:
-					a.put(k, a.ask(ctx, k))
+					s := a.ask(ctx, k)
+					a.put(k, s)
+					if a.told != nil {
+						a.told(k.region, k.model, k.service, s)
+					}
 				}
 			}
 		})
@@ -113,11 +121,15 @@
 	return nil
 }
 
-// ask asks the instances of the region in turn until one answers.
+// ask asks the instances of the region until one answers. It begins with
+// another one each time, so that the questions are spread over them.
 func (a *PoolAsker) ask(ctx context.Context, k poolKey) PoolState {
 	ctx, cancel := context.WithTimeout(ctx, poolTimeout)
 	defer cancel()
-	for _, m := range a.members.InRegion(k.region) {
+	members := a.members.InRegion(k.region)
+	first := int(a.turn.Add(1))
+	for i := range members {
+		m := members[(first+i)%len(members)]
 		resp, err := a.peers.Client(m.PeerAddress).PoolStatus(ctx, connect.NewRequest(&peerv1.PoolStatusRequest{Model: k.model, Service: k.service}))
 		if err == nil {
 			r := resp.Msg
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -153,7 +153,7 @@
 	clients, err := peerapi.NewClients(settings.Peers{Insecure: true})
 	check(t, err)
 	defer clients.Close()
-	a := dispatch.NewPoolAsker(n, clients, n.clock)
+	a := dispatch.NewPoolAsker(n, clients, n.clock, nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { _ = a.Run(ctx); close(ended) }()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,11 +167,11 @@
 		Seed: n.self.Incarnation, Log: n.log,
 	})
 	n.routing = &routing{
-		region: s.Instance.Region, self: n.self, tracker: tracker, editions: n.editions, members: n.members,
-		admitter: n.admitter, loads: n.grants, clients: n.clients, now: time.Now,
+		region: s.Instance.Region, tracker: tracker, editions: n.editions, members: n.members,
+		admitter: n.admitter, loads: n.grants, now: time.Now,
 	}
+	n.routing.pools = dispatch.NewPoolAsker(dispatchMembers{n.members}, n.clients, n.clock, n.routing.told)
 	n.routing.caches = newCacheWatch(n.routing.engineAddress, tracker.CacheEvents)
-	n.routing.mu.asked = make(map[string]time.Time)
 	n.routing.mu.failed = make(map[string]failure)
 	n.warmup = &warmup{region: s.Instance.Region, edition: n.editions.Current, admitter: n.admitter}
 	n.memory = dispatch.NewMemory(s.Bounds)
@@ -277,6 +277,7 @@
 		{"grants", n.grants.Run},
 		{"admission", n.admitter.Run},
 		{"routing", n.routing.Run},
+		{"pool status", n.routing.pools.Run},
 		{"cache events", n.routing.caches.Run},
 		{"warmup", n.warmup.Run},
 		{"orders", orders.Run},
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -5,14 +5,11 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"github.com/wigeonhill/wigeonhill/internal/admit"
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/edition"
 	"github.com/wigeonhill/wigeonhill/internal/grant"
 	"github.com/wigeonhill/wigeonhill/internal/member"
-	"github.com/wigeonhill/wigeonhill/internal/peerapi"
-	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/platform"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/route"
@@ -20,10 +17,6 @@
 )
 
 const (
-	// statusAge is how long the status of another region's pool is used before
-	// it is asked for again.
-	statusAge     = time.Second
-	statusTimeout = 500 * time.Millisecond
 	// A target that failed is avoided for failedFor, doubled with each further
 	// failure up to failedMax, so that it is tried again but not by everyone.
 	failedFor = time.Second
@@ -34,21 +27,18 @@
 // and the fate of attempts.
 type routing struct {
 	region   string
-	self     *peerv1.Identity
 	tracker  *route.Tracker
 	editions *edition.Manager
 	members  *member.Manager
 	admitter *admit.Manager
 	loads    grant.Loads
 	caches   *cacheWatch
-	clients  *peerapi.Clients
+	pools    *dispatch.PoolAsker
 	now      func() time.Time
 	mu       struct {
 		sync.Mutex
-		asked  map[string]time.Time // by region and pool
-		failed map[string]failure   // by target
+		failed map[string]failure // by target
 	}
-	asks sync.WaitGroup
 }
 
 type failure struct {
@@ -164,7 +154,6 @@
 	}
 	ticker := time.NewTicker(refreshEvery)
 	defer ticker.Stop()
-	defer r.asks.Wait()
 	for {
 		r.refresh()
 		select {
@@ -188,16 +177,7 @@
 		if region == r.region || q.Exclude[region] {
 			continue
 		}
-		key := region + "/" + q.Model + "/" + q.Service
-		r.mu.Lock()
-		due := r.now().Sub(r.mu.asked[key]) >= statusAge
-		if due {
-			r.mu.asked[key] = r.now()
-		}
-		r.mu.Unlock()
-		if due {
-			r.asks.Go(func() { r.ask(region, q.Model, q.Service) })
-		}
+		r.pools.State(region, q.Model, q.Service)
 	}
 }
 
@@ -211,25 +191,15 @@
 	return wait > 0 || queued > 0
 }
 
-func (r *routing) ask(region, model, service string) {
-	live := r.members.Live(region)
-	if len(live) == 0 {
+// told passes what another region said to the tracker. A region that did not
+// answer is judged by the states of its members.
+func (r *routing) told(region, model, service string, s dispatch.PoolState) {
+	if !s.Reachable {
 		return
 	}
-	// Rotating over the instances spreads the questions without state.
-	one := live[int(r.now().UnixNano()/int64(statusAge))%len(live)]
-	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
-	defer cancel()
-	resp, err := r.clients.Client(one.PeerAddress).PoolStatus(ctx, connect.NewRequest(&peerv1.PoolStatusRequest{
-		From: r.self, Model: model, Service: service,
-	}))
-	if err != nil {
-		return // the member's state says whether the region is reachable
-	}
 	r.tracker.SetRegion(route.RegionStatus{
 		Region: region, Model: model, Service: service,
-		Capacity: int(resp.Msg.Capacity), Running: int(resp.Msg.Running), Queued: int(resp.Msg.Queued),
-		Wait: time.Duration(resp.Msg.WaitMs) * time.Millisecond,
+		Capacity: s.Capacity, Running: s.Running, Queued: s.Queued, Wait: s.Wait,
 	})
 }
 
