Wait for the tail of a forwarded stream before ending the call

Cause: after [DONE] the entry ended the call without reading the tail, which cancelled the other instance while it settled the request. Seen as a failure of TestAdmissionEndsOnTheHop ("a slot is kept") in 2 of 12 runs under load.

Change: the entry passes [DONE] on and then reads the tail.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -75,7 +75,15 @@
 		return f
 	}
 	r.usage = u
-	return r.sendEvents(a, append(waiting, done))
+	if err := r.sendEvents(a, append(waiting, done)); err != nil {
+		return err
+	}
+	if f, ok := a.body.(*frameReader); ok {
+		// The answer is complete. Ending the call before its tail would cancel
+		// the other instance while it settles the request.
+		_, _ = f.Read(make([]byte, 1))
+	}
+	return nil
 }
 
 func (r *run) sendEvents(a *answer, events [][]byte) error {
