Let requests leave a region that gives no slots

The choice of a region sees waiting time only once slots are served again. Change: a request that gets no slot in half of its longest wait, or would not get one in time, is placed again without its region's targets; targets whose grantor has not answered for 3 s are not chosen, and one question a second notices when it is back. Ruled out: moving at once, which sends requests away during each ordinary change of grantor; a quorum of another region, which could not serve alone. The new test with two seats cut off: 10 of 10 refused before, 0 after.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -57,7 +57,11 @@
 		if err != nil {
 			return place{}, err
 		}
-		if err := r.admit(ctx, e, p, choice.Targets); err != nil {
+		err = r.admit(ctx, e, p, choice.Targets)
+		if r.tryElsewhere(err, p, choice) {
+			continue
+		}
+		if err != nil {
 			return place{}, err
 		}
 		pl, ok, err := r.confirm(choice.Region)
@@ -83,6 +87,9 @@
 	for _, target := range r.l.Suspects.Companions(r.fingerprint) {
 		q.Exclude[target] = true
 	}
+	for target := range r.full {
+		q.Exclude[target] = true
+	}
 	choice := r.l.Chooser.Choose(q)
 	if len(choice.Targets) == 0 && choice.Region == "" && len(q.Exclude) > len(r.exclude) {
 		q.Exclude = maps.Clone(r.exclude)
@@ -139,7 +146,7 @@
 func (r *run) admit(ctx context.Context, e *table.Edition, p access.Permit, targets []string) error {
 	req := admit.Request{Team: p.Team, Tokens: r.c.Tokens(), Targets: targets, Prepaid: r.c.Prepaid, Weight: weight(e, p)}
 	if e.Policy.QueueWait > 0 {
-		req.Deadline = time.Now().Add(e.Policy.QueueWait)
+		req.Deadline = time.Now().Add(r.wait(e.Policy.QueueWait, p, targets))
 	}
 	if d, ok := ctx.Deadline(); ok && (req.Deadline.IsZero() || d.Before(req.Deadline)) {
 		req.Deadline = d
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -33,6 +33,7 @@
 	cancel      context.CancelCauseFunc
 	fingerprint Fingerprint
 	exclude     map[string]bool
+	full        map[string]bool        // targets of the own region that gave no slot
 	region      atomic.Pointer[string] // where the request runs now
 	query       route.Query            // of the last choice
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 	})
 	n.routing = &routing{
 		region: s.Instance.Region, tracker: tracker, editions: n.editions, members: n.members,
-		admitter: n.admitter, loads: n.grants, now: time.Now,
+		admitter: n.admitter, missing: n.grants.Missing, loads: n.grants, now: time.Now,
 	}
 	n.routing.pools = dispatch.NewPoolAsker(dispatchMembers{n.members}, n.clients, n.clock, n.routing.told)
 	n.routing.caches = newCacheWatch(n.routing.engineAddress, tracker.CacheEvents)
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -162,3 +162,17 @@
 	}
 	return float64(n)
 }
+
+// Guards against a region without a majority of its seats whose callers wait
+// for slots that nobody can grant, although other regions have room.
+func TestRegionWithoutGrantorUsesOthers(t *testing.T) {
+	w := newWorld(t, 2000, map[string]int{"north": 3, "south": 1})
+	w.ready()
+	w.net.isolate("lost", "north-1", "north-2")
+	time.Sleep(settleTime)
+	for i := range 10 {
+		if status, body := w.ask("north-3", "one question"); status != http.StatusOK {
+			t.Errorf("request %d: %d %s", i, status, body)
+		}
+	}
+}
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/route"
 	"github.com/wigeonhill/wigeonhill/internal/table"
+	"github.com/wigeonhill/wigeonhill/internal/term"
 )
 
 const (
@@ -21,6 +22,12 @@
 	// failure up to failedMax, so that it is tried again but not by everyone.
 	failedFor = time.Second
 	failedMax = 16 * time.Second
+	// grantorPatience is how long renewals to the own region's grantor may fail
+	// before its targets are not chosen: a change of grantor takes about a term
+	// and a half, and requests wait that long rather than move.
+	grantorPatience = 3 * time.Second
+	// grantorProbe bounds one question whether the grantor is back.
+	grantorProbe = time.Second
 )
 
 // routing connects the choice of targets with the members, the instance list
@@ -31,13 +38,16 @@
 	editions *edition.Manager
 	members  *member.Manager
 	admitter *admit.Manager
-	loads    grant.Loads
-	caches   *cacheWatch
-	pools    *dispatch.PoolAsker
-	now      func() time.Time
-	mu       struct {
+	// missing tells for how long a shard's grantor has not answered.
+	missing func(term.Shard) time.Duration
+	loads   grant.Loads
+	caches  *cacheWatch
+	pools   *dispatch.PoolAsker
+	now     func() time.Time
+	mu      struct {
 		sync.Mutex
-		failed map[string]failure // by target
+		failed  map[string]failure // by target
+		probing bool
 	}
 }
 
@@ -127,7 +137,11 @@
 	for name, t := range e.Targets {
 		if t.Region == r.region {
 			f := r.mu.failed[name]
-			r.tracker.SetTargetLive(name, !r.leaving(name) && !now.Before(f.until))
+			granted := r.granted(e, name)
+			r.tracker.SetTargetLive(name, granted && !r.leaving(name) && !now.Before(f.until))
+			if !granted {
+				r.probeLocked(name)
+			}
 		}
 	}
 	for name := range r.mu.failed {
@@ -144,6 +158,33 @@
 	}
 }
 
+// granted reports whether slots of a target of the own region can be had.
+func (r *routing) granted(e *table.Edition, target string) bool {
+	region := e.Regions[r.region]
+	return region != nil && r.missing(term.ShardFor(region, target)) < grantorPatience
+}
+
+// probeLocked asks for a slot of a target that is not chosen because its
+// grantor is missing; without a request for it nobody would notice that the
+// grantor is back. The caller holds mu.
+func (r *routing) probeLocked(target string) {
+	if r.mu.probing {
+		return
+	}
+	r.mu.probing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), grantorProbe)
+		defer cancel()
+		ticket, err := r.admitter.Admit(ctx, admit.Request{Weight: 1, Targets: []string{target}, Prepaid: true, Deadline: r.now().Add(grantorProbe)})
+		if err == nil {
+			r.admitter.Done(ticket, 0)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.mu.probing = false
+	}()
+}
+
 // Run keeps the beliefs current until ctx ends.
 func (r *routing) Run(ctx context.Context) error {
 	r.editions.Store().Subscribe(func(_, e *table.Edition) { r.tracker.SetEdition(e); r.refresh() })
