--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,7 +50,11 @@
 func (d *Dispatcher) resend(ctx context.Context, c *Call, k once.Key, sink Sink) (Outcome, error) {
 	unknown := result.New(result.OutcomeUnknown, result.MayHaveRun, "the instance named in the idempotency key cannot be asked")
 	m, ok := d.Members.ByName(k.Instance)
-	if !ok || m.Incarnation != k.Incarnation || !c.Permit.Allowed[m.Region] {
+	if !ok || m.Incarnation != k.Incarnation {
+		return Outcome{}, result.New(result.InstanceGone, result.MayHaveRun,
+			"the instance named in the idempotency key is gone; this attempt was not run, an earlier one may have run")
+	}
+	if !c.Permit.Allowed[m.Region] {
 		return Outcome{}, unknown
 	}
 	ctx, stop := d.local.bounded(ctx)
@@ -79,9 +83,10 @@
 	if err == nil {
 		err = r.admit(ctx, e, p, nil)
 	}
+	var pl place
 	ok := false
 	if err == nil {
-		_, ok, err = r.confirm(m.Region)
+		pl, ok, err = r.confirm(m.Region)
 	}
 	if err == nil && !ok {
 		err = result.New(result.DeadlineTooNear, result.NotRun, "the request could not be sent while its admission was valid")
@@ -90,7 +95,7 @@
 		return &attemptError{err: MayHaveRun(err), final: true}
 	}
 	r.out.Region, r.out.Attempts = m.Region, 1
-	a, err := d.send(ctx, r.c, m, 1, 0, true)
+	a, err := d.send(ctx, r.hopCall(pl.permit), m, 1, 0, true)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -64,12 +64,13 @@
 		if err = r.try(ctx, pl); err == nil {
 			return nil
 		}
-		r.last = err
 		r.l.Requests.Note(r.c.ID, "attempt failed", err.Error())
 		if !r.again(ctx, err) {
-			return err
+			return r.preferLast(err)
 		}
+		r.last = r.preferLast(err)
 		r.dropSlot()
+		r.region.Store(nil)
 	}
 }
 
@@ -89,7 +90,6 @@
 func (r *run) try(ctx context.Context, pl place) error {
 	r.attempts++
 	r.fruitless++
-	r.region.Store(&pl.region)
 	r.out.Region, r.out.Target = pl.region, pl.name()
 	ctx, cancel := r.attemptContext(ctx, pl)
 	defer cancel()
@@ -131,9 +131,7 @@
 
 func (r *run) attempt(ctx context.Context, pl place) error {
 	if pl.target == nil {
-		c := *r.c
-		c.Permit = pl.permit
-		a, err := r.hop.open(ctx, &c, pl.region, r.exclude, r.attempts, r.delivered)
+		a, err := r.hop.open(ctx, r.hopCall(pl.permit), pl.region, r.exclude, r.attempts, r.delivered)
 		if err != nil {
 			return err
 		}
@@ -146,8 +144,7 @@
 		}
 		return err
 	}
-	id, end := r.l.Suspects.Begin(pl.target.Name, r.fingerprint)
-	defer end()
+	defer pl.end()
 	a, err := r.l.open(ctx, r.c, pl.target, pl.weight, r.attempts, r.delivered)
 	if err == nil {
 		r.spent = true
@@ -156,13 +153,24 @@
 	}
 	var f *attemptError
 	if errors.As(err, &f) && f.crash {
-		r.l.Suspects.Report(pl.target.Name, id, r.fingerprint)
+		r.l.Suspects.Report(pl.target.Name, pl.attempt, r.fingerprint)
 		r.l.Log.Emit(event.TargetLost, zap.String("request", r.c.ID), zap.String("target", pl.target.Name),
 			zap.Stringer("fingerprint", r.fingerprint), zap.Error(f.err))
 	}
 	return err
 }
 
+// hopCall is the call as it goes over the hop: by the edition that confirmed
+// it, and with the end of the admission if that was not used before.
+func (r *run) hopCall(p access.Permit) *Call {
+	c := *r.c
+	c.Permit = p
+	if end := r.ticket.Admission.ValidUntil; end > 0 && !r.spent {
+		c.StartBy = time.Now().Add(end - r.l.Clock.Now().Upper)
+	}
+	return &c
+}
+
 // again reports whether another attempt may be made.
 func (r *run) again(ctx context.Context, err error) bool {
 	var f *attemptError
