Let shares and seats change in the random histories

Cause: the histories edited rates, bursts and capacities only. Change: a fault publishes new shares and seats with the previous ones and removes these 8 s later.

--- a/internal/grant/safety_test.go
+++ b/internal/grant/safety_test.go
@@ -125,7 +125,7 @@
 	slot := s.rng.IntN(len(s.nodes))
 	n := s.nodes[slot]
 	after := func(fn func()) { s.at(nil, s.now+time.Second+s.jitter(9*time.Second), fn) }
-	switch s.rng.IntN(9) {
+	switch s.rng.IntN(10) {
 	case 0: // a region is cut off
 		r := s.regions[s.rng.IntN(len(s.regions))]
 		for i := range perRegion {
@@ -159,9 +159,48 @@
 		n.wallOff += s.jitter(4*time.Hour) - 2*time.Hour
 	case 8:
 		s.edit()
+	case 9:
+		s.editRegions(perRegion)
 	}
 }
 
+// editRegions changes shares and seats as operators do: the old values stay
+// published as the previous ones until every process has the new edition.
+func (s *sim) editRegions(perRegion int) {
+	publish := func(change func(r *table.Region)) {
+		next := *s.editions[len(s.editions)-1].ed
+		next.Revision++
+		old := next.Regions
+		next.Regions = map[string]*table.Region{}
+		for _, name := range s.regions {
+			c := *old[name]
+			change(&c)
+			next.Regions[name] = &c
+		}
+		s.editions = append(s.editions, published{s.now, &next})
+	}
+	if s.editions[len(s.editions)-1].ed.Regions["a"].PreviousShare > 0 {
+		return // one change at a time
+	}
+	weight, sum := map[string]float64{}, 0.0
+	for _, name := range s.regions {
+		weight[name] = 0.1 + s.rng.Float64()
+		sum += weight[name]
+	}
+	first := s.rng.IntN(perRegion)
+	publish(func(r *table.Region) {
+		r.PreviousShare, r.Share = r.Share, weight[r.Name]/sum
+		r.PreviousSeats = r.Seats
+		r.Seats = nil
+		for i := first; i < perRegion; i++ {
+			r.Seats = append(r.Seats, seat(r.Name, i))
+		}
+	})
+	s.at(nil, s.now+simView+4*time.Second, func() {
+		publish(func(r *table.Region) { r.PreviousShare, r.PreviousSeats = 0, nil })
+	})
+}
+
 var (
 	histories = flag.Int("histories", 15, "number of random histories")
 	firstSeed = flag.Int64("firstseed", 20261204, "seed of the random histories")
