Recall idle balances while requests wait elsewhere

Cause: with a burst of 1 or 2 s of the rate, idle balances took up the half of the burst that may be outstanding while requests waited at other holders. Change: a report says which part of what it wants is for waiting requests. While some of those found too little within the last second, a grantor gives nothing in advance and recalls balances that are not needed; a holder with waiting requests keeps its own. Ruled out: a fixed part of the half for each holder; it is smaller than one request when the burst is small.

--- a/internal/grant/answer.go
+++ b/internal/grant/answer.go
@@ -76,7 +76,7 @@
 				b.current, b.spent, b.changed = portion{}, 0, false
 			}
 			if g := grants[k.(string)]; g != nil {
-				rose = b.grant(now, g, until) || rose
+				rose = b.grant(now, g, until, t.mu.waiting > 0) || rose
 			}
 			if b.current.amount > 0 {
 				b.current.until = max(b.current.until, until)
@@ -88,10 +88,13 @@
 }
 
 // grant takes the part of an answer about the balance.
-func (b *balance) grant(now clock.Reading, g *peerv1.TeamGrant, until time.Duration) bool {
+func (b *balance) grant(now clock.Reading, g *peerv1.TeamGrant, until time.Duration, waiting bool) bool {
 	if g.GetLimit() > 0 && b.current.amount > g.GetLimit() {
 		b.current.amount, b.changed = g.GetLimit(), true
 	}
+	if g.GetRecall() && !waiting && b.current.amount > 0 {
+		b.current.amount, b.changed = 0, true
+	}
 	if g.GetGranted() > 0 {
 		b.current.amount += g.GetGranted()
 		b.current.until = until
--- a/internal/grant/bucket.go
+++ b/internal/grant/bucket.go
@@ -19,6 +19,11 @@
 	// keepBack is how much of its own region's recent demand a grantor keeps
 	// when it lends, as a time.
 	keepBack = time.Second
+	// scarceFor is how long after a request waited in vain balances that are
+	// not needed at once are recalled. Without this, with a burst of one or two
+	// seconds of the rate, idle balances take up the half that may be
+	// outstanding while requests wait at other holders.
+	scarceFor = time.Second
 	// maxLows bounds the history of headroom of one bucket. Older entries are
 	// merged to the smaller headroom, which only shortens refunds.
 	maxLows = 16
@@ -41,6 +46,9 @@
 	demand  average // tokens per second spent by the own region's holders
 	unmet   float64 // tokens that holders of the own region last lacked
 	unmetAt time.Duration
+	// scarceAt is when a waiting request of the own region last found too
+	// little; 0 for never. Then nobody is given tokens in advance.
+	scarceAt time.Duration
 }
 
 // newBucket returns a bucket that was empty at start and of which nothing is
@@ -113,6 +121,11 @@
 	return min(k, b.burst/2)
 }
 
+// scarce reports whether requests waited for tokens recently.
+func (b *bucket) scarce(now time.Duration) bool {
+	return b.scarceAt != 0 && now-b.scarceAt < scarceFor
+}
+
 // spare is what a holder can be given.
 func (b *bucket) spare(now time.Duration, foreign bool) float64 {
 	s := min(b.level, b.burst/2-b.out)
--- a/internal/grant/differential_test.go
+++ b/internal/grant/differential_test.go
@@ -7,7 +7,7 @@
 )
 
 // scenario is a load of 5 teams on 3 regions of 3 instances, each at 90% of
-// its rate, with a burst of 4 s of the rate.
+// its rate.
 type scenario struct {
 	name  string
 	pick  func(s *sim, team int, t time.Duration) int
@@ -15,6 +15,7 @@
 	// from and to bound the arrivals that are judged.
 	from, to time.Duration
 	bound    float64
+	burst    float64
 }
 
 const (
@@ -59,16 +60,17 @@
 
 func scenarios() []scenario {
 	return []scenario{
-		{"90% of the rate at one instance", func(_ *sim, team int, _ time.Duration) int { return team }, nil, warm, warm + 60*time.Second, 0.005},
-		{"even load", anywhere, nil, warm, warm + 60*time.Second, 0.005},
-		{"load moves to another region in a minute", moving, nil, warm, warm + 70*time.Second, 0.005},
-		{"10 s after an instance is replaced", anywhere, replace, warm, warm + 10*time.Second, 0.02},
-		{"10 s after a grantor is replaced", anywhere, replaceGrantor, warm, warm + 10*time.Second, 0.02},
+		{"90% of the rate at one instance", func(_ *sim, team int, _ time.Duration) int { return team }, nil, warm, warm + 60*time.Second, 0.005, teamBurst},
+		{"even load", anywhere, nil, warm, warm + 60*time.Second, 0.005, teamBurst},
+		{"even load, burst of 2 s of the rate", anywhere, nil, warm, warm + 60*time.Second, 0.005, 2 * teamRate},
+		{"load moves to another region in a minute", moving, nil, warm, warm + 70*time.Second, 0.005, teamBurst},
+		{"10 s after an instance is replaced", anywhere, replace, warm, warm + 10*time.Second, 0.02, teamBurst},
+		{"10 s after a grantor is replaced", anywhere, replaceGrantor, warm, warm + 10*time.Second, 0.02, teamBurst},
 	}
 }
 
 func (c scenario) play(seed uint64) (refused int, counted int, over float64) {
-	ed := simEdition(3, 3, 5, teamRate, teamBurst, 8)
+	ed := simEdition(3, 3, 5, teamRate, c.burst, 8)
 	s := newSim(seed, 3, 3, ed, nil)
 	end := c.to + 2*simWait
 	for i := range 5 {
--- a/internal/grant/exchange.go
+++ b/internal/grant/exchange.go
@@ -288,6 +288,7 @@
 	}
 	b.changed, b.sentIn = false, l.sequence
 	r := &peerv1.TeamReport{Team: name, Balance: b.current.amount, Want: float32(want), Spent: b.spent}
+	r.Need = float32(min(want, max(0, t.mu.waiting-total)))
 	for _, f := range b.refunds {
 		age := (now.Upper - f.at + time.Millisecond - 1) / time.Millisecond
 		r.Refunds = append(r.Refunds, &peerv1.Refund{Tokens: f.tokens, AgeMs: uint32(min(age, math.MaxUint32))})
--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,7 +42,8 @@
 	slots   map[string]*slots
 	holders map[holderKey]*record
 	events  []Reclaim
-	expired time.Duration // lower reading of the last pass over all holders
+	scarce  map[string]struct{} // teams whose bucket is scarce
+	expired time.Duration       // lower reading of the last pass over all holders
 }
 
 // holderKey names a holder from one loss of its ballot to the next.
@@ -76,6 +78,7 @@
 type outstanding struct {
 	out   float64
 	spent float64 // cumulative, as last reported
+	need  float64 // as last reported
 }
 
 // NewLedger returns the ledger of a term that was confirmed at or before now.
@@ -85,6 +88,7 @@
 		buckets: make(map[string]*bucket),
 		slots:   make(map[string]*slots),
 		holders: make(map[holderKey]*record),
+		scarce:  make(map[string]struct{}),
 	}
 }
 
@@ -152,7 +156,7 @@
 	}
 	amount := func(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
 	for _, t := range req.GetTeams() {
-		if !amount(t.GetBalance()) || !amount(float64(t.GetWant())) || !amount(t.GetSpent()) || len(t.GetRefunds()) > maxRefunds {
+		if !amount(t.GetBalance()) || !amount(float64(t.GetWant())) || !amount(t.GetSpent()) || !amount(float64(t.GetNeed())) || len(t.GetRefunds()) > maxRefunds {
 			return errors.Wrapf(ErrInvalid, "team %q", t.GetTeam())
 		}
 		for _, f := range t.GetRefunds() {
@@ -210,6 +214,7 @@
 			resp.Teams = append(resp.Teams, g)
 		}
 	}
+	l.recallTokens(now, r, req, resp)
 	if r.foreign {
 		return nil
 	}
@@ -279,7 +284,7 @@
 	if t.GetWant() <= 0 && o.out == 0 {
 		delete(r.teams, team.Name)
 	}
-	if t.GetWant() <= 0 && g.Limit == 0 {
+	if t.GetWant() <= 0 && g.Limit == 0 && !g.Recall {
 		return nil, nil
 	}
 	return g, nil
@@ -289,11 +294,21 @@
 	g := &peerv1.TeamGrant{Team: t.GetTeam()}
 	want := float64(t.GetWant())
 	spare := b.spare(now.Lower, r.foreign)
-	if want > 0 {
-		g.Granted = min(want, spare)
+	o.need = float64(t.GetNeed())
+	ask := want
+	if b.scarce(now.Lower) {
+		ask = min(want, o.need)
+		g.Recall = o.need == 0 && o.out > tolerance
+	}
+	if ask > 0 {
+		g.Granted = min(ask, spare)
 		b.give(g.Granted)
 		o.out += g.Granted
 	}
+	if !r.foreign && o.need > g.Granted+tolerance {
+		b.scarceAt = now.Lower
+		l.scarce[t.GetTeam()] = struct{}{}
+	}
 	g.Spare = float32(max(0, spare-g.Granted))
 	if !r.foreign && want > 0 {
 		b.unmet, b.unmetAt = want-g.Granted, now.Lower
@@ -301,6 +316,23 @@
 	return g
 }
 
+// recallTokens asks for balances of scarce teams that the holder did not
+// report, thus does not need.
+func (l *Ledger) recallTokens(now clock.Reading, r *record, req *peerv1.RenewRequest, resp *peerv1.RenewResponse) {
+	for name := range l.scarce {
+		if b := l.buckets[name]; b == nil || !b.scarce(now.Lower) {
+			delete(l.scarce, name)
+			continue
+		}
+		o := r.teams[name]
+		if o == nil || o.out <= tolerance || o.need > 0 ||
+			slices.ContainsFunc(req.GetTeams(), func(t *peerv1.TeamReport) bool { return t.GetTeam() == name }) {
+			continue
+		}
+		resp.Teams = append(resp.Teams, &peerv1.TeamGrant{Team: name, Recall: true})
+	}
+}
+
 // refund credits what admissions did not use. The report was sent after the
 // holder took the last applied answer, so an admission of age a before the
 // report happened at the earliest a before that answer was given.
--- a/internal/grant/sim_test.go
+++ b/internal/grant/sim_test.go
@@ -3,9 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/clock"
@@ -16,7 +14,7 @@
 
 // The fake of this file passes messages between voters, candidates, ledgers
 // and holders in virtual time. It records admissions and requests in flight;
-// check_test.go judges the record.
+// simload_test.go has the load and judges the record.
 
 const (
 	simStep    = 20 * time.Millisecond
@@ -403,23 +401,3 @@
 	})
 	s.at(n, s.now+simTimeout, func() { n.holder.Failed(shard, req.GetSequence()) })
 }
-
-func (s *sim) targetNames() []string { return slices.Sorted(maps.Keys(s.targets)) }
-
-// sample refreshes the load that targets report; it lags.
-func (s *sim) sample() {
-	for _, t := range s.targets {
-		t.sampled, t.sampledAt = int64(t.running), int64(s.now)
-	}
-	s.at(nil, s.now+150*time.Millisecond, s.sample)
-}
-
-func (n *simNode) poll(sent clock.Reading, l *Ledger, t *simTarget) {
-	s := n.s
-	s.at(nil, s.now+500*time.Microsecond, func() {
-		running, age := int(t.sampled), s.now-time.Duration(t.sampledAt)
-		s.at(n, s.now+s.jitter(20*time.Millisecond), func() {
-			l.Loaded(n.read(), n.ed, t.name, Load{Running: running, SampledAt: sent.Lower - clock.ForGrantor(age)})
-		})
-	})
-}
--- a/internal/grant/simload_test.go
+++ b/internal/grant/simload_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"github.com/wigeonhill/wigeonhill/internal/clock"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -229,3 +230,23 @@
 	}
 	return float64(refused) / float64(max(1, counted)), counted
 }
+
+func (s *sim) targetNames() []string { return slices.Sorted(maps.Keys(s.targets)) }
+
+// sample refreshes the load that targets report; it lags.
+func (s *sim) sample() {
+	for _, t := range s.targets {
+		t.sampled, t.sampledAt = int64(t.running), int64(s.now)
+	}
+	s.at(nil, s.now+150*time.Millisecond, s.sample)
+}
+
+func (n *simNode) poll(sent clock.Reading, l *Ledger, t *simTarget) {
+	s := n.s
+	s.at(nil, s.now+500*time.Microsecond, func() {
+		running, age := int(t.sampled), s.now-time.Duration(t.sampledAt)
+		s.at(n, s.now+s.jitter(20*time.Millisecond), func() {
+			l.Loaded(n.read(), n.ed, t.name, Load{Running: running, SampledAt: sent.Lower - clock.ForGrantor(age)})
+		})
+	})
+}
