--- a/internal/grant/ledger.go
+++ b/internal/grant/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,8 @@
 	// rememberHolder is how long the sequence of a silent holder is kept, so
 	// that a delayed request is recognised as old.
 	rememberHolder = time.Minute
+	// expireEvery spaces passes over all holders; dropping one late is safe.
+	expireEvery = 50 * time.Millisecond
 	// maxHolders bounds the holders of one ledger.
 	maxHolders = 4096
 	// maxEntries bounds the teams and targets in one report.
@@ -39,6 +42,8 @@
 	slots   map[string]*slots
 	holders map[holderKey]*record
 	events  []Reclaim
+	scarce  map[string]struct{} // teams whose bucket is scarce
+	expired time.Duration       // lower reading of the last pass over all holders
 }
 
 // holderKey names a holder from one loss of its ballot to the next.
@@ -73,6 +78,7 @@
 type outstanding struct {
 	out   float64
 	spent float64 // cumulative, as last reported
+	need  float64 // as last reported
 }
 
 // NewLedger returns the ledger of a term that was confirmed at or before now.
@@ -82,6 +88,7 @@
 		buckets: make(map[string]*bucket),
 		slots:   make(map[string]*slots),
 		holders: make(map[holderKey]*record),
+		scarce:  make(map[string]struct{}),
 	}
 }
 
@@ -99,7 +106,9 @@
 	if region == nil || req.GetBallot() > l.ballot {
 		return &peerv1.RenewResponse{Sequence: req.GetSequence(), Ballot: l.ballot}, nil
 	}
-	l.Expire(now)
+	if now.Lower-l.expired >= expireEvery {
+		l.Expire(now)
+	}
 	key := holderKey{term.ProcessOf(req.GetHolder()), req.GetEpoch()}
 	r := l.holders[key]
 	if r == nil {
@@ -122,6 +131,9 @@
 		resp.Reset_ = true
 		return resp, nil
 	}
+	if r.live && now.Lower >= r.expires {
+		l.drop(r, key)
+	}
 	r.foreign = req.GetHolder().GetRegion() != l.shard.Region
 	l.open(r, key, req, resp)
 	err := l.judge(now, ed, region, r, req, resp)
@@ -144,7 +156,7 @@
 	}
 	amount := func(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
 	for _, t := range req.GetTeams() {
-		if !amount(t.GetBalance()) || !amount(t.GetWant()) || !amount(t.GetSpent()) || len(t.GetRefunds()) > maxRefunds {
+		if !amount(t.GetBalance()) || !amount(float64(t.GetWant())) || !amount(t.GetSpent()) || !amount(float64(t.GetNeed())) || len(t.GetRefunds()) > maxRefunds {
 			return errors.Wrapf(ErrInvalid, "team %q", t.GetTeam())
 		}
 		for _, f := range t.GetRefunds() {
@@ -202,6 +214,7 @@
 			resp.Teams = append(resp.Teams, g)
 		}
 	}
+	l.recallTokens(now, r, req, resp)
 	if r.foreign {
 		return nil
 	}
@@ -210,7 +223,9 @@
 		if err != nil {
 			return err
 		}
-		resp.Targets = append(resp.Targets, g)
+		if g != nil {
+			resp.Targets = append(resp.Targets, g)
+		}
 	}
 	l.recallOthers(now, r, req, resp)
 	l.tellLoads(now, r, resp)
@@ -225,7 +240,7 @@
 		}
 		delete(r.teams, t.GetTeam())
 	}
-	return &peerv1.TeamGrant{Team: t.GetTeam()}
+	return &peerv1.TeamGrant{Team: t.GetTeam(), Limit: tolerance}
 }
 
 func (l *Ledger) team(now clock.Reading, region *table.Region, team *table.Team, r *record, req *peerv1.RenewRequest, resp *peerv1.RenewResponse, t *peerv1.TeamReport) (*peerv1.TeamGrant, error) {
@@ -269,28 +284,55 @@
 	if t.GetWant() <= 0 && o.out == 0 {
 		delete(r.teams, team.Name)
 	}
-	if t.GetWant() <= 0 && g.Limit < 0 {
+	if t.GetWant() <= 0 && g.Limit == 0 && !g.Recall {
 		return nil, nil
 	}
 	return g, nil
 }
 
 func (l *Ledger) giveTokens(now clock.Reading, b *bucket, r *record, o *outstanding, t *peerv1.TeamReport) *peerv1.TeamGrant {
-	g := &peerv1.TeamGrant{Team: t.GetTeam(), Limit: -1}
-	want := t.GetWant()
+	g := &peerv1.TeamGrant{Team: t.GetTeam()}
+	want := float64(t.GetWant())
 	spare := b.spare(now.Lower, r.foreign)
-	if want > 0 {
-		g.Granted = min(want, spare)
+	o.need = float64(t.GetNeed())
+	ask := want
+	if b.scarce(now.Lower) {
+		ask = min(want, o.need)
+		g.Recall = o.need == 0 && o.out > tolerance
+	}
+	if ask > 0 {
+		g.Granted = min(ask, spare)
 		b.give(g.Granted)
 		o.out += g.Granted
 	}
-	g.Spare = max(0, spare-g.Granted)
+	if !r.foreign && o.need > g.Granted+tolerance {
+		b.scarceAt = now.Lower
+		l.scarce[t.GetTeam()] = struct{}{}
+	}
+	g.Spare = float32(max(0, spare-g.Granted))
 	if !r.foreign && want > 0 {
 		b.unmet, b.unmetAt = want-g.Granted, now.Lower
 	}
 	return g
 }
 
+// recallTokens asks for balances of scarce teams that the holder did not
+// report, thus does not need.
+func (l *Ledger) recallTokens(now clock.Reading, r *record, req *peerv1.RenewRequest, resp *peerv1.RenewResponse) {
+	for name := range l.scarce {
+		if b := l.buckets[name]; b == nil || !b.scarce(now.Lower) {
+			delete(l.scarce, name)
+			continue
+		}
+		o := r.teams[name]
+		if o == nil || o.out <= tolerance || o.need > 0 ||
+			slices.ContainsFunc(req.GetTeams(), func(t *peerv1.TeamReport) bool { return t.GetTeam() == name }) {
+			continue
+		}
+		resp.Teams = append(resp.Teams, &peerv1.TeamGrant{Team: name, Recall: true})
+	}
+}
+
 // refund credits what admissions did not use. The report was sent after the
 // holder took the last applied answer, so an admission of age a before the
 // report happened at the earliest a before that answer was given.
--- a/internal/grant/simload_test.go
+++ b/internal/grant/simload_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"github.com/wigeonhill/wigeonhill/internal/clock"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -124,6 +125,36 @@
 	}
 }
 
+// audit checks the sum on which the bound of admissions rests: the levels of
+// all grantors within their terms and the balances that can still be spent are
+// never more than the burst.
+func (s *sim) audit() {
+	for team := range s.editions[0].ed.Teams {
+		sum, bound := 0.0, 0.0
+		s.inForce(s.now, func(ed *table.Edition) { bound = max(bound, ed.Teams[team].Burst) })
+		for _, n := range s.nodes {
+			now := n.read()
+			sum += n.holder.Balance(now, team)
+			t, ok := n.cand.Term(now)
+			if !ok || n.ledger == nil || n.ledger.Ballot() != t.Ballot || n.ledger.buckets[team] == nil {
+				continue
+			}
+			b := *n.ledger.buckets[team]
+			b.lows = nil
+			ceiling := b.burst
+			if n.ledger.opening(now) {
+				ceiling /= 2
+			}
+			b.advance(now.Lower, b.rate, b.burst, ceiling)
+			sum += b.level
+		}
+		if sum > bound+1e-3 {
+			s.faults = append(s.faults, fmt.Sprintf("%v: levels and balances of %s are %.1f of %.1f", s.now, team, sum, bound))
+		}
+	}
+	s.at(nil, s.now+50*time.Millisecond, s.audit)
+}
+
 // overAdmitted runs a reference token bucket over the record of one team and
 // returns how far the admissions exceed rate x t + burst at worst, in tokens.
 func (s *sim) overAdmitted(team string) float64 {
@@ -199,3 +230,23 @@
 	}
 	return float64(refused) / float64(max(1, counted)), counted
 }
+
+func (s *sim) targetNames() []string { return slices.Sorted(maps.Keys(s.targets)) }
+
+// sample refreshes the load that targets report; it lags.
+func (s *sim) sample() {
+	for _, t := range s.targets {
+		t.sampled, t.sampledAt = int64(t.running), int64(s.now)
+	}
+	s.at(nil, s.now+150*time.Millisecond, s.sample)
+}
+
+func (n *simNode) poll(sent clock.Reading, l *Ledger, t *simTarget) {
+	s := n.s
+	s.at(nil, s.now+500*time.Microsecond, func() {
+		running, age := int(t.sampled), s.now-time.Duration(t.sampledAt)
+		s.at(n, s.now+s.jitter(20*time.Millisecond), func() {
+			l.Loaded(n.read(), n.ed, t.name, Load{Running: running, SampledAt: sent.Lower - clock.ForGrantor(age)})
+		})
+	})
+}
