--- a/internal/route/api.go
+++ b/internal/route/api.go
@@ -31,8 +31,9 @@
 	Queued  int
 	// CachedTokens of the query's prompt believed to be in the prefix cache.
 	CachedTokens int
-	// PendingTokens are prompt tokens that the instance sent there and that the
-	// target has probably not processed yet.
+	// PendingTokens are prompt tokens that the target has probably not processed
+	// yet: those of the last report and own dispatches since, less what it can
+	// have processed meanwhile.
 	PendingTokens int
 	// FreeSlots that the instance holds; negative if unknown.
 	FreeSlots int
@@ -48,6 +49,8 @@
 	// that this instance may count on; FreeSlots is negative if the region's
 	// status is unknown or old.
 	FreeSlots, Capacity int
+	// Stale is true if a new status can be had.
+	Stale bool
 	// Spilling is true while requests of this model or service go there because
 	// the own region is short. It is then enough that the region is no worse.
 	Spilling bool
@@ -64,9 +67,14 @@
 	Regions []RegionView
 	// LocalWait is the time a request for this model waits for a slot here.
 	LocalWait time.Duration
+	// MeanOutput is the mean of OutputTokens of recent requests for this model,
+	// 0 if unknown. A request with more occupies a slot for longer.
+	MeanOutput float64
 	// Salt differs from view to view; it separates instances that see the same
 	// old figures.
 	Salt uint64
+	// Own is constant for an instance; see ownSeconds.
+	Own uint64
 }
 
 // Choice is the decision.
@@ -76,7 +84,8 @@
 	Targets []string
 	// Region to forward to; empty for the own region.
 	Region string
-	// Ask lists regions whose status would have mattered but is not known.
+	// Ask lists regions whose status matters and is not known, used up or old.
+	// It never holds a region outside Query.Allowed.
 	Ask []string
 	// Breach is set if the choice was outside the allowed regions and was
 	// dropped. It is never set unless Choose has a fault.
--- a/internal/route/belief.go
+++ b/internal/route/belief.go
@@ -1,7 +1,5 @@
 package route
 
-import "sort"
-
 // CacheEvent is a change of a target's prefix cache, as published by engines:
 // late, in order of Seq, and sometimes with events missing.
 type CacheEvent struct {
@@ -155,15 +153,21 @@
 	return max(0, 1-float64(lost)/float64(len(b.index)))
 }
 
-// cached returns the expected number of cached tokens of a prompt. Engines
-// evict the longest prefixes first, so presence is searched by bisection.
+// cached returns the expected number of cached tokens of a prompt. It looks at
+// each block: with events lost, a longer prefix may be believed to be cached
+// when a shorter one is not, and bisection would miss that. The cost is that
+// of the blocks that are cached, few for most targets.
 func (b *belief) cached(hashes []uint64) int {
-	n := sort.Search(len(hashes), func(i int) bool {
-		j, ok := b.index[hashes[i]]
-		return !ok || b.confidence(j) < leastConfidence
-	})
+	n, last := 0, int32(-1)
+	for _, h := range hashes {
+		i, ok := b.index[h]
+		if !ok || b.confidence(i) < leastConfidence {
+			break
+		}
+		n, last = n+1, i
+	}
 	if n == 0 {
 		return 0
 	}
-	return int(float64(n*blockTokens) * b.confidence(b.index[hashes[n-1]]))
+	return int(float64(n*blockTokens) * b.confidence(last))
 }
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
@@ -16,14 +15,27 @@
 	meanPrompt = 1000.0
 	// spreadSeconds is the latency added by a target at full batch.
 	spreadSeconds = 0.2
+	// ownSeconds makes instances prefer different targets, all else being equal.
+	// What an instance sent itself it knows at once, what others sent it learns
+	// from late reports; so requests of different instances should rarely meet.
+	ownSeconds = 0.05
 	// grantSeconds is the usual time to obtain a slot that the instance does not
 	// hold: one renewal.
 	grantSeconds = 0.05
-	// fullSeconds is added for a target that seems full when the time that
-	// requests wait is not known.
+	// fullSeconds is added for a target that seems full, so that it comes after
+	// those with room.
 	fullSeconds = 0.5
 	// awaySeconds is the waiting time that one unit of SentAwayWeight is worth.
-	awaySeconds = 0.5
+	// A short queue is enough to keep the slots of the own region in use; a
+	// longer one makes callers wait without keeping more requests here.
+	awaySeconds = 4.0
+	// queueGain is how many seconds of waiting by others a second in the own queue
+	// stands for: a request that stays delays all that arrive until the queue is
+	// empty again. Without it the queue grows to where the one request's own wait
+	// outweighs the hop, which sends no fewer requests away.
+	queueGain = 16.0
+	// leastHold and mostHold bound the factor for the slot time of a request.
+	leastHold, mostHold = 0.25, 4
 	// costSeconds is the waiting time that one unit of link cost is worth.
 	costSeconds = 0.5
 	// startFactor and startSeconds are the hysteresis: a region is only used if
@@ -56,7 +68,7 @@
 	switch r := best(remote); {
 	case len(local) == 0 && r != nil:
 		c.Region = r.region.Region
-	case len(local) > 0 && r != nil && v.LocalWait > 0 && away(local[0], r, &v, w, p, &log):
+	case len(local) > 0 && r != nil && v.LocalWait > 0 && away(q, local[0], r, &v, w, p, &log):
 		c.Region = r.region.Region
 	default:
 		c.Targets = make([]string, len(local))
@@ -66,7 +78,7 @@
 	}
 	if v.LocalWait > 0 || len(local) == 0 {
 		for i := range remote {
-			if remote[i].region.FreeSlots < 0 {
+			if r := remote[i].region; r.FreeSlots <= 0 || r.Stale {
 				c.Ask = append(c.Ask, remote[i].region.Region)
 			}
 		}
@@ -123,7 +135,7 @@
 		case q.Exclude[t.Target.Name]:
 			log.add(t.Target.Name, "failed before")
 		default:
-			s := targetScore(q, t, v.LocalWait, w)
+			s := targetScore(q, t, w) + w.latency*ownSeconds*part(v.Own^uint64(i))
 			log.target(t, s)
 			out = append(out, candidate{target: t, score: s, tie: mix(v.Salt + uint64(i))})
 		}
@@ -155,15 +167,14 @@
 }
 
 // targetScore weighs the time to the first token and the work of the target.
-func targetScore(q Query, t *TargetView, localWait time.Duration, w weights) float64 {
+func targetScore(q Query, t *TargetView, w weights) float64 {
 	prefill := float64(max(q.PromptTokens-t.CachedTokens, 0)) / prefillRate
 	busy := float64(t.Running) / float64(max(t.Target.Capacity, 1))
-	backlog := (float64(t.PendingTokens) + float64(t.Queued)*meanPrompt) / prefillRate
-	latency := backlog + prefill + min(busy, 1)*spreadSeconds
+	latency := float64(t.PendingTokens)/prefillRate + prefill + min(busy, 1)*spreadSeconds
 	if t.FreeSlots <= 0 {
 		switch {
 		case busy >= 1:
-			latency += max(localWait.Seconds(), fullSeconds)
+			latency += fullSeconds
 		case t.FreeSlots == 0:
 			latency += grantSeconds
 		}
@@ -236,19 +247,26 @@
 
 // away reports whether the request should leave the own region although that
 // has targets: only if its queue costs more than the hop.
-func away(l candidate, r *candidate, v *View, w weights, p table.Policy, log *reasons) bool {
+func away(q Query, l candidate, r *candidate, v *View, w weights, p table.Policy, log *reasons) bool {
 	if !r.open() {
 		log.region(r.region, r.score, "no room")
 		return false
 	}
-	stay := l.score
-	if l.target.FreeSlots > 0 || l.target.Running < l.target.Target.Capacity && l.target.FreeSlots < 0 {
+	// What load reports say about room does not count here: the queue is known
+	// as it is now, the reports are late.
+	if l.target.FreeSlots > 0 {
 		log.region(r.region, r.score, "own region has room")
 		return false
 	}
-	if l.target.Running < l.target.Target.Capacity {
-		// The score assumes that a renewal brings a slot; the queue says otherwise.
-		stay += w.latency * v.LocalWait.Seconds()
+	// A request makes those behind it wait for as long as it holds a slot, so
+	// sending a long one away relieves the queue by more than a short one.
+	hold := 1.0
+	if v.MeanOutput > 0 && q.OutputTokens > 0 {
+		hold = min(max(float64(q.OutputTokens)/v.MeanOutput, leastHold), mostHold)
+	}
+	stay := l.score + w.latency*queueGain*v.LocalWait.Seconds()*hold
+	if l.target.Running >= l.target.Target.Capacity {
+		stay -= w.latency * fullSeconds
 	}
 	limit := r.score
 	if !r.region.Spilling {
@@ -263,6 +281,9 @@
 	return false
 }
 
+// part is a number from 0 to 1 that depends on x only.
+func part(x uint64) float64 { return float64(mix(x)>>11) / (1 << 53) }
+
 // mix spreads the bits of x (the finaliser of splitmix64).
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -26,28 +26,30 @@
 }
 
 type change struct {
-	at time.Duration
-	n  int
+	at     time.Duration
+	n      int
+	tokens float64 // prompt tokens to process
 }
 
-func (s *targetState) note(now time.Duration, n int) {
+func (s *targetState) note(now time.Duration, n int, tokens float64) {
 	if len(s.changes) >= maxChanges {
 		s.changes = append(s.changes[:0], s.changes[maxChanges/2:]...)
 	}
-	s.changes = append(s.changes, change{now, n})
+	s.changes = append(s.changes, change{now, n, tokens})
 }
 
 func (s *targetState) start(now time.Duration, q Query) {
 	s.own++
-	s.note(now, 1)
+	tokens := float64(max(q.PromptTokens-s.cache.cached(q.PrefixHashes), 0))
+	s.note(now, 1, tokens)
 	s.drain(now)
-	s.pending += float64(max(q.PromptTokens-s.cache.cached(q.PrefixHashes), 0))
+	s.pending += tokens
 	s.cache.dispatched(q.PrefixHashes)
 }
 
 func (s *targetState) end(now time.Duration) {
 	s.own--
-	s.note(now, -1)
+	s.note(now, -1, 0)
 }
 
 // drain lowers pending by what the target has processed since.
@@ -59,13 +61,6 @@
 // fill completes v with the last report and the own changes since.
 func (s *targetState) fill(v *TargetView, l grant.Load, q Query, now time.Duration) {
 	v.Live = s.live
-	v.CachedTokens = min(s.cache.cached(q.PrefixHashes), q.PromptTokens)
-	s.drain(now)
-	v.PendingTokens = int(s.pending)
-	v.Running = s.own
-	if l.SampledAt == 0 {
-		return
-	}
 	if l.SampledAt > s.sampled {
 		s.sampled = l.SampledAt
 		keep := 0
@@ -77,10 +72,21 @@
 			s.cache.trim(l.CachedTokens)
 		}
 	}
+	v.CachedTokens = min(s.cache.cached(q.PrefixHashes), q.PromptTokens)
+	s.drain(now)
+	v.PendingTokens = int(s.pending)
+	v.Running = s.own
+	if l.SampledAt == 0 {
+		return
+	}
 	running := l.Running
+	pending := float64(l.Queued) * meanPrompt
 	for _, c := range s.changes {
 		running += c.n
+		pending += c.tokens
 	}
+	pending -= prefillRate * (now - l.SampledAt).Seconds()
 	v.Running = max(running, s.own)
 	v.Queued = l.Queued
+	v.PendingTokens = int(max(pending, s.pending))
 }
--- a/internal/route/region.go
+++ b/internal/route/region.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// statusLife is how long the status of another region is used. It is asked
-	// for at most once a second.
-	statusLife = 3 * time.Second
+	// statusFresh is how long no newer status of another region is asked for, and
+	// statusLife how long a status is used if there is no newer one.
+	statusFresh = time.Second
+	statusLife  = 3 * time.Second
 	// spillHold is how long a region stays in use after the own queue was last
 	// found to cost more than the link.
 	spillHold = 2 * time.Second
@@ -148,6 +149,7 @@
 			r.drain(now, share)
 			v.LinkLoad = r.bits / (share * linkWindow.Seconds())
 		}
+		v.Stale = !rp.known || now-rp.at >= statusFresh
 		if rp.known && now-rp.at <= statusLife {
 			if rp.status.Capacity > 0 {
 				v.Capacity = min(capacity, rp.status.Capacity)
--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -54,6 +54,7 @@
 		targets map[string]*targetState
 		regions map[string]*regionState
 		peers   int
+		outputs map[poolKey]float64 // mean output tokens
 		salt    uint64
 	}
 }
@@ -102,6 +103,7 @@
 	t.pools.Store(&pools{local: map[poolKey]*pool{}})
 	t.mu.targets = map[string]*targetState{}
 	t.mu.regions = map[string]*regionState{}
+	t.mu.outputs = map[poolKey]float64{}
 	t.mu.peers = 1
 	t.mu.salt = cfg.Seed
 	return t
@@ -232,7 +234,7 @@
 	ps := t.pools.Load()
 	key := keyOf(q)
 	p := ps.local[key]
-	v := View{Region: t.cfg.Region}
+	v := View{Region: t.cfg.Region, Own: mix(t.cfg.Seed)}
 	if p == nil {
 		return v
 	}
@@ -256,6 +258,7 @@
 	defer t.mu.Unlock()
 	t.mu.salt++
 	v.Salt = mix(t.mu.salt)
+	v.MeanOutput = t.meanOutput(key, q)
 	for i := range v.Targets {
 		if s := t.mu.targets[p.names[i]]; s != nil {
 			s.fill(&v.Targets[i], loads[i], q, now)
@@ -267,6 +270,20 @@
 	return v
 }
 
+// outputPart is the part of each request in the mean of output tokens.
+const outputPart = 0.02
+
+// meanOutput counts q in the mean output tokens of its pool. The caller holds mu.
+func (t *Tracker) meanOutput(key poolKey, q Query) float64 {
+	mean, ok := t.mu.outputs[key]
+	if !ok {
+		mean = float64(q.OutputTokens)
+	}
+	mean += outputPart * (float64(q.OutputTokens) - mean)
+	t.mu.outputs[key] = mean
+	return mean
+}
+
 // Decide makes a choice and keeps the state of its hysteresis.
 func (t *Tracker) Decide(q Query, policy table.Policy) Choice {
 	v := t.View(q)
