--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -13,7 +13,8 @@
 	// meanPrompt is assumed for requests queued at a target, whose size the load
 	// report does not tell.
 	meanPrompt = 1000.0
-	// spreadSeconds is the latency added by a target at full batch.
+	// spreadSeconds is what a full batch is worth, weighed by WorstTeamWeight: who
+	// is sent to a crowded target waits for everyone there.
 	spreadSeconds = 0.2
 	// ownSeconds makes instances prefer different targets, all else being equal.
 	// What an instance sent itself it knows at once, what others sent it learns
@@ -63,6 +64,7 @@
 	w := weigh(p)
 	var c Choice
 	var log reasons
+	log.grow(len(v.Targets) + 2*len(v.Regions) + 1)
 	local := locals(q, &v, w, &log)
 	remote := remotes(q, &v, p, w, &log)
 	switch r := best(remote); {
@@ -92,10 +94,15 @@
 // request is not forwarded again.
 func (c *Choice) check(q Query, v *View) {
 	home := len(c.Targets) == 0 || q.Allowed[v.Region]
-	for _, name := range c.Targets {
-		home = home && slices.ContainsFunc(v.Targets, func(t TargetView) bool {
-			return t.Target.Name == name && q.Allowed[t.Target.Region]
-		})
+	if home && len(c.Targets) > 0 {
+		allowed := make(map[string]bool, len(v.Targets))
+		for i := range v.Targets {
+			t := v.Targets[i].Target
+			allowed[t.Name] = q.Allowed[t.Region]
+		}
+		for _, name := range c.Targets {
+			home = home && allowed[name]
+		}
 	}
 	hop := c.Region == "" || q.Allowed[c.Region] && !q.LocalOnly
 	if !home || !hop {
@@ -111,8 +118,8 @@
 	if w.cost+w.away+w.latency+w.worst <= 0 {
 		return weights{1, 1, 1, 1}
 	}
-	// Without any weight on latency, waiting would cost nothing at all.
-	w.latency = max(w.latency, 0.1)
+	// Without any weight on them, waiting and crowding would cost nothing at all.
+	w.latency, w.worst = max(w.latency, 0.1), max(w.worst, 0.1)
 	return w
 }
 
@@ -170,7 +177,7 @@
 func targetScore(q Query, t *TargetView, w weights) float64 {
 	prefill := float64(max(q.PromptTokens-t.CachedTokens, 0)) / prefillRate
 	busy := float64(t.Running) / float64(max(t.Target.Capacity, 1))
-	latency := float64(t.PendingTokens)/prefillRate + prefill + min(busy, 1)*spreadSeconds
+	latency := float64(t.PendingTokens)/prefillRate + prefill
 	if t.FreeSlots <= 0 {
 		switch {
 		case busy >= 1:
@@ -179,7 +186,7 @@
 			latency += grantSeconds
 		}
 	}
-	return w.latency*latency + w.cost*prefill
+	return w.latency*latency + w.cost*prefill + w.worst*min(busy, 1)*spreadSeconds
 }
 
 // remotes returns the regions to which the request may be sent.
--- a/internal/route/reasons.go
+++ b/internal/route/reasons.go
@@ -8,6 +8,14 @@
 	ends []int
 }
 
+// lineBytes is the usual length of a line.
+const lineBytes = 100
+
+func (r *reasons) grow(lines int) {
+	r.buf = make([]byte, 0, lines*lineBytes)
+	r.ends = make([]int, 0, lines)
+}
+
 func (r *reasons) add(name, why string) {
 	r.buf = append(append(append(r.buf, name...), ": "...), why...)
 	r.ends = append(r.ends, len(r.buf))
@@ -18,9 +26,9 @@
 	r.buf = strconv.AppendInt(r.buf, int64(n), 10)
 }
 
+// score is written in thousandths, which is much cheaper than as a float.
 func (r *reasons) score(s float64) {
-	r.buf = append(r.buf, " score="...)
-	r.buf = strconv.AppendFloat(r.buf, s, 'f', 3, 64)
+	r.field("score_milli", int(s*1000))
 	r.ends = append(r.ends, len(r.buf))
 }
 
