--- a/internal/peerapi/server.go
+++ b/internal/peerapi/server.go
@@ -1,6 +1,8 @@
 package peerapi
 
 import (
+	"io"
+	"log"
 	"net/http"
 	"time"
 
@@ -33,6 +35,9 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout,
 		MaxHeaderBytes:    maxHeader,
+		// Handshakes of strangers would fill the log; calls that fail are logged
+		// by the packages that make them.
+		ErrorLog: log.New(io.Discard, "", 0),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams:          maxPeerStreams,
 			SendPingTimeout:               pingAfter,
