--- a/internal/event/rights.go
+++ b/internal/event/rights.go
@@ -8,7 +8,7 @@
 	TermLost        = define(201, "term lost", zapcore.WarnLevel, "this instance is no longer grantor of the shard; its term was not renewed in time")
 	VotesWithheld   = define(202, "votes withheld", zapcore.InfoLevel, "the voter started or was paused and abstains for a full term")
 	CampaignFailed  = define(203, "campaign failed", zapcore.DebugLevel, "no majority of the seats promised the term; the instance tries again")
-	InvariantBroken = define(204, "invariant broken", zapcore.ErrorLevel, "a ledger or a holder's report broke an invariant; the holder's grants were voided")
+	InvariantBroken = define(204, "invariant broken", zapcore.ErrorLevel, "a ledger's sums disagree, or a holder's report broke an invariant and its grants were voided")
 	SlotsUnproved   = define(205, "slots unproved", zapcore.InfoLevel, "slots of a silent holder wait for a load report or the end of max_run")
 	GrantorMissing  = define(206, "grantor missing", zapcore.WarnLevel, "no grantor of the region's shard has answered for the given time; tokens are borrowed from other regions")
 	GrantorFound    = define(207, "grantor found", zapcore.InfoLevel, "a grantor of the region's shard answers again")
--- a/internal/grant/manager.go
+++ b/internal/grant/manager.go
@@ -26,6 +26,9 @@
 	// housekeeping is the interval at which a grantor expires silent holders
 	// and drops full buckets.
 	housekeeping = 500 * time.Millisecond
+	// verifyEvery is the interval at which a grantor recomputes the sums of a
+	// ledger.
+	verifyEvery = 10 * time.Second
 	// maxRenewals bounds the renewals on their way at one time.
 	maxRenewals = 64
 )
@@ -74,6 +77,8 @@
 		sync.Mutex
 		ledgers map[term.Shard]*Ledger
 		polls   map[string]*poll
+		// verified is the lower reading when the sums were last recomputed.
+		verified time.Duration
 	}
 	// fences has a lock of its own because term.Manager reads it while it
 	// holds its lock.
@@ -259,8 +264,17 @@
 			delete(m.mu.ledgers, shard)
 		}
 	}
+	verify := now.Lower-m.mu.verified >= verifyEvery
+	if verify {
+		m.mu.verified = now.Lower
+	}
 	for _, t := range m.c.Terms.Terms(now) {
 		l := m.ledger(now, t)
+		if verify {
+			if err := l.verify(); err != nil {
+				m.c.Log.Emit(event.InvariantBroken, zap.String("region", t.Shard.Region), zap.Error(err))
+			}
+		}
 		l.Expire(now)
 		l.Idle(now, ed)
 		for _, e := range l.Reclaims() {
