Stop the manager before a test reads the fake's counter

Cause: the race detector found TestPeerThatOffersOlder reading a counter that the manager still wrote.

Change: the test stops the manager first; its checks are unchanged.

--- a/internal/edition/guard_test.go
+++ b/internal/edition/guard_test.go
@@ -148,14 +148,14 @@
 				m.Offered(&peerv1.Identity{Instance: "p", PeerAddress: "10.9.9.9:1"}, &peerv1.EditionID{Revision: 9, Digest: other.Digest[:]}, nil)
 				time.Sleep(time.Second)
 			}
+			cancel()
+			<-done
 			if m.Current().Revision != 5 {
 				t.Errorf("%s: revision %d is in force", name, m.Current().Revision)
 			}
 			if peer.asked > 200 {
 				t.Errorf("%s: the peer was asked %d times for 20 offers", name, peer.asked)
 			}
-			cancel()
-			<-done
 		})
 	}
 }
