Rerun the tests with real processes when the gateway changes

Cause: go test answered (cached) after a change of the gateway, because the programs are built by TestMain, which the test cache does not see.

Change: the tests import package node.

Proof that TestFreezeGrantorUnderLoad can fail (trial on a scratch copy in which slots.free ignores unaccounted slots): it failed with 8 arrivals above a target's capacity. Another trial, in which a holder keeps using idle slots after their grant ended, gave a cached result and proved nothing; it was not run again.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -12,6 +12,10 @@
 	"github.com/wigeonhill/wigeonhill/internal/fleet"
 	"github.com/wigeonhill/wigeonhill/internal/load"
 	"github.com/wigeonhill/wigeonhill/internal/standin"
+
+	// The programs are built by TestMain, which the test cache does not see;
+	// the import makes a cached result end with a change of the gateway.
+	_ "github.com/wigeonhill/wigeonhill/internal/node"
 )
 
 // Bounds of the tests, which are far above what is expected.
