--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -5,50 +5,50 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"github.com/wigeonhill/wigeonhill/internal/admit"
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/edition"
 	"github.com/wigeonhill/wigeonhill/internal/grant"
 	"github.com/wigeonhill/wigeonhill/internal/member"
-	"github.com/wigeonhill/wigeonhill/internal/peerapi"
-	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/platform"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/route"
 	"github.com/wigeonhill/wigeonhill/internal/table"
+	"github.com/wigeonhill/wigeonhill/internal/term"
 )
 
 const (
-	// statusAge is how long the status of another region's pool is used before
-	// it is asked for again.
-	statusAge     = time.Second
-	statusTimeout = 500 * time.Millisecond
 	// A target that failed is avoided for failedFor, doubled with each further
 	// failure up to failedMax, so that it is tried again but not by everyone.
 	failedFor = time.Second
 	failedMax = 16 * time.Second
+	// grantorPatience is how long renewals to the own region's grantor may fail
+	// before its targets are not chosen: a change of grantor takes about a term
+	// and a half, and requests wait that long rather than move.
+	grantorPatience = 3 * time.Second
+	// grantorProbe bounds one question whether the grantor is back.
+	grantorProbe = time.Second
 )
 
 // routing connects the choice of targets with the members, the instance list
 // and the fate of attempts.
 type routing struct {
 	region   string
-	self     *peerv1.Identity
 	tracker  *route.Tracker
 	editions *edition.Manager
 	members  *member.Manager
 	admitter *admit.Manager
-	loads    grant.Loads
-	caches   *cacheWatch
-	clients  *peerapi.Clients
-	now      func() time.Time
-	mu       struct {
+	// missing tells for how long a shard's grantor has not answered.
+	missing func(term.Shard) time.Duration
+	loads   grant.Loads
+	caches  *cacheWatch
+	pools   *dispatch.PoolAsker
+	now     func() time.Time
+	mu      struct {
 		sync.Mutex
-		asked  map[string]time.Time // by region and pool
-		failed map[string]failure   // by target
+		failed  map[string]failure // by target
+		probing bool
 	}
-	asks sync.WaitGroup
 }
 
 type failure struct {
@@ -137,7 +137,11 @@
 	for name, t := range e.Targets {
 		if t.Region == r.region {
 			f := r.mu.failed[name]
-			r.tracker.SetTargetLive(name, !r.leaving(name) && !now.Before(f.until))
+			granted := r.granted(e, name)
+			r.tracker.SetTargetLive(name, granted && !r.leaving(name) && !now.Before(f.until))
+			if !granted {
+				r.probeLocked(name)
+			}
 		}
 	}
 	for name := range r.mu.failed {
@@ -154,6 +158,33 @@
 	}
 }
 
+// granted reports whether slots of a target of the own region can be had.
+func (r *routing) granted(e *table.Edition, target string) bool {
+	region := e.Regions[r.region]
+	return region != nil && r.missing(term.ShardFor(region, target)) < grantorPatience
+}
+
+// probeLocked asks for a slot of a target that is not chosen because its
+// grantor is missing; without a request for it nobody would notice that the
+// grantor is back. The caller holds mu.
+func (r *routing) probeLocked(target string) {
+	if r.mu.probing {
+		return
+	}
+	r.mu.probing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), grantorProbe)
+		defer cancel()
+		ticket, err := r.admitter.Admit(ctx, admit.Request{Weight: 1, Targets: []string{target}, Prepaid: true, Deadline: r.now().Add(grantorProbe)})
+		if err == nil {
+			r.admitter.Done(ticket, 0)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.mu.probing = false
+	}()
+}
+
 // Run keeps the beliefs current until ctx ends.
 func (r *routing) Run(ctx context.Context) error {
 	r.editions.Store().Subscribe(func(_, e *table.Edition) { r.tracker.SetEdition(e); r.refresh() })
@@ -164,7 +195,6 @@
 	}
 	ticker := time.NewTicker(refreshEvery)
 	defer ticker.Stop()
-	defer r.asks.Wait()
 	for {
 		r.refresh()
 		select {
@@ -188,16 +218,7 @@
 		if region == r.region || q.Exclude[region] {
 			continue
 		}
-		key := region + "/" + q.Model + "/" + q.Service
-		r.mu.Lock()
-		due := r.now().Sub(r.mu.asked[key]) >= statusAge
-		if due {
-			r.mu.asked[key] = r.now()
-		}
-		r.mu.Unlock()
-		if due {
-			r.asks.Go(func() { r.ask(region, q.Model, q.Service) })
-		}
+		r.pools.State(region, q.Model, q.Service)
 	}
 }
 
@@ -211,25 +232,15 @@
 	return wait > 0 || queued > 0
 }
 
-func (r *routing) ask(region, model, service string) {
-	live := r.members.Live(region)
-	if len(live) == 0 {
+// told passes what another region said to the tracker. A region that did not
+// answer is judged by the states of its members.
+func (r *routing) told(region, model, service string, s dispatch.PoolState) {
+	if !s.Reachable {
 		return
 	}
-	// Rotating over the instances spreads the questions without state.
-	one := live[int(r.now().UnixNano()/int64(statusAge))%len(live)]
-	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
-	defer cancel()
-	resp, err := r.clients.Client(one.PeerAddress).PoolStatus(ctx, connect.NewRequest(&peerv1.PoolStatusRequest{
-		From: r.self, Model: model, Service: service,
-	}))
-	if err != nil {
-		return // the member's state says whether the region is reachable
-	}
 	r.tracker.SetRegion(route.RegionStatus{
 		Region: region, Model: model, Service: service,
-		Capacity: int(resp.Msg.Capacity), Running: int(resp.Msg.Running), Queued: int(resp.Msg.Queued),
-		Wait: time.Duration(resp.Msg.WaitMs) * time.Millisecond,
+		Capacity: s.Capacity, Running: s.Running, Queued: s.Queued, Wait: s.Wait,
 	})
 }
 
