Ignore answers of the service from before a pause

Cause: TestAlone failed once under the race detector: an answer to a waiting call, less than 2 s old, confirmed the edition after a pause that began later.

Change: only a read that began after the pause was noticed confirms. TestAnswerBeforePause failed before the change and passes after it.

--- a/internal/edition/guard.go
+++ b/internal/edition/guard.go
@@ -63,7 +63,7 @@
 		paused    bool
 		began     time.Duration // of the pause, if paused
 		confirmed time.Duration // time of the last confirmation of the table
-		service   time.Duration // time of the last answer of the service that was not older
+		service   time.Duration // start of the last call to the service whose answer was not older
 	}
 	attempt chan struct{} // capacity 1: one attempt at a time
 }
@@ -122,17 +122,16 @@
 	m.guard.mu.confirmed = now
 }
 
-// serviceAnswered notes that the service has no older edition than this
-// instance.
-func (m *Manager) serviceAnswered(name string) {
-	m.confirmed(name)
+// serviceAnswered notes that a call that began at the given time showed that
+// the service has no older edition than this instance. An answer to a call
+// that began before a pause may be older than the pause and does not count.
+func (m *Manager) serviceAnswered(name string, began time.Duration) {
 	if name != platform.TableName {
 		return
 	}
-	now := m.now()
 	m.guard.mu.Lock()
 	defer m.guard.mu.Unlock()
-	m.guard.mu.service = now
+	m.guard.mu.service = began
 }
 
 // Age returns the time since the service or a peer last confirmed the edition
@@ -218,7 +217,7 @@
 		now := m.now()
 		m.guard.mu.Lock()
 		defer m.guard.mu.Unlock()
-		return now-m.guard.mu.service < serviceFresh
+		return m.guard.mu.service >= m.guard.mu.began && now-m.guard.mu.service < serviceFresh
 	}
 	if fresh() {
 		return true
--- a/internal/edition/guard_test.go
+++ b/internal/edition/guard_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// Guards against an answer of the service from before a pause that confirms
+// the edition after it: the pause begins just after a waiting call ended.
+func TestAnswerBeforePause(t *testing.T) {
+	inTime(t, func(t *testing.T) {
+		w := startWorld(1, 1, 1)
+		w.publish("table", 2, tableText(2))
+		time.Sleep(10 * time.Millisecond)
+		if w.serving(2) != 1 {
+			t.Fatal("it does not serve with the new edition")
+		}
+		w.setService(true, false)
+		w.nodes[0].freeze()
+		time.Sleep(time.Second)
+		w.nodes[0].wake()
+		time.Sleep(10 * time.Second)
+		if w.serving(2) != 0 {
+			t.Error("it serves although nobody confirmed its edition after the pause")
+		}
+		w.stopAll()
+	})
+}
+
 // Guards against an instance without peers that serves with an unconfirmed
 // edition, or never serves although the service confirms it.
 func TestAlone(t *testing.T) {
--- a/internal/edition/value.go
+++ b/internal/edition/value.go
@@ -208,23 +208,29 @@
 	return errors.New("the whole text does not have the digest that the peer gave")
 }
 
-// fromService handles one value or confirmation of the service.
-func (v *value) fromService(ctx context.Context, got platform.Value, changed bool) {
+// fromService handles one answer of the service and reports whether the
+// service has no older text than this instance.
+func (v *value) fromService(ctx context.Context, got platform.Value, changed bool) bool {
 	if changed {
 		v.accept(ctx, NewText(got.Revision, got.Text), "service")
 	}
-	if !changed || got.Revision >= v.after() {
-		v.m.serviceAnswered(v.name)
+	if changed && got.Revision < v.after() {
+		return false
 	}
+	v.m.confirmed(v.name)
+	return true
 }
 
 // read asks the service once.
 func (v *value) read(ctx context.Context) error {
+	began := v.m.now()
 	got, err := v.m.cfg.Service.Read(ctx, v.name)
 	if err != nil {
 		return err
 	}
-	v.fromService(ctx, got, true)
+	if v.fromService(ctx, got, true) {
+		v.m.serviceAnswered(v.name, began)
+	}
 	return nil
 }
 
