--- a/internal/dispatch/hop.go
+++ b/internal/dispatch/hop.go
@@ -140,7 +140,7 @@
 		defer cancel()
 		return nil, d.hopFault(ctx, m, s, err)
 	}
-	f := &frameReader{stream: stream, id: c.ID, log: d.local.Log}
+	f := &frameReader{stream: stream, id: c.ID, log: d.local.Log, suspects: d.local.Suspects}
 	head, err := f.head()
 	if err != nil {
 		defer func() { cancel(); _ = stream.Close() }()
@@ -193,6 +193,14 @@
 	data   []byte
 	err    error
 	used   float64 // tokens charged, by the tail
+	// suspects takes the crashes that the tail reports; nil for none.
+	suspects *Suspects
+}
+
+func (f *frameReader) learn(reports []*peerv1.Crash) {
+	if f.suspects != nil {
+		f.suspects.Learn(reports)
+	}
 }
 
 // next returns the next frame if it belongs here. Any other frame ends the
@@ -220,6 +228,7 @@
 		return nil, err
 	}
 	if t := m.GetTail(); t != nil {
+		f.learn(t.GetCrashes())
 		return nil, tailFault(t)
 	}
 	h := m.GetHead()
@@ -253,6 +262,7 @@
 		f.data = part.Data
 	case *peerv1.ForwardResponse_Tail:
 		f.used = part.Tail.GetTokensUsed()
+		f.learn(part.Tail.GetCrashes())
 		if f.err = io.EOF; part.Tail.GetCode() != 0 {
 			f.err = tailFault(part.Tail)
 		}
--- a/internal/dispatch/receive.go
+++ b/internal/dispatch/receive.go
@@ -125,7 +125,11 @@
 	}
 	l.Requests.End(c.ID, c.Permit.Team, code, time.Since(c.Arrived))
 	if err != nil {
-		return out.tail(o, result.From(err))
+		e := result.From(err)
+		if e.Code == result.TargetFailed {
+			out.crashes = l.Suspects.ReportsOf(c.Fingerprint())
+		}
+		return out.tail(o, e)
 	}
 	return out.tail(o, nil)
 }
@@ -196,6 +200,8 @@
 	s   sender
 	id  string
 	seq uint64
+	// crashes go with the tail.
+	crashes []*peerv1.Crash
 }
 
 func (f *frameSink) send(m *peerv1.ForwardResponse) error {
@@ -229,7 +235,7 @@
 }
 
 func (f *frameSink) tail(o Outcome, e *result.Error) error {
-	t := &peerv1.Tail{TokensUsed: o.Tokens}
+	t := &peerv1.Tail{TokensUsed: o.Tokens, Crashes: f.crashes}
 	if e != nil {
 		t.Code, t.MayHaveRun, t.Message = uint32(e.Code), e.Ran == result.MayHaveRun, e.Message
 		t.RetryAfterMs = uint32(e.RetryAfter.Milliseconds())
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -205,15 +205,37 @@
 			break
 		}
 		s.mu.next++
-		for f, attempt := range c.attempts {
-			if len(out) >= maxCrashBatch {
-				break
-			}
-			out = append(out, &peerv1.Crash{
-				Fingerprint: bytes.Clone(f[:]), Target: c.target, Attempt: attempt,
-				Alone: len(c.attempts) == 1, Blocked: s.blockedLocked(f),
-			})
+		out = s.appendReports(out, c)
+	}
+	return out
+}
+
+// ReportsOf returns the reports of the crashes that name f, whole, because only
+// the other requests present tell whether f is to blame.
+func (s *Suspects) ReportsOf(f Fingerprint) []*peerv1.Crash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(s.clock.Now().Lower)
+	var out []*peerv1.Crash
+	for _, c := range s.mu.crashes {
+		if _, named := c.attempts[f]; named && len(out)+len(c.attempts) <= maxCrashBatch {
+			out = s.appendReports(out, c)
+		}
+	}
+	return out
+}
+
+// appendReports adds the reports of one crash, up to maxCrashBatch in all. The
+// caller holds mu.
+func (s *Suspects) appendReports(out []*peerv1.Crash, c *crash) []*peerv1.Crash {
+	for f, attempt := range c.attempts {
+		if len(out) >= maxCrashBatch {
+			break
 		}
+		out = append(out, &peerv1.Crash{
+			Fingerprint: bytes.Clone(f[:]), Target: c.target, Attempt: attempt,
+			Alone: len(c.attempts) == 1, Blocked: s.blockedLocked(f),
+		})
 	}
 	return out
 }
--- a/internal/edition/manager.go
+++ b/internal/edition/manager.go
@@ -88,10 +88,10 @@
 
 // Rejection describes the last text that had faults.
 type Rejection struct {
-	Value    string
-	Revision int64
-	Source   string
-	Faults   string
+	Value    string `json:"value"`
+	Revision int64  `json:"revision"`
+	Source   string `json:"source"`
+	Faults   string `json:"faults"`
 }
 
 // NewManager returns a Manager that does nothing until Run.
--- a/internal/edition/record.go
+++ b/internal/edition/record.go
@@ -81,13 +81,16 @@
 
 // Status describes the distribution for operators and metrics.
 type Status struct {
-	Revision, ListRevision int64
-	Digest                 string
-	Age                    time.Duration
-	Paused, TooOld         bool
-	Watching               bool
-	Conflicts, Rejections  uint64
-	LastRejection          *Rejection
+	Revision      int64         `json:"revision"`
+	ListRevision  int64         `json:"list_revision"`
+	Digest        string        `json:"digest"`
+	Age           time.Duration `json:"age_ns"`
+	Paused        bool          `json:"paused"`
+	TooOld        bool          `json:"too_old"`
+	Watching      bool          `json:"watching"`
+	Conflicts     uint64        `json:"conflicts"`
+	Rejections    uint64        `json:"rejections"`
+	LastRejection *Rejection    `json:"last_rejection,omitempty"`
 }
 
 // Status returns the present state.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,7 +53,24 @@
 
 // Emit writes one event.
 func (l *Logger) Emit(e Event, fields ...zap.Field) {
-	if ce := l.z.Check(e.Level, e.Name); ce != nil {
-		ce.Write(append([]zap.Field{zap.Int("event", e.Number)}, fields...)...)
+	ce := l.z.Check(e.Level, e.Name)
+	if ce == nil {
+		return
 	}
+	all := make([]zap.Field, 0, len(fields)+1)
+	all = append(all, zap.Int("event", e.Number))
+	for _, f := range fields {
+		all = append(all, withoutStack(f))
+	}
+	ce.Write(all...)
+}
+
+// withoutStack keeps the message of an error field only. zap would add the
+// stack trace that cockroachdb/errors keeps, which makes a line of several
+// kilobytes out of each failed call.
+func withoutStack(f zap.Field) zap.Field {
+	if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+		return zap.String(f.Key, err.Error())
+	}
+	return f
 }
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,40 @@
+package event
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// Guards against log lines that carry the stack trace of each error, and
+// against lines without the number of their event.
+func TestErrorsAreLoggedWithoutStack(t *testing.T) {
+	core, logs := observer.New(zapcore.DebugLevel)
+	NewLogger(zap.New(core)).Emit(OpsFailed, zap.Error(errors.New("no route")))
+	fields := logs.All()[0].ContextMap()
+	if fields["error"] != "no route" || fields["event"] != int64(OpsFailed.Number) || len(fields) != 2 {
+		t.Fatalf("fields %v", fields)
+	}
+}
+
+// Guards against a sampler that drops lines of the audit trail in a storm.
+func TestAuditLinesAreNotSampled(t *testing.T) {
+	core, logs := observer.New(zapcore.DebugLevel)
+	l := &Logger{z: zap.New(&auditAwareCore{
+		Core: zapcore.NewSamplerWithOptions(core, sampleInterval, 1, 0),
+		all:  core,
+	})}
+	for range 3 {
+		l.Emit(AuditChange)
+		l.Emit(OpsFailed)
+	}
+	if got := logs.FilterMessage(AuditChange.Name).Len(); got != 3 {
+		t.Errorf("%d of 3 audit lines were written", got)
+	}
+	if got := logs.FilterMessage(OpsFailed.Name).Len(); got != 1 {
+		t.Errorf("%d sampled lines were written, want 1", got)
+	}
+}
--- a/internal/grant/api.go
+++ b/internal/grant/api.go
@@ -72,10 +72,11 @@
 
 // Load is the last known load of a target.
 type Load struct {
-	Running, Queued int
-	CachedTokens    float64
+	Running      int     `json:"running"`
+	Queued       int     `json:"queued"`
+	CachedTokens float64 `json:"cached_tokens"`
 	// SampledAt is the holder's lower reading of the sample; 0 if unknown.
-	SampledAt time.Duration
+	SampledAt time.Duration `json:"sampled_at_ns"`
 }
 
 // Loads gives the load of targets in the instance's own region.
--- a/internal/member/manager.go
+++ b/internal/member/manager.go
@@ -177,7 +177,11 @@
 		}
 		m.cfg.Log.Emit(e, zap.String("member", t.Member.Name), zap.String("region", t.Member.Region), zap.Stringer("old", t.Old))
 		if m.cfg.Trail != nil {
-			m.cfg.Trail.Add(audit.Change{At: time.Now(), Kind: audit.MemberChanged, Subject: t.Member.Name, Old: t.Old.String(), New: t.Member.State.String(), Reason: e.Name})
+			reason := e.Name
+			if t.Old == t.Member.State {
+				reason = "another incarnation"
+			}
+			m.cfg.Trail.Add(audit.Change{At: time.Now(), Kind: audit.MemberChanged, Subject: t.Member.Name, Old: t.Old.String(), New: t.Member.State.String(), Reason: reason})
 		}
 	}
 }
