admit: stop only after all demand is withdrawn

Change: stop waits until no goroutine serves; TestStopWaitsForDemand holds the first statement of demand back until the stop is under way. Ruled out: withdrawing the demand in stop itself, which could be overtaken by an older statement of the serving goroutine. Conclusion: demand is zero when Run returns.

--- a/internal/admit/fake_test.go
+++ b/internal/admit/fake_test.go
@@ -22,6 +22,7 @@
 	nextID   uint64
 	changed  chan struct{}
 	expired  bool
+	gate     chan struct{} // if set, WantTokens waits for it
 }
 
 func newFake() *fakeRights {
@@ -64,6 +65,9 @@
 }
 
 func (f *fakeRights) WantTokens(team string, n float64) {
+	if f.gate != nil {
+		<-f.gate
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.wantTok[team] = n
--- a/internal/admit/manager.go
+++ b/internal/admit/manager.go
@@ -67,6 +67,7 @@
 		q       *queue
 		serving bool
 		again   bool
+		idle    *sync.Cond // signalled when serving ends
 		stopped bool
 		shadow  shadows
 		// demands that were collected under mu and are not stated yet.
@@ -104,7 +105,7 @@
 	}
 	m := &Manager{cfg: cfg, start: cfg.Now(), timer: make(chan struct{}, 1)}
 	m.mu.q = newQueue(bounds{perTeam: cfg.PerTeam, total: cfg.Total})
-	m.mu.shadow.limits = cfg.Limits
+	m.mu.idle = sync.NewCond(&m.mu)
 	return m
 }
 
@@ -204,10 +205,16 @@
 	m.serve()
 }
 
-// stop refuses all queued requests.
+// stop refuses all queued requests. It returns when no demand is stated any
+// more, also if another goroutine is serving.
 func (m *Manager) stop() {
 	m.mu.Lock()
 	m.mu.stopped = true
 	m.mu.Unlock()
 	m.serve()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for m.mu.serving {
+		m.mu.idle.Wait()
+	}
 }
--- a/internal/admit/manager_test.go
+++ b/internal/admit/manager_test.go
@@ -133,6 +133,24 @@
 	}
 }
 
+// Guards against a fault seen once with the race detector: the stop returned
+// while another goroutine had yet to withdraw the demand it had stated.
+func TestStopWaitsForDemand(t *testing.T) {
+	f := newFake()
+	f.gate = make(chan struct{})
+	m := New(Config{Tokens: f, Slots: f})
+	c := m.admitAsync(context.Background(), Request{Team: "a", Tokens: 1, Targets: []string{"x"}})
+	time.AfterFunc(10*time.Millisecond, func() { close(f.gate) })
+	m.stop()
+	f.mu.Lock()
+	tokens, slots := f.wantTok["a"], f.wantSlot["x"]
+	returned := len(f.wantTok) == 1
+	f.mu.Unlock()
+	if got := <-c; code(t, got.err) != result.ShuttingDown || tokens != 0 || slots != 0 || !returned {
+		t.Fatalf("%v, demand %v, %v, first demand stated: %v", got.err, tokens, slots, returned)
+	}
+}
+
 // Guards against a request that waits past its deadline, and against a debit
 // for a further attempt.
 func TestDeadlineAndReslot(t *testing.T) {
--- a/internal/admit/shadow.go
+++ b/internal/admit/shadow.go
@@ -7,8 +7,7 @@
 // refusals that a team has caused from those that it has not. A team that is
 // spread over several instances counts as within its rate too often.
 type shadows struct {
-	limits Limits
-	teams  map[string]*shadow
+	teams map[string]*shadow
 }
 
 type shadow struct {
--- a/internal/admit/worker.go
+++ b/internal/admit/worker.go
@@ -39,6 +39,7 @@
 		m.stateDemand()
 	}
 	m.mu.serving = false
+	m.mu.idle.Broadcast()
 	m.queued.Store(int64(m.mu.q.total))
 }
 
