--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -106,7 +106,7 @@
 			// The earlier attempt still runs: wait for its answer.
 			sleep(ctx, keyInUseWait)
 			out.Class = InDoubt
-		case rep.code == int(result.InstanceGone) && !mayHaveRun:
+		case refusedAtOnce(rep.code) && !mayHaveRun:
 			c.dir.expire() // the key was new, so nothing has run
 		case rep.class == Refused && rep.next, rep.class == Lost && rep.unsent:
 			c.dir.expire()
@@ -128,6 +128,17 @@
 	return out
 }
 
+// refusedAtOnce tells codes with which an instance refuses before it looks at a
+// request. With a key they are "may have run", because an earlier attempt may
+// have run; a caller that made none knows better.
+func refusedAtOnce(code int) bool {
+	switch result.Code(code) {
+	case result.InstanceGone, result.ShuttingDown, result.NotReady, result.EditionTooOld:
+		return true
+	}
+	return false
+}
+
 // add takes over what an attempt tells.
 func (o *Outcome) add(rep *reply, address string, due time.Time) {
 	o.Sends++
