Let requests that are bound to their region wait for its grantor

Change: if neither a target nor a region can be chosen, the request waits for slots of its own region's targets within queue_wait. Ruled out: choosing such targets for all requests, which then wait although another region has room.

--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,39 @@
 		return route.Choice{}
 	}
 	r.askRegions(e, q)
-	return r.tracker.Decide(q, e.Policy)
+	choice := r.tracker.Decide(q, e.Policy)
+	if len(choice.Targets) == 0 && choice.Region == "" {
+		choice.Targets = waitingTargets(e, r.region, q, r.usable)
+		if len(choice.Targets) > 0 {
+			choice.Reasons = append(choice.Reasons, "no region gives slots; the request waits for the grantor of its own")
+		}
+	}
+	return choice
+}
+
+// usable reports whether a target neither leaves nor failed lately.
+func (r *routing) usable(target string) bool {
+	r.mu.Lock()
+	f := r.mu.failed[target]
+	r.mu.Unlock()
+	return !r.leaving(target) && !r.now().Before(f.until)
+}
+
+// waitingTargets returns the targets of the own region on whose slots a request
+// may wait although their grantor is missing: a request that no other region
+// may take is better served late than refused.
+func waitingTargets(e *table.Edition, region string, q route.Query, usable func(string) bool) []string {
+	if !q.Allowed[region] {
+		return nil
+	}
+	var names []string
+	for _, name := range poolTargets(e, region, q.Model, q.Service) {
+		if !q.Exclude[name] && usable(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
 }
 
 // Begin implements dispatch.Watch.
--- a/internal/node/routing_test.go
+++ b/internal/node/routing_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/route"
+	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
 // Guards against a caller who disconnects, or a withdrawn key, making a healthy
@@ -28,3 +31,23 @@
 		}
 	}
 }
+
+// Guards against a request that is bound to its region and refused at once while
+// the region's grantor is missing, and against waiting for targets that leave,
+// have failed or are excluded.
+func TestBoundRequestWaitsForTheGrantor(t *testing.T) {
+	e := &table.Edition{Targets: map[string]*table.Target{}}
+	for _, name := range []string{"a", "b", "excluded", "leaving"} {
+		e.Targets[name] = &table.Target{Name: name, Kind: table.Engine, Region: "north", Models: map[string]bool{"m": true}}
+	}
+	e.Targets["south"] = &table.Target{Name: "south", Kind: table.Engine, Region: "south", Models: map[string]bool{"m": true}}
+	q := route.Query{Model: "m", Allowed: map[string]bool{"north": true}, Exclude: map[string]bool{"excluded": true}}
+	usable := func(name string) bool { return name != "leaving" }
+	if got := waitingTargets(e, "north", q, usable); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("waits for %v", got)
+	}
+	q.Allowed = map[string]bool{"south": true}
+	if got := waitingTargets(e, "north", q, usable); got != nil {
+		t.Errorf("waits for %v outside its allowed regions", got)
+	}
+}
