--- a/cmd/wigeonhill/serve.go
+++ b/cmd/wigeonhill/serve.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/node"
@@ -43,9 +45,31 @@
 	if err != nil {
 		return errors.Wrap(err, "start")
 	}
+	go checkOnHangup(ctx, c.Config, log)
 	return n.Run(ctx)
 }
 
+// checkOnHangup checks the settings file on each SIGHUP and logs the outcome.
+// Nothing is applied: addresses and bounds are part of what peers and callers
+// rely on, and half of a file must never be in force.
+func checkOnHangup(ctx context.Context, path string, log *event.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			outcome := "no faults; restart the instance to apply it"
+			if _, err := settings.Load(path); err != nil {
+				outcome = err.Error()
+			}
+			log.Emit(event.SettingsChecked, zap.String("file", path), zap.String("outcome", outcome))
+		}
+	}
+}
+
 func override(field *string, value string) {
 	if value != "" {
 		*field = value
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -12,5 +12,8 @@
 	ManagerFailed  = define(105, "manager failed", zapcore.ErrorLevel, "a part of the instance ended with an error; the instance stops")
 )
 
+// SettingsChecked is written on SIGHUP.
+var SettingsChecked = define(107, "settings checked", zapcore.InfoLevel, "SIGHUP: the settings file was checked; nothing was applied, a restart applies it")
+
 // DrainCut is written when the shutdown timeout ended before the requests.
 var DrainCut = define(106, "drain cut short", zapcore.WarnLevel, "requests were still running when shutdown_timeout ended; they are cut off")
