Count what the cost metric says; drop metrics that nothing feeds

Cause: the read-through found link_cost_total fed with the bytes held for slow callers, and three metrics without a source. Ruled out: estimating prefill at the gateway; engines know it.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -16,7 +16,8 @@
 type Budget struct {
 	mu struct {
 		sync.Mutex
-		level float64
+		level   float64
+		refused uint64
 	}
 }
 
@@ -34,11 +35,19 @@
 	b.mu.level = min(b.mu.level+retryShare, retryBurst)
 }
 
+// Refused is the number of retries that were not allowed.
+func (b *Budget) Refused() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.mu.refused
+}
+
 // Take reports whether a retry is allowed and counts it.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.mu.level < 1 {
+		b.mu.refused++
 		return false
 	}
 	b.mu.level--
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -146,7 +146,8 @@
 		rec.Team, rec.Class = x.call.Permit.Team, x.call.Class()
 	}
 	if x.sink != nil {
-		rec.Held = x.sink.largest()
+		rec.Held, rec.Bytes = x.sink.totals()
+		rec.Bytes += int64(len(x.call.Body))
 	}
 	if err != nil {
 		e := result.From(err)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -43,6 +43,8 @@
 	Attempts  int
 	// Held is the largest number of bytes held for the caller at one time.
 	Held int64
+	// Bytes of the request's body and of the answer.
+	Bytes int64
 }
 
 // Observer receives a record of each finished request.
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -43,6 +43,7 @@
 		err    error
 		held   int64
 		most   int64
+		passed int64 // bytes of the answer
 	}
 }
 
@@ -92,6 +93,7 @@
 	s.mu.queue = append(s.mu.queue, p)
 	s.mu.held += int64(len(p) + pieceOverhead)
 	s.mu.most = max(s.mu.most, s.mu.held)
+	s.mu.passed += int64(len(p))
 	s.signal()
 	return nil
 }
@@ -159,7 +161,8 @@
 	e := result.New(result.CallerTooSlow, result.MayHaveRun, "the caller closed the connection").WithCause(err)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		e = result.New(result.CallerTooSlow, result.MayHaveRun, "the caller did not read in time").WithCause(err)
-		s.x.s.Log.Emit(event.CallerTooSlow, zap.String("request", s.x.id), zap.String("team", s.x.call.Permit.Team), zap.Int64("held", s.largest()))
+		held, _ := s.totals()
+		s.x.s.Log.Emit(event.CallerTooSlow, zap.String("request", s.x.id), zap.String("team", s.x.call.Permit.Team), zap.Int64("held", held))
 	}
 	s.mu.Lock()
 	s.mu.err, s.mu.queue = e, nil
@@ -204,8 +207,10 @@
 }
 
 // largest is the largest number of bytes held at one time.
-func (s *callerSink) largest() int64 {
+// totals returns the largest number of bytes held at one time, and the bytes
+// of the answer.
+func (s *callerSink) totals() (held, passed int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mu.most
+	return s.mu.most, s.mu.passed
 }
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -21,7 +21,7 @@
 func (o observer) RequestDone(r entry.Record) {
 	f := ops.Finished{
 		Team: r.Team, Code: int(r.Code), Class: r.Class, Duration: r.Duration, FirstByte: r.FirstByte,
-		TokensUsed: r.Tokens, Attempts: r.Attempts, BytesAway: r.Held,
+		TokensUsed: r.Tokens, Attempts: r.Attempts, BytesAway: r.Bytes,
 	}
 	if r.Region != "" && r.Region != o.region {
 		f.ServedRegion = r.Region
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -144,6 +144,7 @@
 	n.metrics.Gauge("edition_age_seconds", "Time since a peer or the service confirmed the edition.", func() float64 { return n.editions.Age().Seconds() })
 	n.metrics.Counter("editions_rejected_total", "Editions rejected because of faults.", func() float64 { return float64(n.editions.Status().Rejections) })
 	n.metrics.Counter("edition_conflicts_total", "Texts seen with a known revision and another digest.", func() float64 { return float64(n.editions.Status().Conflicts) })
+	n.metrics.Counter("retries_refused_total", "Retries not made because the retry budget was used up.", func() float64 { return float64(n.local.Budget.Refused()) })
 	n.metrics.Counter("config_service_calls_total", "Calls to the configuration service; a watch counts as one.", func() float64 {
 		calls := n.service.Calls()
 		return float64(calls.Reads + calls.Waits)
--- a/internal/ops/metrics.go
+++ b/internal/ops/metrics.go
@@ -17,17 +17,15 @@
 	registry *prometheus.Registry
 	teams    *TeamStats
 
-	requests       *prometheus.CounterVec
-	duration       *prometheus.HistogramVec
-	firstToken     *prometheus.HistogramVec
-	queueWait      prometheus.Histogram
-	sentAway       *prometheus.CounterVec
-	refusedInRate  prometheus.Counter
-	linkCost       prometheus.Counter
-	tokens         *prometheus.CounterVec
-	prefill        *prometheus.CounterVec
-	attempts       prometheus.Counter
-	retriesRefused prometheus.Counter
+	requests      *prometheus.CounterVec
+	duration      *prometheus.HistogramVec
+	firstToken    *prometheus.HistogramVec
+	queueWait     prometheus.Histogram
+	sentAway      *prometheus.CounterVec
+	refusedInRate prometheus.Counter
+	linkCost      prometheus.Counter
+	tokens        prometheus.Counter
+	attempts      prometheus.Counter
 }
 
 // latencyBuckets reach from one hop inside a failure domain to a long answer;
@@ -46,23 +44,21 @@
 		return prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}
 	}
 	m := &Metrics{
-		registry:       prometheus.NewRegistry(),
-		teams:          teams,
-		requests:       counterVec("requests_total", "Requests of callers by result code (0: answered in full).", "code"),
-		duration:       prometheus.NewHistogramVec(histogramOpts("request_duration_seconds", "Time from arrival to the end of the answer."), []string{"class"}),
-		firstToken:     prometheus.NewHistogramVec(histogramOpts("first_token_seconds", "Time from arrival to the first byte of the answer."), []string{"class"}),
-		queueWait:      prometheus.NewHistogram(histogramOpts("queue_wait_seconds", "Time admitted requests waited for tokens and a slot.")),
-		sentAway:       counterVec("requests_sent_away_total", "Requests served in another region.", "region"),
-		refusedInRate:  counter("refused_within_rate_total", "Requests refused although their team was within its rate."),
-		linkCost:       counter("link_cost_total", "Cost of bytes sent to other regions, in the unit of the table."),
-		tokens:         counterVec("tokens_total", "Tokens by kind: debited, used, refunded.", "kind"),
-		prefill:        counterVec("prefill_tokens_total", "Prompt tokens by whether the choice expected them in a prefix cache.", "cached"),
-		attempts:       counter("target_attempts_total", "Attempts on targets."),
-		retriesRefused: counter("retries_refused_total", "Retries not made because the retry budget was used up."),
+		registry:      prometheus.NewRegistry(),
+		teams:         teams,
+		requests:      counterVec("requests_total", "Requests of callers by result code (0: answered in full).", "code"),
+		duration:      prometheus.NewHistogramVec(histogramOpts("request_duration_seconds", "Time from arrival to the end of the answer."), []string{"class"}),
+		firstToken:    prometheus.NewHistogramVec(histogramOpts("first_token_seconds", "Time from arrival to the first byte of the answer."), []string{"class"}),
+		queueWait:     prometheus.NewHistogram(histogramOpts("queue_wait_seconds", "Time admitted requests waited for tokens and a slot.")),
+		sentAway:      counterVec("requests_sent_away_total", "Requests served in another region.", "region"),
+		refusedInRate: counter("refused_within_rate_total", "Requests refused although their team was within its rate."),
+		linkCost:      counter("link_cost_total", "Cost of bytes sent to other regions, in the unit of the table."),
+		tokens:        counter("tokens_used_total", "Tokens charged to teams: prompt plus output."),
+		attempts:      counter("target_attempts_total", "Attempts on targets."),
 	}
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.requests, m.duration, m.firstToken, m.queueWait, m.sentAway, m.refusedInRate, m.linkCost,
-		m.tokens, m.prefill, m.attempts, m.retriesRefused,
+		m.tokens, m.attempts,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "worst_team_served_ratio",
 			Help: "Smallest share of answered requests over teams with traffic in the last minute."}, teams.Worst))
 	return m
@@ -103,7 +99,7 @@
 		m.sentAway.WithLabelValues(f.ServedRegion).Inc()
 		m.linkCost.Add(float64(f.BytesAway) / bytesPerGB * f.LinkCostGB)
 	}
-	m.tokens.WithLabelValues("used").Add(f.TokensUsed)
+	m.tokens.Add(f.TokensUsed)
 	m.attempts.Add(float64(f.Attempts))
 	m.teams.Finished(f.Team, f.Code == 0, f.TokensUsed)
 }
@@ -121,15 +117,3 @@
 	m.refusedInRate.Inc()
 	m.teams.RefusedWithinRate(team)
 }
-
-// Tokens counts tokens of a kind: debited or refunded.
-func (m *Metrics) Tokens(kind string, n float64) { m.tokens.WithLabelValues(kind).Add(n) }
-
-// Prefill counts prompt tokens by the expected state of the prefix cache.
-func (m *Metrics) Prefill(cached, uncached int) {
-	m.prefill.WithLabelValues("yes").Add(float64(cached))
-	m.prefill.WithLabelValues("no").Add(float64(uncached))
-}
-
-// RetryRefused counts a retry that the budget did not allow.
-func (m *Metrics) RetryRefused() { m.retriesRefused.Inc() }
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -101,3 +101,23 @@
 		t.Fatalf("old figures: %+v", got)
 	}
 }
+
+// Guards against a cost that counts something else than the bytes sent away.
+func TestLinkCostCountsBytesSentAway(t *testing.T) {
+	m := NewMetrics(NewTeamStats(time.Now))
+	m.RequestFinished(Finished{Team: "a", Class: "chat", BytesAway: 5e9, LinkCostGB: 3})
+	m.RequestFinished(Finished{Team: "a", Class: "chat", ServedRegion: "south", BytesAway: 2e9, LinkCostGB: 3})
+	families, err := m.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		if f.GetName() == "wigeonhill_link_cost_total" {
+			if got := f.GetMetric()[0].GetCounter().GetValue(); got != 6 {
+				t.Fatalf("cost %g, want 6", got)
+			}
+			return
+		}
+	}
+	t.Fatal("no link cost")
+}
