Keep both waits of a request within queue_wait

Cause: the read-through found that a request placed again after half of its longest wait could then wait for the whole of it. Change: the second wait gets what the first left. Ruled out: a deadline fixed at arrival, because a retry after a failed attempt may wait anew. Figures: 1.5 times queue_wait in all before, at most once after (test).

--- a/internal/dispatch/elsewhere.go
+++ b/internal/dispatch/elsewhere.go
@@ -16,8 +16,12 @@
 // wait returns how long the request may wait for admission now. The first wait
 // for slots here is cut short if the request could go elsewhere after it.
 func (r *run) wait(longest time.Duration, p access.Permit, targets []string) time.Duration {
-	if len(targets) > 0 && r.full == nil && r.mayLeave(p) {
-		return longest / ownRegionPart
+	first := longest / ownRegionPart
+	switch {
+	case r.full != nil:
+		return longest - first
+	case len(targets) > 0 && r.mayLeave(p):
+		return first
 	}
 	return longest
 }
