--- a/internal/node/network_test.go
+++ b/internal/node/network_test.go
@@ -159,6 +159,12 @@
 
 // newWorld starts regions with the given numbers of nodes, one engine each.
 func newWorld(t *testing.T, rate float64, regions map[string]int) *world {
+	t.Helper()
+	return newWorldWith(t, rate, regions, settings.Peers{Insecure: true})
+}
+
+// newWorldWith is newWorld with the settings of peers.
+func newWorldWith(t *testing.T, rate float64, regions map[string]int, peers settings.Peers) *world {
 	t.Helper()
 	w := &world{t: t, net: newNetwork(), config: standin.NewConfig(), nodes: map[string]*Node{}, rate: rate, started: time.Now()}
 	var table, list strings.Builder
@@ -168,6 +174,7 @@
 		for i := range count {
 			name := fmt.Sprintf("%s-%d", region, i+1)
 			s := w.settings(name, region)
+			s.Peers = peers
 			all[name] = s
 			w.names = append(w.names, name)
 			w.net.names[s.Listen.Peers] = name
