Give twins one owner and keep the pass over all targets off the request path

Cause: reading the whole change: (1) each choice passed over all targets of the edition to find the pool of the request, which the tracker keeps ready; at 1,600 targets that is work for each request. (3) The warm-up and the probe for a grantor obtained a slot in the same way.

--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -63,7 +63,7 @@
 	if e == nil {
 		return route.Choice{}
 	}
-	r.askRegions(e, q)
+	r.askRegions(q)
 	choice := r.tracker.Decide(q, e.Policy)
 	if len(choice.Targets) == 0 && choice.Region == "" {
 		choice.Targets = waitingTargets(e, r.region, q, r.usable)
@@ -208,10 +208,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), grantorProbe)
 		defer cancel()
-		ticket, err := r.admitter.Admit(ctx, admit.Request{Weight: 1, Targets: []string{target}, Prepaid: true, Deadline: r.now().Add(grantorProbe)})
-		if err == nil {
-			r.admitter.Done(ticket, 0)
-		}
+		trySlot(ctx, r.admitter, []string{target})
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.mu.probing = false
@@ -243,8 +240,8 @@
 
 // askRegions asks other regions how busy they are for the query's pool, but
 // only while the own region lacks slots or targets for it.
-func (r *routing) askRegions(e *table.Edition, q route.Query) {
-	if q.LocalOnly || !r.short(e, q) {
+func (r *routing) askRegions(q route.Query) {
+	if q.LocalOnly || !r.short(q) {
 		return
 	}
 	for region := range q.Allowed {
@@ -256,8 +253,8 @@
 }
 
 // short reports whether requests for the pool wait here or have no target here.
-func (r *routing) short(e *table.Edition, q route.Query) bool {
-	names := poolTargets(e, r.region, q.Model, q.Service)
+func (r *routing) short(q route.Query) bool {
+	names := r.tracker.Targets(q.Model, q.Service)
 	if len(names) == 0 || !q.Allowed[r.region] {
 		return true
 	}
@@ -283,12 +280,13 @@
 	if e == nil {
 		return 0, 0, 0, 0
 	}
-	names := poolTargets(e, r.region, model, service)
+	names := r.tracker.Targets(model, service)
 	for _, name := range names {
-		if r.leaving(name) {
+		target := e.Targets[name] // nil if the tracker has another edition
+		if target == nil || r.leaving(name) {
 			continue
 		}
-		capacity += e.Targets[name].Capacity
+		capacity += target.Capacity
 		if load, ok := r.loads.Load(name); ok {
 			running += load.Running
 		}
@@ -297,7 +295,9 @@
 	return capacity, running, queued, wait
 }
 
-// poolTargets returns the targets of a region that serve a model or service.
+// poolTargets returns the targets of a region that serve a model or service. It
+// passes over all targets of the edition, so it is not for each request; see
+// route.Tracker.Targets.
 func poolTargets(e *table.Edition, region, model, service string) []string {
 	var names []string
 	for name, t := range e.Targets {
--- a/internal/node/warmup.go
+++ b/internal/node/warmup.go
@@ -59,10 +59,7 @@
 // obtain asks for a slot of the pool, again after a refusal, until ctx ends.
 func (w *warmup) obtain(ctx context.Context, targets []string) {
 	for ctx.Err() == nil {
-		deadline, _ := ctx.Deadline()
-		t, err := w.admitter.Admit(ctx, admit.Request{Weight: 1, Targets: targets, Prepaid: true, Deadline: deadline})
-		if err == nil {
-			w.admitter.Done(t, 0)
+		if trySlot(ctx, w.admitter, targets) {
 			return
 		}
 		select {
@@ -72,6 +69,17 @@
 	}
 }
 
+// trySlot obtains a slot of one of the targets before ctx ends and gives it back.
+func trySlot(ctx context.Context, a admit.Admitter, targets []string) bool {
+	deadline, _ := ctx.Deadline()
+	t, err := a.Admit(ctx, admit.Request{Weight: 1, Targets: targets, Prepaid: true, Deadline: deadline})
+	if err != nil {
+		return false
+	}
+	a.Done(t, 0)
+	return true
+}
+
 // regionPools returns the targets of each model and service in a region.
 func regionPools(e *table.Edition, region string) [][]string {
 	var pools [][]string
--- a/internal/route/tracker.go
+++ b/internal/route/tracker.go
@@ -229,6 +229,15 @@
 	}
 }
 
+// Targets returns the names of the own region's targets that serve a model or
+// a plain service, in order. The caller must not change them.
+func (t *Tracker) Targets(model, service string) []string {
+	if p := t.pools.Load().local[keyOf(Query{Model: model, Service: service})]; p != nil {
+		return p.names
+	}
+	return nil
+}
+
 // View returns a snapshot of the beliefs that matter for q.
 func (t *Tracker) View(q Query) View {
 	ps := t.pools.Load()
