--- /dev/null
+++ b/internal/catalog/state.go
@@ -0,0 +1,116 @@
+package catalog
+
+import (
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/site"
+)
+
+// Entry is a target with what the instance knows beside its listing.
+type Entry struct {
+	site.Target
+	// Read is when the listing was read (monotonic).
+	Read time.Time
+	// Since is when this start of the target was first listed here.
+	Since time.Time
+	// ColdUntil is the end of the warm-up by the listing; see View.Cold.
+	ColdUntil time.Time
+	// Missing is set while the target is not listed but kept because the store
+	// was away; see graceAfterOutage.
+	Missing bool
+}
+
+// View is an immutable state of the catalog.
+type View struct {
+	site.Published
+	// PublishedRevision and TargetsRevision are the revisions of the store up to
+	// which both parts hold; 0 if they were never read.
+	PublishedRevision, TargetsRevision int64
+	Targets                            map[string]*Entry
+	// Restored is when the evacuation of a failure domain was taken back.
+	Restored map[string]time.Time
+}
+
+// Cold reports whether the target may be cold at now.
+func (v *View) Cold(e *Entry, now time.Time) bool {
+	if now.Before(e.ColdUntil) {
+		return true
+	}
+	// The targets of a failure domain that was evacuated may have become cold
+	// without a listing that says so yet.
+	s := v.service(e.Service)
+	back, ok := v.Restored[e.Domain]
+	return ok && s != nil && now.Before(back.Add(s.Warmup))
+}
+
+func (v *View) service(name string) *site.Service {
+	if v.Config == nil {
+		return nil
+	}
+	return v.Config.Services[name]
+}
+
+// graceAfterOutage is how long after an outage of the store a target that is no
+// longer listed is kept: entries that lapsed meanwhile are back within about two
+// seconds if the target lives.
+const graceAfterOutage = 2200 * time.Millisecond
+
+// merge returns the entries after a listing was read at now. Targets that are
+// not listed are dropped, unless keep is set.
+func merge(old map[string]*Entry, listed map[string]*site.Target, now time.Time, keep bool) map[string]*Entry {
+	out := make(map[string]*Entry, len(listed))
+	for id, t := range listed {
+		prev := old[id]
+		e := &Entry{Target: *t, Read: now, Since: now, ColdUntil: now.Add(t.WarmupLeft)}
+		if prev != nil && prev.Same(t) {
+			if t.Sequence < prev.Sequence {
+				out[id] = prev // an entry that another writer put back
+				continue
+			}
+			e.Since = prev.Since
+			if t.Sequence == prev.Sequence {
+				// The listing is the one read before; its remaining time has gone on.
+				e.ColdUntil, e.Read = prev.ColdUntil, prev.Read
+			}
+		}
+		out[id] = e
+	}
+	if !keep {
+		return out
+	}
+	for id, prev := range old {
+		if out[id] == nil && !prev.Leaving {
+			kept := *prev
+			kept.Missing = true
+			out[id] = &kept
+		}
+	}
+	return out
+}
+
+// sweep drops the targets that were kept over an outage and did not come back.
+func sweep(entries map[string]*Entry) (out map[string]*Entry, dropped int) {
+	out = make(map[string]*Entry, len(entries))
+	for id, e := range entries {
+		if e.Missing {
+			dropped++
+			continue
+		}
+		out[id] = e
+	}
+	return out, dropped
+}
+
+// restored notes evacuations that were taken back.
+func restored(old map[string]time.Time, before, after map[string]bool, now time.Time) map[string]time.Time {
+	out := make(map[string]time.Time, len(old)+1)
+	for d, at := range old {
+		out[d] = at
+	}
+	for d := range before {
+		if !after[d] {
+			out[d] = now
+		}
+	}
+	return out
+}
--- a/internal/platform/watch.go
+++ b/internal/confservice/watch.go
@@ -1,4 +1,4 @@
-package platform
+package confservice
 
 import (
 	"context"
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -72,18 +72,24 @@
 
 // Fingerprint hashes team, route or model, and body.
 func (c *Call) Fingerprint() Fingerprint {
-	d := c.digest(c.Permit.Team, c.Permit.Route, c.Permit.Model)
+	return FingerprintOf(c.Body, c.Permit.Team, c.Permit.Route, c.Permit.Model)
+}
+
+// FingerprintOf hashes a body and the parts that tell requests with the same
+// body from each other.
+func FingerprintOf(body []byte, parts ...string) Fingerprint {
+	d := digest(body, parts...)
 	return Fingerprint(d[:len(Fingerprint{})])
 }
 
 // Digest identifies the content of a call for its idempotency key.
 func (c *Call) Digest() once.Digest {
-	return c.digest(c.Permit.Team, c.Method, c.Path, c.RawQuery)
+	return digest(c.Body, c.Permit.Team, c.Method, c.Path, c.RawQuery)
 }
 
-func (c *Call) digest(parts ...string) [sha256.Size]byte {
+func digest(body []byte, parts ...string) [sha256.Size]byte {
 	h := sha256.New()
-	for _, p := range append(parts, string(c.Body)) {
+	for _, p := range append(parts, string(body)) {
 		var n [8]byte
 		binary.BigEndian.PutUint64(n[:], uint64(len(p)))
 		h.Write(n[:])
--- a/internal/edition/guard.go
+++ b/internal/edition/guard.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/event"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 )
 
 const (
@@ -113,7 +113,7 @@
 
 // confirmed notes that a source has the text in force and nothing newer.
 func (m *Manager) confirmed(name string) {
-	if name != platform.TableName {
+	if name != confservice.TableName {
 		return
 	}
 	now := m.now()
@@ -126,7 +126,7 @@
 // the service has no older edition than this instance. An answer to a call
 // that began before a pause may be older than the pause and does not count.
 func (m *Manager) serviceAnswered(name string, began time.Duration) {
-	if name != platform.TableName {
+	if name != confservice.TableName {
 		return
 	}
 	m.guard.mu.Lock()
@@ -174,7 +174,7 @@
 
 // serviceTurn spaces the reads of the service while it fails.
 type serviceTurn struct {
-	backoff platform.Backoff
+	backoff confservice.Backoff
 	due     time.Duration
 }
 
--- a/internal/edition/manager.go
+++ b/internal/edition/manager.go
@@ -12,10 +12,10 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/member"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -24,10 +24,10 @@
 	FetchEdition(ctx context.Context, address string, req *peerv1.FetchEditionRequest) (*peerv1.FetchEditionResponse, error)
 }
 
-// Service is the configuration service; *platform.Client implements it.
+// Service is the configuration service; *confservice.Client implements it.
 type Service interface {
-	platform.Source
-	Read(ctx context.Context, name string) (platform.Value, error)
+	confservice.Source
+	Read(ctx context.Context, name string) (confservice.Value, error)
 }
 
 // Members is the part of member.Manager that this package uses.
@@ -101,8 +101,8 @@
 	}
 	m := &Manager{cfg: cfg}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	m.table = newValue(m, platform.TableName, m.parseTable)
-	m.list = newValue(m, platform.InstancesName, m.parseList)
+	m.table = newValue(m, confservice.TableName, m.parseTable)
+	m.list = newValue(m, confservice.InstancesName, m.parseList)
 	m.guard.init(m.now())
 	return m
 }
@@ -239,9 +239,9 @@
 func (m *Manager) HandleFetchEdition(_ context.Context, req *peerv1.FetchEditionRequest) (*peerv1.FetchEditionResponse, error) {
 	var v *value
 	switch req.Name {
-	case "", platform.TableName:
+	case "", confservice.TableName:
 		v = m.table
-	case platform.InstancesName:
+	case confservice.InstancesName:
 		v = m.list
 	default:
 		return nil, errors.Newf("there is no value %q", req.Name)
@@ -268,7 +268,7 @@
 }
 
 func (m *Manager) parseList(t Text) (func(), error) {
-	list, err := platform.ParseList(t.Body)
+	list, err := confservice.ParseList(t.Body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edition/messages_test.go
+++ b/internal/edition/messages_test.go
@@ -7,10 +7,10 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/edition"
 	"github.com/wigeonhill/wigeonhill/internal/member"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 )
 
 func (w *world) reaches(a, b *node) bool {
@@ -134,14 +134,14 @@
 	s := &w.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.values[name] = platform.Value{Revision: revision, Text: text}
+	s.values[name] = confservice.Value{Revision: revision, Text: text}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 type nodeService struct{ n *node }
 
-func (s nodeService) get(name string) (v platform.Value, changed chan struct{}, err error) {
+func (s nodeService) get(name string) (v confservice.Value, changed chan struct{}, err error) {
 	svc := &s.n.w.service
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
@@ -156,7 +156,7 @@
 		v = svc.stale[name]
 	}
 	if v.Revision == 0 {
-		return v, svc.changed, platform.ErrMissing
+		return v, svc.changed, confservice.ErrMissing
 	}
 	return v, svc.changed, nil
 }
@@ -173,32 +173,32 @@
 	return pause(ctx, time.Millisecond)
 }
 
-func (s nodeService) Read(ctx context.Context, name string) (platform.Value, error) {
+func (s nodeService) Read(ctx context.Context, name string) (confservice.Value, error) {
 	if err := s.begin(ctx); err != nil {
-		return platform.Value{}, err
+		return confservice.Value{}, err
 	}
 	v, _, err := s.get(name)
 	return v, errors.Join(err, s.n.awake(ctx))
 }
 
-func (s nodeService) Wait(ctx context.Context, name string, after int64, wait time.Duration) (platform.Value, bool, error) {
+func (s nodeService) Wait(ctx context.Context, name string, after int64, wait time.Duration) (confservice.Value, bool, error) {
 	if err := s.begin(ctx); err != nil {
-		return platform.Value{}, false, err
+		return confservice.Value{}, false, err
 	}
 	end := time.After(wait)
 	for {
 		v, changed, err := s.get(name)
 		if err != nil {
-			return platform.Value{}, false, err
+			return confservice.Value{}, false, err
 		}
 		if v.Revision > after {
 			return v, true, s.n.awake(ctx)
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Value{}, false, ctx.Err()
+			return confservice.Value{}, false, ctx.Err()
 		case <-end:
-			return platform.Value{}, false, s.n.awake(ctx)
+			return confservice.Value{}, false, s.n.awake(ctx)
 		case <-changed:
 		}
 	}
--- a/internal/edition/record.go
+++ b/internal/edition/record.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/audit"
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/event"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -28,7 +28,7 @@
 func (m *Manager) recordEdition(old, e *table.Edition) {
 	changes := table.Diff(old, e)
 	m.cfg.Log.Emit(event.EditionTaken, zap.Int64("revision", e.Revision), zap.String("digest", hex.EncodeToString(e.Digest[:probeDigest])), zap.Int("changes", len(changes)))
-	m.add(audit.Change{Kind: audit.EditionTaken, Subject: platform.TableName, Revision: e.Revision, New: hex.EncodeToString(e.Digest[:probeDigest]), Reason: fmt.Sprintf("%d changes", len(changes))})
+	m.add(audit.Change{Kind: audit.EditionTaken, Subject: confservice.TableName, Revision: e.Revision, New: hex.EncodeToString(e.Digest[:probeDigest]), Reason: fmt.Sprintf("%d changes", len(changes))})
 	for _, h := range table.Hazards(old, e) {
 		m.cfg.Log.Emit(event.EditionHazard, zap.Int64("revision", e.Revision), zap.String("section", h.Section), zap.String("field", h.Field), zap.String("old", h.Old), zap.String("new", h.New))
 	}
@@ -72,7 +72,7 @@
 	}
 	m.lastReject.Store(&Rejection{Value: name, Revision: t.Revision, Source: source, Faults: faults})
 	e := event.EditionRejected
-	if name == platform.InstancesName {
+	if name == confservice.InstancesName {
 		e = event.ListRejected
 	}
 	m.cfg.Log.Emit(e, zap.String("value", name), zap.Int64("revision", t.Revision), zap.String("source", source), zap.String("faults", faults))
--- a/internal/edition/store.go
+++ b/internal/edition/store.go
@@ -4,7 +4,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/wigeonhill/wigeonhill/internal/platform"
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -21,7 +21,7 @@
 type Store = Snapshot[table.Edition]
 
 // ListStore holds the instance list in force.
-type ListStore = Snapshot[platform.InstanceList]
+type ListStore = Snapshot[confservice.InstanceList]
 
 // Current returns the value in force; nil if there is none yet.
 func (s *Snapshot[T]) Current() *T { return s.current.Load() }
--- a/internal/edition/text.go
+++ b/internal/edition/text.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"crypto/sha256"
 
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 	"github.com/wigeonhill/wigeonhill/internal/table"
 )
 
@@ -223,7 +223,7 @@
 	}
 	for i := range k.history {
 		old := &k.history[i]
-		if name == platform.TableName && old.Revision == have.GetRevision() && bytes.Equal(old.Digest[:], have.Digest) {
+		if name == confservice.TableName && old.Revision == have.GetRevision() && bytes.Equal(old.Digest[:], have.Digest) {
 			if res.Changes = k.changesSince(old); res.Changes != nil {
 				res.Delta = true
 				return res
--- a/internal/edition/value.go
+++ b/internal/edition/value.go
@@ -10,9 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 )
 
 // fetchTimeout of the first fetch from a peer; it doubles with each failure.
@@ -210,7 +210,7 @@
 
 // fromService handles one answer of the service and reports whether the
 // service has no older text than this instance.
-func (v *value) fromService(ctx context.Context, got platform.Value, changed bool) bool {
+func (v *value) fromService(ctx context.Context, got confservice.Value, changed bool) bool {
 	if changed {
 		v.accept(ctx, NewText(got.Revision, got.Text), "service")
 	}
@@ -238,7 +238,7 @@
 func (v *value) watch(ctx context.Context) {
 	v.m.cfg.Log.Emit(event.WatchStarted, zap.String("value", v.name))
 	failing := false
-	platform.Watch(ctx, v.m.cfg.Service, v.name, v.after, func(o platform.Outcome) {
+	confservice.Watch(ctx, v.m.cfg.Service, v.name, v.after, func(o confservice.Outcome) {
 		switch {
 		case o.Err != nil && !failing:
 			failing = true
@@ -262,7 +262,7 @@
 		v.askPeers(ctx)
 		if mayRead() && v.current().Revision == 0 && v.m.now() >= due {
 			err := v.read(ctx)
-			if err == nil || errors.Is(err, platform.ErrMissing) {
+			if err == nil || errors.Is(err, confservice.ErrMissing) {
 				v.m.serviceUp.Store(true)
 			} else if attempt == 0 {
 				v.m.cfg.Log.Emit(event.ServiceFailed, zap.String("value", v.name), zap.Error(err))
--- a/internal/edition/world_test.go
+++ b/internal/edition/world_test.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/edition"
 	"github.com/wigeonhill/wigeonhill/internal/member"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 )
 
 // world passes messages between managers in the virtual time of synctest.
@@ -34,8 +34,8 @@
 type service struct {
 	mu       sync.Mutex
 	down     bool
-	values   map[string]platform.Value
-	stale    map[string]platform.Value
+	values   map[string]confservice.Value
+	stale    map[string]confservice.Value
 	useStale bool
 	changed  chan struct{}
 	perSec   map[int]int // calls begun in each second
@@ -66,7 +66,7 @@
 		rng:    rand.New(rand.NewPCG(seed, 7)),
 		start:  time.Now(),
 	}
-	w.service.values, w.service.stale = make(map[string]platform.Value), make(map[string]platform.Value)
+	w.service.values, w.service.stale = make(map[string]confservice.Value), make(map[string]confservice.Value)
 	w.service.changed, w.service.perSec = make(chan struct{}), make(map[int]int)
 	for i := range n {
 		r := i % regions
@@ -146,7 +146,7 @@
 		Seed: n.w.uint64(), Generation: uint32(time.Now().Unix()),
 	})
 	em.SetMembers(mm)
-	em.Lists().Subscribe(func(_, list *platform.InstanceList) { mm.SetList(list) })
+	em.Lists().Subscribe(func(_, list *confservice.InstanceList) { mm.SetList(list) })
 	n.mu.Lock()
 	n.edition, n.member, n.cancel, n.done = em, mm, cancel, done
 	n.mu.Unlock()
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
+	"github.com/wigeonhill/wigeonhill/internal/placing"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/site"
+)
+
+// call is one request of a caller, at the instance that took it or at the one
+// that got it over the hop.
+type call struct {
+	site.Request
+	host   string
+	method string
+	// path is the path and query as the caller sent them.
+	path string
+	// header goes to the target; it holds no key.
+	header  http.Header
+	body    []byte
+	keyHash string
+	// team is set instead of a key for a request that came over the hop.
+	team     string
+	arrived  time.Time
+	deadline time.Time
+	// callerLeaves is the end of the caller's patience; the deadline is no later.
+	callerLeaves time.Time
+
+	route   *site.Route
+	service string
+	// sent counts the targets that may have run the request, and sends all
+	// requests to targets and hops.
+	sent, sends int
+	// hop is set at the receiver of a hop, which sends the request no further.
+	hop bool
+}
+
+// fingerprint tells requests that come again from others.
+func (c *call) fingerprint() dispatch.Fingerprint {
+	return dispatch.FingerprintOf(c.body, c.team, c.host, c.path)
+}
+
+// resolve finds the route and the team of a request by a state of the catalog.
+// It is called again before each attempt, as keys and routes may be gone.
+func (c *call) resolve(v *catalog.View) error {
+	if v.Config == nil {
+		return result.New(result.NotReady, result.NotRun, "no configuration is known yet").WithRetryAfter(notReadyPause)
+	}
+	r := v.Config.RouteFor(c.host, pathOnly(c.path))
+	if r == nil {
+		return result.New(result.UnknownRoute, result.NotRun, "no route has this host and path")
+	}
+	if !r.Open && len(v.Config.Teams) > 0 && !c.hop {
+		team, ok := v.Config.Keys[c.keyHash]
+		if !ok {
+			return result.New(result.UnknownKey, result.NotRun, "the key is not known")
+		}
+		c.team = team
+	}
+	if c.route == nil || c.route.Name != r.Name || !serves(r, c.service) {
+		c.service = pick(r.Split)
+	}
+	c.route = r
+	return nil
+}
+
+func serves(r *site.Route, service string) bool {
+	for _, s := range r.Split {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// pick draws a service by weight.
+func pick(split []site.Weighted) string {
+	sum := 0.0
+	for _, s := range split {
+		sum += s.Weight
+	}
+	x := rand.Float64() * sum
+	for _, s := range split {
+		if x < s.Weight {
+			return s.Service
+		}
+		x -= s.Weight
+	}
+	return split[len(split)-1].Service
+}
+
+func pathOnly(path string) string {
+	for i := range len(path) {
+		if path[i] == '?' {
+			return path[:i]
+		}
+	}
+	return path
+}
+
+func hashOf(key string) string {
+	h := site.HashKey(key)
+	return hex.EncodeToString(h[:])
+}
+
+// query is what a choice depends on.
+func (c *call) query(region string, team *site.Team, now time.Time) *placing.Query {
+	key, tokens := placing.Shared(c.Parts)
+	return &placing.Query{
+		PromptTokens: c.PromptTokens, SharedKey: key, SharedTokens: tokens, Objective: c.route.Objective,
+		Left: c.deadline.Sub(now), AllowedHere: site.Permits(c.route, team, region),
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/placing"
+	"github.com/wigeonhill/wigeonhill/internal/quota"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/roster"
+	"github.com/wigeonhill/wigeonhill/internal/site"
+)
+
+const (
+	// maxSends bounds the targets and regions that one request is offered to.
+	maxSends = 4
+	// notReadyPause is when an instance that has just started is worth another try.
+	notReadyPause = 300 * time.Millisecond
+	// roundTrip between regions, until it is measured; the largest of today's
+	// deployments.
+	roundTrip = 120 * time.Millisecond
+	// silentFactor is the multiple of the objective, and silentPart the part of
+	// the time left, after which a repeatable request without an answer is sent to
+	// another target.
+	silentFactor = 2
+	silentPart   = 0.5
+)
+
+// Members are the other instances.
+type Members interface{ Members() []roster.Member }
+
+// Config is what a Gateway needs.
+type Config struct {
+	Self     *peerv1.Identity
+	Settings *site.Settings
+	Catalog  *catalog.Manager
+	Members  Members
+	Clients  *peerapi.Clients
+	Tracker  *placing.Tracker
+	Quota    *quota.Limiter
+	Budget   *Budget
+	Suspects *dispatch.Suspects
+	// Down is called after a target was found unreachable or lost, with the
+	// request that ran there in the latter case.
+	Down func(target string)
+	Log  *event.Logger
+}
+
+// Gateway serves requests.
+type Gateway struct {
+	Config
+	targets  http.RoundTripper
+	memory   atomic.Int64 // bytes of request bodies held
+	draining atomic.Bool
+	running  atomic.Int64
+}
+
+// New returns a Gateway.
+func New(cfg Config) *Gateway { return &Gateway{Config: cfg, targets: newTargetTransport()} }
+
+// delivery is the state of an answer over all attempts.
+type delivery struct {
+	sink sink
+	// begun is set once a byte of the answer was passed on.
+	begun bool
+	// lastEvent is the last event of a stream that was passed on.
+	lastEvent string
+	// fallback is a failure that a target answered, kept while another target is
+	// tried.
+	fallback *buffered
+	target   string
+	away     string
+	first    time.Time
+}
+
+// buffered is a whole answer.
+type buffered struct {
+	status int
+	header http.Header
+	body   []byte
+	target string
+}
+
+// run serves a call: it tries targets and regions until one answers, the rules
+// forbid another attempt, or the deadline ends it. The error is a *result.Error
+// or callerGone.
+func (g *Gateway) run(ctx context.Context, c *call, d *delivery) error {
+	exclude := map[string]bool{}
+	var last *failure
+	for {
+		choice, v, err := g.choose(c, exclude)
+		if err != nil {
+			return g.settle(c, d, last, err)
+		}
+		f := g.attempt(ctx, v, c, choice, d)
+		if f == nil {
+			return nil
+		}
+		if f.err.Ran == result.MayHaveRun {
+			c.sent++
+		}
+		if !f.free {
+			c.sends++
+		}
+		last = f
+		exclude[choice.Target+choice.Region] = true
+		if !g.again(ctx, c, d, f) {
+			return g.settle(c, d, f, f.err)
+		}
+		g.Log.Emit(event.RequestRetried, zap.String("request", c.ID), zap.String("target", choice.Target), zap.String("region", choice.Region),
+			zap.Stringer("ran", f.err.Ran), zap.String("reason", f.err.Message), zap.Int("sent", c.sent))
+	}
+}
+
+// choose decides where a call runs next, by the newest state of the catalog.
+func (g *Gateway) choose(c *call, exclude map[string]bool) (placing.Choice, *catalog.View, error) {
+	v := g.Catalog.Current()
+	if err := c.resolve(v); err != nil {
+		return placing.Choice{}, v, err
+	}
+	if g.Suspects.Blocked(c.fingerprint()) {
+		return placing.Choice{}, v, result.New(result.FingerprintBlock, result.NotRun, "this request crashed targets")
+	}
+	now := time.Now()
+	team := v.Config.Teams[c.team]
+	q := c.query(g.Settings.Region, team, now)
+	targets := g.Tracker.Targets(v, c.service, q.SharedKey, exclude, now)
+	var regions []placing.Region
+	if !c.hop {
+		regions = g.regions(c, team, exclude)
+	}
+	choice := placing.Choose(q, targets, regions, placing.ModelOf(v.Config.Services[c.service]))
+	if choice.Target == "" && choice.Region == "" {
+		return choice, v, result.New(result.NoSlot, result.NotRun, "no place in time: %d targets here, %d other regions, expected delay %s",
+			len(targets), len(regions), choice.Delay.Round(time.Millisecond)).WithRetryAfter(choice.RetryAfter)
+	}
+	return choice, v, nil
+}
+
+// regions returns the views of the other regions in which a call may run.
+func (g *Gateway) regions(c *call, team *site.Team, exclude map[string]bool) []placing.Region {
+	newest := map[string]placing.Region{}
+	at := map[string]time.Time{}
+	for _, m := range g.Members.Members() {
+		region := m.Region()
+		if !m.Reachable || !m.Row.GetReady() || region == g.Settings.Region || exclude[region] || !site.Permits(c.route, team, region) || m.Heard.Before(at[region]) {
+			continue
+		}
+		r := placing.Region{Name: region, RoundTrip: roundTrip}
+		for _, p := range m.Row.GetPools() {
+			if p.GetService() == c.service {
+				r.Delay = time.Duration(p.GetDelayMs()) * time.Millisecond
+				r.Free = int(p.GetCapacity()) - int(p.GetRunning())
+			}
+		}
+		newest[region], at[region] = r, m.Heard
+	}
+	out := make([]placing.Region, 0, len(newest))
+	for _, r := range newest {
+		out = append(out, r)
+	}
+	return out
+}
+
+// again reports whether another attempt may be made after f.
+func (g *Gateway) again(ctx context.Context, c *call, d *delivery, f *failure) bool {
+	switch {
+	case ctx.Err() != nil || c.sends >= maxSends || f.err.Code == result.CallerTooSlow:
+		return false
+	case d.begun && !c.route.Resumable:
+		return false
+	case c.sent > 0 && (!c.route.Repeatable() || c.sent >= c.route.MaxTargets):
+		return false
+	}
+	return c.sends == 0 || g.Budget.Take(c.service)
+}
+
+// settle ends a call that gets no further attempt: with the failure that a
+// target answered itself, if there is one, or with err, which is made true for
+// all attempts together.
+func (g *Gateway) settle(c *call, d *delivery, last *failure, err error) error {
+	if b := d.fallback; b != nil && !d.begun {
+		d.begun, d.target = true, b.target
+		if err := d.sink.Head(b.status, b.header, int64(len(b.body)), b.target); err != nil {
+			return callerGone{err}
+		}
+		if err := d.sink.Data(b.body); err != nil {
+			return callerGone{err}
+		}
+		return nil
+	}
+	e := *result.From(err)
+	if c.sent > 0 && e.Ran == result.NotRun {
+		e = *last.err
+		if e.Ran == result.NotRun {
+			e = *result.New(result.TargetFailed, result.MayHaveRun, "an earlier attempt may have run")
+		}
+	}
+	if e.Ran == result.NotRun && e.RetryAfter == 0 && e.Code == result.NoTarget {
+		e.RetryAfter = notReadyPause
+	}
+	return &e
+}
--- /dev/null
+++ b/internal/gateway/hop.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
+	"github.com/wigeonhill/wigeonhill/internal/placing"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/platform"
+)
+
+// forward makes the one hop to an instance of a region and waits for the head of
+// its answer.
+func (g *Gateway) forward(ctx context.Context, c *call, region, resumeAfter string) (*answer, *failure) {
+	address, ok := g.instanceIn(region)
+	if !ok {
+		return nil, notRun(placing.Neutral, true, "no instance of region %s is reachable", region)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var conn connected
+	stream, err := g.Clients.Client(address).Forward(conn.trace(ctx), connect.NewRequest(g.forwardRequest(c, resumeAfter)))
+	if err == nil {
+		var head *peerv1.Head
+		f := &frames{stream: stream, cancel: cancel}
+		if head, err = f.head(); err == nil {
+			h := http.Header{}
+			for _, p := range head.GetHeaders() {
+				h.Add(p.GetName(), p.GetValue())
+			}
+			return &answer{status: int(head.GetStatus()), header: h, body: f, target: head.GetTarget()}, nil
+		}
+		_ = f.Close()
+	}
+	defer cancel()
+	if told, ok := err.(*failure); ok {
+		return nil, told
+	}
+	return nil, sendFailure(ctx, &conn, err)
+}
+
+// instanceIn draws a reachable instance of a region.
+func (g *Gateway) instanceIn(region string) (address string, ok bool) {
+	n := 0
+	for _, m := range g.Members.Members() {
+		if m.Reachable && m.Region() == region && m.Row.GetReady() {
+			if n++; rand.IntN(n) == 0 {
+				address = m.Row.GetInstance().GetPeerAddress()
+			}
+		}
+	}
+	return address, n > 0
+}
+
+func (g *Gateway) forwardRequest(c *call, resumeAfter string) *peerv1.ForwardRequest {
+	req := &peerv1.ForwardRequest{
+		From: g.Self, RequestId: c.ID, Hop: 1, Team: c.team, Method: c.method, Host: c.host, Path: c.path, Body: c.body,
+		RemainingMs: uint32(max(time.Until(c.deadline).Milliseconds(), 1)), Route: c.route.Name, Attempt: uint32(c.sent),
+		ResumeAfter: resumeAfter,
+	}
+	for name, values := range c.header {
+		for _, v := range values {
+			req.Headers = append(req.Headers, &peerv1.Header{Name: name, Value: v})
+		}
+	}
+	return req
+}
+
+// frames reads the answer of a hop. It ends with io.EOF only after a tail that
+// reports success.
+type frames struct {
+	stream *connect.ServerStreamForClient[peerv1.ForwardResponse]
+	cancel context.CancelFunc
+	data   []byte
+}
+
+func (f *frames) head() (*peerv1.Head, error) {
+	if !f.stream.Receive() {
+		return nil, f.broken()
+	}
+	if tail := f.stream.Msg().GetTail(); tail != nil {
+		return nil, tailFailure(tail)
+	}
+	head := f.stream.Msg().GetHead()
+	if head == nil {
+		return nil, mayHaveRun(placing.Neutral, result.TargetFailed, "the answer of the hop has no head")
+	}
+	return head, nil
+}
+
+func (f *frames) broken() error {
+	if err := f.stream.Err(); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// Read implements io.Reader.
+func (f *frames) Read(p []byte) (int, error) {
+	for len(f.data) == 0 {
+		if !f.stream.Receive() {
+			return 0, f.broken()
+		}
+		if tail := f.stream.Msg().GetTail(); tail != nil {
+			if tail.GetCode() == 0 {
+				return 0, io.EOF
+			}
+			return 0, tailFailure(tail)
+		}
+		f.data = f.stream.Msg().GetData()
+	}
+	n := copy(p, f.data)
+	f.data = f.data[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (f *frames) Close() error {
+	f.cancel()
+	_ = f.stream.Close() // the call is over; its error was reported by Read
+	return nil
+}
+
+func tailFailure(t *peerv1.Tail) *failure {
+	e := result.New(result.Code(t.GetCode()), result.NotRun, "%s", t.GetMessage())
+	if t.GetMayHaveRun() {
+		e.Ran = result.MayHaveRun
+	}
+	e.RetryAfter = time.Duration(t.GetRetryAfterMs()) * time.Millisecond
+	return &failure{err: e, outcome: placing.Neutral, free: e.Ran == result.NotRun && e.Code == result.NoSlot}
+}
+
+// Peer serves the inner protocol to other instances.
+type Peer struct {
+	peerv1connect.UnimplementedPeerHandler
+	Gateway *Gateway
+}
+
+// Forward implements peerv1connect.PeerHandler.
+func (p *Peer) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	m := req.Msg
+	h := http.Header{}
+	for _, x := range m.GetHeaders() {
+		h.Add(x.GetName(), x.GetValue())
+	}
+	now := time.Now()
+	c := &call{
+		Request: platform.ReadRequest(h), host: m.GetHost(), method: m.GetMethod(), path: m.GetPath(), header: h, body: m.GetBody(),
+		team: m.GetTeam(), arrived: now, deadline: now.Add(time.Duration(m.GetRemainingMs()) * time.Millisecond),
+		sent: int(m.GetAttempt()), hop: true,
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	d := &delivery{sink: &frameSink{stream: stream, id: c.ID}, lastEvent: m.GetResumeAfter()}
+	tail := &peerv1.Tail{}
+	if err := p.Gateway.run(ctx, c, d); err != nil {
+		e := result.From(err)
+		tail = &peerv1.Tail{Code: uint32(e.Code), MayHaveRun: e.Ran == result.MayHaveRun, Message: e.Message, RetryAfterMs: uint32(e.RetryAfter.Milliseconds())}
+		p.Gateway.Log.Emit(event.RequestRefused, zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.Stringer("ran", e.Ran),
+			zap.String("from", m.GetFrom().GetInstance()), zap.String("reason", e.Message))
+	}
+	return stream.Send(&peerv1.ForwardResponse{RequestId: c.ID, Part: &peerv1.ForwardResponse_Tail{Tail: tail}})
+}
+
+// FetchEdition implements peerv1connect.PeerHandler; the text is a snapshot of
+// the catalog.
+func (p *Peer) FetchEdition(context.Context, *connect.Request[peerv1.FetchEditionRequest]) (*connect.Response[peerv1.FetchEditionResponse], error) {
+	text, err := p.Gateway.Catalog.Snapshot()
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&peerv1.FetchEditionResponse{Text: text}), nil
+}
+
+// Probe implements peerv1connect.PeerHandler; it takes reports of crashes.
+func (p *Peer) Probe(_ context.Context, req *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error) {
+	p.Gateway.Suspects.Learn(req.Msg.GetCrashes())
+	return connect.NewResponse(&peerv1.ProbeResponse{From: p.Gateway.Self}), nil
+}
+
+// frameSink passes an answer back over the hop.
+type frameSink struct {
+	stream *connect.ServerStream[peerv1.ForwardResponse]
+	id     string
+}
+
+// Head implements sink.
+func (s *frameSink) Head(status int, header http.Header, _ int64, target string) error {
+	head := &peerv1.Head{Status: uint32(status), Target: target}
+	for name, values := range header {
+		for _, v := range values {
+			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: v})
+		}
+	}
+	return s.stream.Send(&peerv1.ForwardResponse{RequestId: s.id, Part: &peerv1.ForwardResponse_Head{Head: head}})
+}
+
+// Data implements sink.
+func (s *frameSink) Data(p []byte) error {
+	return s.stream.Send(&peerv1.ForwardResponse{RequestId: s.id, Part: &peerv1.ForwardResponse_Data{Data: p}})
+}
--- /dev/null
+++ b/internal/instance/doc.go
@@ -0,0 +1,3 @@
+// Package instance builds the managers of an instance that runs on a platform
+// without published members or shares, and runs them.
+package instance
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 )
 
 // Core holds the beliefs of one instance. It does no I/O and reads no clock:
@@ -73,7 +73,7 @@
 
 // SetList takes a new instance list. Listed members count as alive until a
 // probe shows otherwise.
-func (c *Core) SetList(list *platform.InstanceList) {
+func (c *Core) SetList(list *confservice.InstanceList) {
 	wasLeaving := make(map[string]bool)
 	for name, e := range c.members {
 		wasLeaving[name] = e.listLeaving
--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 )
 
 // fleet passes messages between cores in virtual time.
@@ -45,12 +45,12 @@
 		byAddr: make(map[string]int), cut: make(map[[2]int]bool), rng: rand.New(rand.NewPCG(seed, 1)),
 		down: make([]bool, n), frozen: make([]bool, n), sent: make([]int, n),
 	}
-	var list platform.InstanceList
+	var list confservice.InstanceList
 	for i := range n {
 		f.region = append(f.region, i%regions)
 		m := f.identity(i)
 		f.byAddr[m.PeerAddress] = i
-		list.Instances = append(list.Instances, platform.Instance{Name: m.Name, Callers: m.CallersAddress, Peers: m.PeerAddress, Region: m.Region, Domain: m.Domain})
+		list.Instances = append(list.Instances, confservice.Instance{Name: m.Name, Callers: m.CallersAddress, Peers: m.PeerAddress, Region: m.Region, Domain: m.Domain})
 	}
 	for i := range n {
 		f.cores = append(f.cores, nil)
--- a/internal/member/manager.go
+++ b/internal/member/manager.go
@@ -14,9 +14,9 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 )
 
 // Peers sends a probe to a peer address.
@@ -300,7 +300,7 @@
 // SetList takes a new instance list. After the first one the members of the
 // own region are probed at once, because their incarnations are needed for the
 // prefixes of idempotency keys. It does not block.
-func (m *Manager) SetList(list *platform.InstanceList) {
+func (m *Manager) SetList(list *confservice.InstanceList) {
 	var first []string
 	m.update(func(c *Core, now time.Duration) {
 		c.SetList(list)
--- a/internal/node/cachewatch.go
+++ b/internal/node/cachewatch.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/wigeonhill/wigeonhill/internal/platform"
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/route"
 )
 
@@ -108,7 +108,7 @@
 	w.mu.Lock()
 	after := w.mu.after[target]
 	w.mu.Unlock()
-	read, err := platform.CacheEvents(ctx, w.client, address, after)
+	read, err := confservice.CacheEvents(ctx, w.client, address, after)
 	if err != nil {
 		w.note(target, true)
 		return
@@ -118,7 +118,7 @@
 	}
 	events := make([]route.CacheEvent, len(read))
 	for i, e := range read {
-		events[i] = route.CacheEvent{Seq: e.Seq, Stored: e.Kind == platform.Stored, Hash: e.PrefixHash}
+		events[i] = route.CacheEvent{Seq: e.Seq, Stored: e.Kind == confservice.Stored, Hash: e.PrefixHash}
 	}
 	w.events(target, events)
 	w.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/admit"
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/edition"
 	"github.com/wigeonhill/wigeonhill/internal/entry"
@@ -26,7 +27,6 @@
 	"github.com/wigeonhill/wigeonhill/internal/order"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 	"github.com/wigeonhill/wigeonhill/internal/route"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
 	"github.com/wigeonhill/wigeonhill/internal/table"
@@ -46,7 +46,7 @@
 	started  time.Time
 
 	clients  *peerapi.Clients
-	service  *platform.Client
+	service  *confservice.Client
 	editions *edition.Manager
 	members  *member.Manager
 	terms    *term.Manager
@@ -116,7 +116,7 @@
 	n.records = audit.NewRecords(s.Operators.RequestRecords, time.Now)
 	n.teams = ops.NewTeamStats(time.Now)
 	n.metrics = ops.NewMetrics(n.teams)
-	n.service = platform.NewClient(s.Platform.Config)
+	n.service = confservice.NewClient(s.Platform.Config)
 	n.editions = edition.NewManager(edition.Config{
 		Service: n.service, Peers: calls, Bootstrap: s.Peers.Bootstrap, Clock: n.clock,
 		Log: n.log, Trail: n.trail, MaxAge: s.Bounds.MaxEditionAge,
@@ -133,7 +133,7 @@
 		Log: n.log, Trail: n.trail, Seed: n.self.Incarnation, Generation: uint32(time.Now().Unix()),
 	})
 	n.editions.SetMembers(n.members)
-	n.editions.Lists().Subscribe(func(_, _ *platform.InstanceList) {
+	n.editions.Lists().Subscribe(func(_, _ *confservice.InstanceList) {
 		select {
 		case n.lists <- struct{}{}:
 		default:
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/admit"
+	"github.com/wigeonhill/wigeonhill/internal/confservice"
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/edition"
 	"github.com/wigeonhill/wigeonhill/internal/grant"
 	"github.com/wigeonhill/wigeonhill/internal/member"
-	"github.com/wigeonhill/wigeonhill/internal/platform"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/route"
 	"github.com/wigeonhill/wigeonhill/internal/table"
@@ -218,7 +218,7 @@
 // Run keeps the beliefs current until ctx ends.
 func (r *routing) Run(ctx context.Context) error {
 	r.editions.Store().Subscribe(func(_, e *table.Edition) { r.tracker.SetEdition(e); r.refresh() })
-	r.editions.Lists().Subscribe(func(_, _ *platform.InstanceList) { r.refresh() })
+	r.editions.Lists().Subscribe(func(_, _ *confservice.InstanceList) { r.refresh() })
 	r.members.OnChange(func([]member.Transition) { r.refresh() })
 	if e := r.editions.Current(); e != nil {
 		r.tracker.SetEdition(e)
--- a/internal/peerapi/client.go
+++ b/internal/peerapi/client.go
@@ -19,11 +19,17 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	idleTimeout = 90 * time.Second
+	// shortDialTimeout covers one lost packet between regions.
+	shortDialTimeout = 1200 * time.Millisecond
+	idleTimeout      = 90 * time.Second
 	// pingAfter is the silence after which a connection is checked; without it
 	// a cut link would be noticed only by the deadline of each call.
 	pingAfter   = 5 * time.Second
 	pingTimeout = 3 * time.Second
+	// shortPingAfter and shortPingTimeout replace them where links are known to
+	// go silent: a round trip between regions and two lost packets.
+	shortPingAfter   = time.Second
+	shortPingTimeout = time.Second
 	// streamWindow bounds the bytes of one stream that wait unread in this
 	// process. The default of net/http is 4 MB, which a slow caller could fill.
 	streamWindow = 64 << 10
@@ -55,6 +61,17 @@
 	return NewClientsWithDial(p, (&net.Dialer{Timeout: dialTimeout}).DialContext)
 }
 
+// NewImpatientClients returns a pool in plain text that notices a silent
+// connection within about two seconds.
+func NewImpatientClients() *Clients {
+	c, err := NewClientsWithDial(settings.Peers{Insecure: true}, (&net.Dialer{Timeout: shortDialTimeout}).DialContext)
+	if err != nil {
+		panic(err) // without certificates there is nothing to fail
+	}
+	c.transport.HTTP2.SendPingTimeout, c.transport.HTTP2.PingTimeout = shortPingAfter, shortPingTimeout
+	return c
+}
+
 // NewClientsWithDial is NewClients with connections opened by dial.
 func NewClientsWithDial(p settings.Peers, dial Dial) (*Clients, error) {
 	c := &Clients{scheme: "https"}
--- /dev/null
+++ b/internal/placing/beliefs.go
@@ -0,0 +1,177 @@
+package placing
+
+import "time"
+
+const (
+	// paceGain is the weight of a new observation of a target's pace, and
+	// servicePaceGain that of the pace of its service.
+	paceGain        = 0.2
+	servicePaceGain = 0.02
+	minPace         = 0.1
+	maxPace         = 10
+	// paceMemory is how long a pace is trusted without a request; then it goes
+	// back to that of the service, so that a target that was slow is tried again.
+	paceMemory = 3 * time.Second
+)
+
+// pace is how long a target takes relative to what the model expects.
+type pace struct {
+	value   float64
+	updated time.Time
+}
+
+func (p *pace) child() pace { return pace{value: p.value} }
+
+func (p *pace) observe(ratio float64, now time.Time, service *pace) {
+	ratio = min(max(ratio, minPace), maxPace)
+	p.value, p.updated = p.at(now, service)*(1-paceGain)+ratio*paceGain, now
+	service.value = service.value*(1-servicePaceGain) + min(ratio, 2*service.value)*servicePaceGain
+}
+
+// at is the pace at a time.
+func (p *pace) at(now time.Time, service *pace) float64 {
+	idle := now.Sub(p.updated) - paceMemory
+	if p.updated.IsZero() || idle >= paceMemory {
+		return service.value
+	}
+	if idle <= 0 {
+		return p.value
+	}
+	part := float64(idle) / float64(paceMemory)
+	return p.value*(1-part) + service.value*part
+}
+
+// cache is the belief about the shared parts in a target's memory.
+type cache struct{ parts map[string]cached }
+
+type cached struct {
+	tokens int
+	used   time.Time
+}
+
+func (c *cache) has(key string, now time.Time) bool {
+	p, ok := c.parts[key]
+	return ok && key != "" && now.Sub(p.used) < cacheMemory
+}
+
+// add notes a use; the parts that were used least recently yield.
+func (c *cache) add(key string, tokens, limit int, now time.Time) {
+	if key == "" {
+		return
+	}
+	if c.parts == nil {
+		c.parts = map[string]cached{}
+	}
+	c.parts[key] = cached{tokens, now}
+	sum := 0
+	for _, p := range c.parts {
+		sum += p.tokens
+	}
+	for sum > limit && len(c.parts) > 1 {
+		oldest := ""
+		for k, p := range c.parts {
+			if oldest == "" || p.used.Before(c.parts[oldest].used) {
+				oldest = k
+			}
+		}
+		sum -= c.parts[oldest].tokens
+		delete(c.parts, oldest)
+	}
+}
+
+// Outcome is how a request at a target ended, as far as it tells about the
+// target.
+type Outcome int
+
+const (
+	// Good is a whole answer, whatever its status below 500.
+	Good Outcome = iota
+	// Neutral tells nothing: the caller left, or the time was up.
+	Neutral
+	// Unreachable: no connection could be opened.
+	Unreachable
+	// Lost: the connection broke during the request.
+	Lost
+	// Failed: an answer of status 500 or more that the target made itself, or a
+	// spoiled one.
+	Failed
+	// Silent: no answer in a multiple of the usual time.
+	Silent
+	// Rejected: the target said that it did not run the request.
+	Rejected
+	// Moved: another target has the address.
+	Moved
+)
+
+const (
+	// failGain is the weight of a new outcome in the share of failures.
+	failGain = 0.15
+	// failLimit is the share of failures above which a target is avoided, and
+	// failMin the number of outcomes that it takes. Some requests fail at any
+	// target.
+	failLimit = 0.45
+	failMin   = 6
+	// restFirst and restMost bound the time for which a failing target is avoided.
+	restFirst = 1500 * time.Millisecond
+	restMost  = 6 * time.Second
+	// rejectedRest is the pause after a rejection: the target is full.
+	rejectedRest = 50 * time.Millisecond
+)
+
+// health is what requests have shown about a target.
+type health struct {
+	failures  float64
+	outcomes  int
+	rest      time.Duration
+	restUntil time.Time
+	// down is set until a health check succeeds.
+	down      bool
+	coldUntil time.Time
+}
+
+// note takes an outcome and reports whether the target is avoided from now on.
+func (h *health) note(o Outcome, now time.Time) (avoided bool) {
+	switch o {
+	case Neutral:
+		return false
+	case Unreachable, Moved, Lost:
+		// A health check tells whether the target or only the connection is lost.
+		avoided = !h.down
+		h.down = true
+		return avoided
+	case Rejected:
+		h.restUntil = later(h.restUntil, now.Add(rejectedRest))
+		return false
+	}
+	bad := 0.0
+	if o != Good {
+		bad = 1
+	}
+	h.failures += failGain * (bad - h.failures)
+	h.outcomes++
+	if bad == 0 && h.failures < failLimit/4 {
+		h.rest = 0
+	}
+	if bad == 1 && h.failures > failLimit && h.outcomes >= failMin {
+		h.rest = min(max(2*h.rest, restFirst), restMost)
+		h.restUntil = later(h.restUntil, now.Add(h.rest))
+		h.failures, h.outcomes = failLimit/2, failMin/2
+		return true
+	}
+	return false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (h *health) usable(now time.Time) bool { return !h.down && !now.Before(h.restUntil) }
+
+// regain ends the avoidance; the target may have started anew and be cold.
+func (h *health) regain(now time.Time, warmup time.Duration) {
+	h.down = false
+	h.coldUntil = later(h.coldUntil, now.Add(warmup))
+}
--- /dev/null
+++ b/internal/placing/tracker.go
@@ -0,0 +1,340 @@
+package placing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/site"
+)
+
+const (
+	// defaultTokensPerMS, defaultStepMS and defaultStepPerRequestMS are figures of
+	// usual engines; the pace of each target corrects them.
+	defaultTokensPerMS      = 30
+	defaultStepMS           = 5.0
+	defaultStepPerRequestMS = 0.15
+	defaultWorkMS           = 30
+	// plainQueue is how many requests a plain target may hold, as a multiple of
+	// its slots: a second batch keeps it busy, a third only waits.
+	plainQueue = 2
+	// connReserve is the part of a target's connections that is not used, for
+	// those that are just being closed.
+	connReserve = 0.1
+	// cacheShare is the part of an engine's memory that is believed to hold
+	// shared parts.
+	cacheShare = 0.6
+	// cacheMemory is how long a part is believed to stay without a request.
+	cacheMemory = 30 * time.Second
+	// minShared is the number of shared tokens below which a home is not worth
+	// the uneven load.
+	minShared = 256
+	// minInstances is the number of instances of a region among which the rate of
+	// a cold target is divided while fewer are known.
+	minInstances = 3
+	// coldWindow is the window of a cold target's rate with a reserve for the
+	// time that requests are on their way.
+	coldWindow = 1100 * time.Millisecond
+	// coldReserve is the part of the bound that is used.
+	coldReserve = 0.85
+)
+
+// Tracker keeps beliefs about the targets of the own region. Lock order:
+// Tracker.mu is a leaf lock.
+type Tracker struct {
+	regionOf map[string]string // by failure domain
+	region   string
+	bounds   site.Bounds
+	mu       struct {
+		sync.Mutex
+		targets   map[string]*state
+		paces     map[string]*pace // by service
+		instances int              // of the own region, this one included
+	}
+}
+
+// state is what is believed about one target.
+type state struct {
+	born    int64
+	service string
+	running int
+	pending int
+	cache   cache
+	pace    pace
+	health  health
+	sends   []time.Time // while cold
+	others  map[string]use
+}
+
+// use is the load that another instance puts on a target.
+type use struct {
+	running, pending int
+	avoided          bool
+}
+
+// NewTracker returns the Tracker of an instance.
+func NewTracker(s *site.Settings) *Tracker {
+	t := &Tracker{regionOf: s.RegionOf, region: s.Region, bounds: s.Bounds}
+	t.mu.targets = map[string]*state{}
+	t.mu.paces = map[string]*pace{}
+	t.mu.instances = 1
+	return t
+}
+
+func (t *Tracker) state(e *catalog.Entry) *state {
+	s := t.mu.targets[e.ID]
+	if s == nil || s.born != e.Born {
+		running := 0
+		if s != nil {
+			running = s.running // of the start before; they end soon
+		}
+		s = &state{born: e.Born, service: e.Service, running: running, others: map[string]use{}, pace: t.servicePace(e.Service).child()}
+		t.mu.targets[e.ID] = s
+	}
+	return s
+}
+
+func (t *Tracker) servicePace(service string) *pace {
+	p := t.mu.paces[service]
+	if p == nil {
+		p = &pace{value: 1}
+		t.mu.paces[service] = p
+	}
+	return p
+}
+
+// ModelOf returns the usual times of a service.
+func ModelOf(*site.Service) *Model {
+	return &Model{TokensPerMS: defaultTokensPerMS, StepMS: defaultStepMS, StepPerRequestMS: defaultStepPerRequestMS, WorkMS: defaultWorkMS}
+}
+
+// Shared returns the key and the tokens of the parts of a prompt that other
+// requests share; the last part is the request's own.
+func Shared(parts []site.Part) (key string, tokens int) {
+	largest := 0
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		tokens += p.Tokens
+		if p.Tokens > largest {
+			key, largest = p.ID, p.Tokens
+		}
+	}
+	if tokens < minShared {
+		return "", 0
+	}
+	return key, tokens
+}
+
+// Targets returns the views of the targets of a service in the own region that
+// may be used, without those in exclude.
+func (t *Tracker) Targets(v *catalog.View, service, sharedKey string, exclude map[string]bool, now time.Time) []Target {
+	s := v.Config.Services[service]
+	if s == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Target
+	for _, e := range v.Targets {
+		if e.Service != service || t.regionOf[e.Domain] != t.region || v.Evacuated[e.Domain] || exclude[e.ID] || e.Leaving {
+			continue
+		}
+		st := t.state(e)
+		if !st.health.usable(now) {
+			continue
+		}
+		out = append(out, t.view(v, s, e, st, sharedKey, now))
+	}
+	return out
+}
+
+func (t *Tracker) view(v *catalog.View, s *site.Service, e *catalog.Entry, st *state, sharedKey string, now time.Time) Target {
+	running, pending := st.load()
+	view := Target{
+		ID: e.ID, Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending,
+		Cached: st.cache.has(sharedKey, now), Pace: st.pace.at(now, t.servicePace(s.Name)),
+	}
+	bound := e.Slots
+	if s.Engine == nil {
+		bound *= plainQueue
+	}
+	view.Full = running >= bound || s.MaxConns > 0 && float64(running) >= (1-connReserve)*float64(s.MaxConns)
+	if v.Cold(e, now) || now.Before(st.health.coldUntil) {
+		view.Full = view.Full || st.recent(now) >= t.coldRate(s)
+	}
+	return view
+}
+
+// coldRate is the number of requests that this instance may send to a cold
+// target in one window.
+func (t *Tracker) coldRate(s *site.Service) int {
+	if s.WarmupRate <= 0 {
+		return 1 << 30
+	}
+	all := coldReserve * (s.WarmupRate*t.bounds.WarmupOverage + t.bounds.WarmupSlack)
+	return max(int(all/float64(max(t.mu.instances, minInstances))), 1)
+}
+
+func (s *state) recent(now time.Time) int {
+	for len(s.sends) > 0 && now.Sub(s.sends[0]) > coldWindow {
+		s.sends = s.sends[1:]
+	}
+	return len(s.sends)
+}
+
+func (s *state) load() (running, pending int) {
+	running, pending = s.running, s.pending
+	for _, o := range s.others {
+		running, pending = running+o.running, pending+o.pending
+	}
+	return running, pending
+}
+
+// Run is a request at a target.
+type Run struct {
+	t        *Tracker
+	s        *state
+	id       string
+	pending  int
+	began    time.Time
+	expected time.Duration // at the usual pace
+	first    bool
+	ended    bool
+}
+
+// Begin notes that a request is sent to the target.
+func (t *Tracker) Begin(e *catalog.Entry, s *site.Service, q *Query, now time.Time) *Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st := t.state(e)
+	running, pending := st.load()
+	view := Target{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Pace: 1, Cached: st.cache.has(q.SharedKey, now)}
+	r := &Run{t: t, s: st, id: e.ID, began: now, expected: ModelOf(s).Delay(q, &view)}
+	if s.Engine != nil {
+		r.pending = q.PromptTokens
+		if view.Cached {
+			r.pending -= min(q.SharedTokens, q.PromptTokens)
+		}
+		st.cache.add(q.SharedKey, q.SharedTokens, int(cacheShare*float64(s.Engine.CacheTokens)), now)
+	}
+	st.running++
+	st.pending += r.pending
+	st.sends = append(st.sends, now)
+	st.recent(now)
+	return r
+}
+
+// First notes the first byte of the answer.
+func (r *Run) First(now time.Time) {
+	r.t.mu.Lock()
+	defer r.t.mu.Unlock()
+	if r.first {
+		return
+	}
+	r.first = true
+	r.s.pending -= r.pending
+	r.pending = 0
+	r.s.pace.observe(float64(now.Sub(r.began))/float64(max(r.expected, time.Millisecond)), now, r.t.servicePace(r.s.service))
+}
+
+// End notes the end of the request.
+func (r *Run) End(o Outcome, now time.Time) (changed bool) {
+	r.t.mu.Lock()
+	defer r.t.mu.Unlock()
+	if r.ended {
+		return false
+	}
+	r.ended = true
+	r.s.running--
+	r.s.pending -= r.pending
+	return r.s.health.note(o, now)
+}
+
+// SetHealthy ends the avoidance of a target that answered a health check; it
+// stays cold for warmup.
+func (t *Tracker) SetHealthy(id string, warmup time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.mu.targets[id]; s != nil {
+		s.health.regain(now, warmup)
+	}
+}
+
+// Down returns the targets that are avoided until a health check succeeds.
+func (t *Tracker) Down() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for id, s := range t.mu.targets {
+		if s.health.down {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Forget drops the targets that are no longer listed and idle.
+func (t *Tracker) Forget(listed map[string]*catalog.Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, s := range t.mu.targets {
+		if listed[id] == nil && s.running <= 0 {
+			delete(t.mu.targets, id)
+		}
+	}
+}
+
+// SetPeers takes the load that the other instances of the region put on its
+// targets, and their number.
+func (t *Tracker) SetPeers(rows map[string]*peerv1.FleetRow) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mu.instances = len(rows) + 1
+	for _, s := range t.mu.targets {
+		clear(s.others)
+	}
+	for peer, row := range rows {
+		for _, u := range row.GetTargets() {
+			if s := t.mu.targets[u.GetTarget()]; s != nil {
+				s.others[peer] = use{int(u.GetRunning()), int(u.GetPendingTokens()), u.GetAvoided()}
+			}
+		}
+	}
+}
+
+// Uses returns the load that this instance puts on targets, for its row.
+func (t *Tracker) Uses() []*peerv1.TargetUse {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*peerv1.TargetUse
+	for id, s := range t.mu.targets {
+		if s.running > 0 || s.health.down {
+			out = append(out, &peerv1.TargetUse{Target: id, Running: uint32(max(s.running, 0)), PendingTokens: uint32(max(s.pending, 0)), Avoided: s.health.down})
+		}
+	}
+	return out
+}
+
+// Pool is the load of a service in the own region, for the rows to others: the
+// delay that a small request would see, and the places that are left.
+func (t *Tracker) Pool(v *catalog.View, service string, now time.Time) *peerv1.PoolUse {
+	targets := t.Targets(v, service, "", nil, now)
+	s := v.Config.Services[service]
+	if s == nil || len(targets) == 0 {
+		return nil
+	}
+	p := &peerv1.PoolUse{Service: service}
+	free := 0
+	for i := range targets {
+		p.Running += uint32(max(targets[i].Running, 0))
+		if !targets[i].Full {
+			p.Capacity += uint32(targets[i].Slots)
+			free += max(targets[i].Slots-targets[i].Running, 1)
+		}
+	}
+	if free > 0 {
+		_, d := bestTarget(&Query{AllowedHere: true}, targets, ModelOf(s))
+		p.DelayMs = uint32(d.Milliseconds())
+	}
+	return p
+}
--- a/internal/platform/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package platform calls the configuration service and parses what it
-// publishes: the text of the table and the list of live and leaving instances.
-package platform
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,300 @@
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/site"
+)
+
+const (
+	// startLevel is the part of the burst with which a bucket starts: after all
+	// instances were replaced, what was spent before them is not known.
+	startLevel = 0.5
+	// demandMemory is the time over which demand is averaged.
+	demandMemory = 2 * time.Second
+	// minWeight is the part of a team's rate that each instance counts as demand
+	// at least, so that an idle one that is cut off can serve the first requests.
+	minWeight = 0.02
+	// paceMemory bounds how long another instance is assumed to go on spending at
+	// its last pace without news of it.
+	paceMemory = time.Second
+	// longestWait bounds the advice when to come back.
+	longestWait = 5 * time.Second
+)
+
+// Peer is the state of another instance for one team, from its row.
+type Peer struct {
+	Address     string
+	Domain      string
+	Incarnation uint64
+	Reachable   bool
+	// Use by team.
+	Use map[string]Use
+}
+
+// Use is what one instance admitted and was asked for.
+type Use struct {
+	Spent  float64 // since the start of the incarnation
+	Demand float64 // per second
+}
+
+// Limiter holds the buckets of all teams.
+type Limiter struct {
+	domains []string // all but the own
+	mu      struct {
+		sync.Mutex
+		teams map[string]*bucket
+		peers map[string]*peer // by address
+		heard map[string]bool  // failure domains heard from since the start
+	}
+}
+
+type peer struct {
+	incarnation uint64
+	reachable   bool
+}
+
+// bucket is the copy of a team's bucket. Levels and rates are in the team's unit.
+type bucket struct {
+	rate, burst float64
+	level       float64
+	at          time.Time
+	spent       float64 // by this instance
+	demand      meter
+	others      map[string]*other
+}
+
+// other is what another instance spends for one team.
+type other struct {
+	spent  float64
+	pace   float64 // tokens a second, from the last two rows
+	demand float64
+	at     time.Time
+	// frozen is its part of the rate while it is not reachable.
+	frozen float64
+}
+
+// New returns a Limiter of an instance in the failure domain own.
+func New(own string, domains []string) *Limiter {
+	l := &Limiter{}
+	for _, d := range domains {
+		if d != own {
+			l.domains = append(l.domains, d)
+		}
+	}
+	l.mu.teams = map[string]*bucket{}
+	l.mu.peers = map[string]*peer{}
+	l.mu.heard = map[string]bool{}
+	return l
+}
+
+// Verdict is the answer to Admit.
+type Verdict struct {
+	OK bool
+	// RetryAfter is when the team's bucket has tokens again.
+	RetryAfter time.Duration
+	Level      float64
+	// Part of the rate that this side may spend.
+	Part float64
+}
+
+// Admit takes units from the team's allowance. A request is admitted while the
+// level is positive, whatever its size, since otherwise small requests would
+// keep a large one out for ever; the level then goes below zero.
+func (l *Limiter) Admit(t *site.Team, units float64, now time.Time) Verdict {
+	if t.Rate <= 0 {
+		return Verdict{OK: true, Part: 1}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(t, now)
+	b.demand.add(units, now)
+	part := l.refill(b, now)
+	level := b.level - b.assumed(l, now)
+	if level <= 0 {
+		wait := time.Duration((-level + units/2) / (t.Rate * max(part, minWeight)) * float64(time.Second))
+		return Verdict{RetryAfter: min(max(wait, 50*time.Millisecond), longestWait), Level: level, Part: part}
+	}
+	b.level -= units
+	b.spent += units
+	return Verdict{OK: true, Level: level, Part: part}
+}
+
+// Refund gives back units of a request that was not run.
+func (l *Limiter) Refund(t *site.Team, units float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.mu.teams[t.Name]; b != nil && t.Rate > 0 {
+		b.level = min(b.level+units, b.burst)
+		b.spent -= units
+	}
+}
+
+func (l *Limiter) bucket(t *site.Team, now time.Time) *bucket {
+	b := l.mu.teams[t.Name]
+	if b == nil {
+		b = &bucket{level: t.Burst * startLevel, at: now, others: map[string]*other{}}
+		l.mu.teams[t.Name] = b
+	}
+	b.rate, b.burst = t.Rate, t.Burst
+	return b
+}
+
+// refill adds what has accrued and returns the part of the rate of this side.
+func (l *Limiter) refill(b *bucket, now time.Time) float64 {
+	part := l.part(b)
+	b.level = min(b.level+now.Sub(b.at).Seconds()*b.rate*part, b.burst*part)
+	b.at = now
+	return part
+}
+
+// part is what the frozen parts of others leave.
+func (l *Limiter) part(b *bucket) float64 {
+	part := 1.0
+	for _, o := range b.others {
+		part -= o.frozen
+	}
+	silent := 0
+	for _, d := range l.domains {
+		if !l.mu.heard[d] {
+			silent++
+		}
+	}
+	part *= 1 - float64(silent)/float64(len(l.domains)+1)
+	return max(part, 0)
+}
+
+// assumed is what reachable others have probably spent since their last rows.
+func (b *bucket) assumed(l *Limiter, now time.Time) float64 {
+	sum := 0.0
+	for a, o := range b.others {
+		if p := l.mu.peers[a]; p != nil && p.reachable {
+			sum += o.pace * min(now.Sub(o.at), paceMemory).Seconds()
+		}
+	}
+	return sum
+}
+
+// Observe takes the newest rows of the other instances.
+func (l *Limiter) Observe(peers []Peer, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range peers {
+		l.observe(&peers[i], now)
+	}
+}
+
+func (l *Limiter) observe(p *Peer, now time.Time) {
+	if p.Reachable {
+		l.mu.heard[p.Domain] = true
+	}
+	known := l.mu.peers[p.Address]
+	if known == nil {
+		known = &peer{}
+		l.mu.peers[p.Address] = known
+	}
+	replaced := known.incarnation != p.Incarnation
+	returned := !known.reachable && p.Reachable
+	lost := known.reachable && !p.Reachable && !replaced
+	known.incarnation, known.reachable = p.Incarnation, p.Reachable
+	for _, b := range l.mu.teams {
+		l.refill(b, now) // by the parts in force until now
+		if lost {
+			b.freeze(l, p.Address, now)
+			continue
+		}
+		if replaced {
+			delete(b.others, p.Address)
+		}
+		if o := b.others[p.Address]; o != nil && returned {
+			o.frozen = 0
+		}
+	}
+	if p.Reachable {
+		l.take(p, replaced, returned, now)
+	}
+}
+
+// take applies what a reachable instance has spent.
+func (l *Limiter) take(p *Peer, replaced, returned bool, now time.Time) {
+	for team, use := range p.Use {
+		b := l.mu.teams[team]
+		if b == nil {
+			continue // without a limit here; the first request creates it
+		}
+		o := b.others[p.Address]
+		if o == nil {
+			o = &other{at: now}
+			if !replaced {
+				o.spent = use.Spent // before this bucket existed
+			}
+			b.others[p.Address] = o
+		}
+		o.demand = use.Demand
+		if returned && !replaced {
+			// It spent its frozen part meanwhile, which was not ours.
+			o.spent, o.at, o.pace = use.Spent, now, 0
+			continue
+		}
+		delta := use.Spent - o.spent
+		if delta == 0 && now.Sub(o.at) < paceMemory/4 {
+			continue // the row that was seen already
+		}
+		b.level -= delta
+		if dt := now.Sub(o.at).Seconds(); dt > 0 {
+			o.pace = max(delta/max(dt, 0.05), 0)
+		}
+		o.spent, o.at = use.Spent, now
+	}
+}
+
+// freeze keeps the part of an instance that fell silent.
+func (b *bucket) freeze(l *Limiter, address string, now time.Time) {
+	o := b.others[address]
+	if o == nil {
+		o = &other{at: now}
+		b.others[address] = o
+	}
+	floor := b.rate * minWeight
+	sum := max(b.demand.perSecond(now), floor)
+	for a, x := range b.others {
+		if p := l.mu.peers[a]; a == address || p != nil && p.reachable {
+			sum += max(x.demand, floor)
+		}
+	}
+	o.frozen = l.part(b) * max(o.demand, floor) / sum
+}
+
+// Own returns what this instance admitted and was asked for, by team.
+func (l *Limiter) Own(now time.Time) map[string]Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]Use, len(l.mu.teams))
+	for name, b := range l.mu.teams {
+		out[name] = Use{Spent: b.spent, Demand: b.demand.perSecond(now)}
+	}
+	return out
+}
+
+// meter averages demand with an exponential memory.
+type meter struct {
+	value float64
+	at    time.Time
+}
+
+func (m *meter) add(units float64, now time.Time) {
+	m.value = m.decayed(now) + units
+	m.at = now
+}
+
+func (m *meter) decayed(now time.Time) float64 {
+	if m.at.IsZero() {
+		return 0
+	}
+	x := float64(now.Sub(m.at)) / float64(demandMemory)
+	return m.value * math.Exp(-x)
+}
+
+func (m *meter) perSecond(now time.Time) float64 { return m.decayed(now) / demandMemory.Seconds() }
