End the process when the drain is over

Cause: the group of managers waits for all of them, and the ones that serve HTTP blocked for ever after their server was shut down, so that a process that got SIGTERM lived until it was killed. Found by the first test with whole instances. Change: they wait until the group interrupts them. Ruled out: a slow drain; nothing was running.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -150,7 +150,8 @@
 	add(i.prober.Run)
 	add(func(ctx context.Context) error { return i.followSettings(ctx, hangups) })
 	for server, listener := range i.listeners {
-		g.Add(func() error { return serve(server, listener) }, func(error) { _ = server.Close() })
+		stopped := make(chan struct{})
+		g.Add(func() error { return serve(server, listener, stopped) }, func(error) { close(stopped); _ = server.Close() })
 	}
 	stop, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
@@ -161,14 +162,15 @@
 	return g.Run()
 }
 
-// serve ends without an error when the server is shut down: the others run on
-// until the drain is over.
-func serve(server *http.Server, l net.Listener) error {
+// serve ends when stopped is closed. A server that is shut down by the drain
+// must not end the others before.
+func serve(server *http.Server, l net.Listener, stopped <-chan struct{}) error {
 	err := server.Serve(l)
 	if !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
-	select {} // ended with the process, after the drain
+	<-stopped
+	return nil
 }
 
 // drain leaves the directory, then lets requests end.
