Let the receiver of a hop run a request on one target only

Routes allow two. Change: the receiver makes no second run; retries are the sender's. Ruled out: returning the count in the tail; it is lost where the hop breaks. Conclusion: the one who counts must also be the one who repeats.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,6 +178,10 @@
 		return false
 	case d.begun && !c.route.Resumable:
 		return false
+	case c.hop && f.err.Ran == result.MayHaveRun:
+		// The sender counts the targets that ran the request. It would not hear of
+		// a second one if the answer broke off.
+		return false
 	case c.sent > 0 && (!c.route.Repeatable() || c.sent >= c.route.MaxTargets):
 		return false
 	}
--- /dev/null
+++ b/internal/instance/instance_test.go
@@ -0,0 +1,109 @@
+package instance
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/wigeonhill/wigeonhill/platform"
+)
+
+// Every caller header that only the system may set is dropped, the team comes
+// from the key, and the key itself reaches no target.
+func TestRequestReachesTarget(t *testing.T) {
+	w := newWorld(t)
+	x := newTarget(t, "t-1")
+	w.operator(nil)
+	w.list(x, "a", "ready", 1)
+	p := w.start("a")
+	eventually(t, "the request is served", func() bool {
+		return call("POST", p.url("/unsafe/book?board=7%2F8"), nil).status == http.StatusOK
+	})
+	before := x.ran()
+	got := call("POST", p.url("/unsafe/book?board=7%2F8"), func(h http.Header) {
+		h.Set("X-Tenant", "somebody-else")
+		h.Set("X-Hold", "h-1")
+		h.Set("Kv-From", "10.0.0.1:80/x")
+		h.Set("X-Note", "kept")
+	})
+	if got.status != http.StatusOK || got.body != "t-1 /unsafe/book?board=7%2F8 body" || got.header.Get("X-Response-Signature") != "signed-by-t-1" {
+		t.Fatalf("answer: %+v", got)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	h := x.seen[before]
+	if h.Get("X-Tenant") != "hotel" || h.Get("X-Hold") != "" || h.Get("Kv-From") != "" || h.Get("X-Note") != "kept" {
+		t.Errorf("headers at the target: %v", h)
+	}
+	for name, values := range h {
+		if strings.Contains(strings.Join(values, " "), "key-of-the-hotel") {
+			t.Errorf("the key reached the target in %s", name)
+		}
+	}
+}
+
+// A request that one hop's receiver ran is run at most once more: the receiver
+// must not use up attempts that the sender does not know of.
+func TestHopRunsOnOneTarget(t *testing.T) {
+	w := newWorld(t)
+	fails := func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	var targets []*target
+	for _, id := range []string{"b-1", "b-2", "c-1", "c-2"} {
+		x := newTarget(t, id)
+		x.set(fails)
+		targets = append(targets, x)
+		w.list(x, id[:1], "ready", 1)
+	}
+	w.operator(nil)
+	p := w.start("a")
+	w.start("b")
+	w.start("c")
+	eventually(t, "both regions are known", func() bool { return len(p.entries()) == 3 })
+	eventually(t, "the hop is possible", func() bool {
+		return call("GET", p.url("/safe/stock"), nil).status == http.StatusInternalServerError
+	})
+	runs := func() (n int) {
+		for _, x := range targets {
+			n += x.ran()
+		}
+		return n
+	}
+	before := runs()
+	if got := call("GET", p.url("/safe/stock"), nil); got.status != http.StatusInternalServerError {
+		t.Fatalf("answer: %+v", got)
+	}
+	if n := runs() - before; n > 2 {
+		t.Errorf("the request ran on %d targets, its route allows 2", n)
+	}
+}
+
+// Requests that are bound to a region must not enter at a third one because the
+// directory named it.
+func TestDirectoryKeepsToHomes(t *testing.T) {
+	all := []entry{{"10.1.0.1:80", "east", "a"}, {"10.1.0.2:80", "east", "a2"}, {"10.2.0.1:80", "west", "b"}, {"10.3.0.1:80", "south", "c"}}
+	homes := map[string]bool{"east": true, "west": true}
+	for _, c := range []struct {
+		name, region, domain string
+		entries              []entry
+		homes                map[string]bool
+		want                 string
+	}{
+		{"own failure domain", "east", "a", all, homes, "10.1.0.1:80"},
+		{"own region", "east", "a3", all, homes, "10.1.0.1:80 10.1.0.2:80"},
+		{"own region that is no home", "south", "c", all, homes, "10.3.0.1:80"},
+		{"no instance in the own region", "west", "b", []entry{all[0], all[3]}, homes, "10.1.0.1:80"},
+		{"no instance in any home", "west", "b", []entry{all[3]}, homes, "10.3.0.1:80"},
+		{"no homes", "west", "b", []entry{all[0], all[3]}, nil, "10.1.0.1:80 10.3.0.1:80"},
+	} {
+		if got := strings.Join(where(whereabouts(c.region, c.domain), c.entries, c.homes), " "); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+func whereabouts(region, domain string) platform.Whereabouts {
+	return platform.Whereabouts{Region: region, Domain: domain}
+}
