Name homes in the directory when a region has no instance

Change: without an instance in the client's region the directory names regions that are homes of every route of the host, and others only if there are none. Ruled out: naming stopping instances; they serve for under three seconds more.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -7,6 +7,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/wigeonhill/wigeonhill/internal/roster"
+	"github.com/wigeonhill/wigeonhill/internal/site"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
@@ -39,7 +40,7 @@
 func (i *Instance) directoryServer() *http.Server {
 	return smallServer(platform.DirectoryPath, func(c echo.Context) error {
 		at := platform.ReadWhereabouts(c.QueryParams())
-		addresses := where(at, i.entries())
+		addresses := where(at, i.entries(), homesOf(i.catalog.Current().Config, platform.ReadHost(c.QueryParams())))
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
@@ -72,13 +73,37 @@
 	return m.Reachable && m.Row.GetReady() && !m.Row.GetLeaving() && m.Row.GetCallersAddress() != ""
 }
 
+// homesOf returns the regions in which every request to the host may run; nil if
+// no route of the host names homes, or if they have none in common.
+func homesOf(c *site.Config, host string) map[string]bool {
+	if c == nil {
+		return nil
+	}
+	var homes map[string]bool
+	for _, r := range c.Routes {
+		if r.Host != host || len(r.Homes) == 0 {
+			continue
+		}
+		common := map[string]bool{}
+		for _, h := range r.Homes {
+			if homes == nil || homes[h] {
+				common[h] = true
+			}
+		}
+		homes = common
+	}
+	return homes
+}
+
 // where returns the addresses for a caller: those of its failure domain, or else
-// of its region, or else all others. Callers of a region are kept there, as a
-// request that is bound to a region must not enter at a third one.
-func where(at platform.Whereabouts, entries []entry) []string {
+// of its region, or else of homes, or else all others. Callers of a region are
+// kept there, as a request that is bound to a region must not enter at a third
+// one.
+func where(at platform.Whereabouts, entries []entry, homes map[string]bool) []string {
 	for _, near := range []func(entry) bool{
 		func(e entry) bool { return e.domain == at.Domain },
 		func(e entry) bool { return e.region == at.Region },
+		func(e entry) bool { return homes[e.region] },
 		func(entry) bool { return true },
 	} {
 		var out []string
