Rank regions by the routes they suit in the directory

Change: the regions in which most of the host's routes with homes may run. Ruled out: an instance without a configuration; all had version 5.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -73,24 +73,27 @@
 	return m.Reachable && m.Row.GetReady() && !m.Row.GetLeaving() && m.Row.GetCallersAddress() != ""
 }
 
-// homesOf returns the regions in which every request to the host may run; nil if
-// no route of the host names homes, or if they have none in common.
+// homesOf returns the regions in which the most routes of the host that name
+// homes may run; nil if no route names any.
 func homesOf(c *site.Config, host string) map[string]bool {
 	if c == nil {
 		return nil
 	}
-	var homes map[string]bool
+	permits, most := map[string]int{}, 0
 	for _, r := range c.Routes {
-		if r.Host != host || len(r.Homes) == 0 {
+		if r.Host != host {
 			continue
 		}
-		common := map[string]bool{}
 		for _, h := range r.Homes {
-			if homes == nil || homes[h] {
-				common[h] = true
-			}
+			permits[h]++
+			most = max(most, permits[h])
+		}
+	}
+	homes := map[string]bool{}
+	for region, n := range permits {
+		if n == most {
+			homes[region] = true
 		}
-		homes = common
 	}
 	return homes
 }
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/site"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
@@ -107,3 +109,35 @@
 func whereabouts(region, domain string) platform.Whereabouts {
 	return platform.Whereabouts{Region: region, Domain: domain}
 }
+
+// Routes of one host may have different homes, some of them without traffic; the
+// regions that suit the most routes are the ones to name.
+func TestHomesOfHost(t *testing.T) {
+	c := &site.Config{Routes: []*site.Route{
+		{Host: "shop", Homes: []string{"east", "west"}}, {Host: "shop", Homes: []string{"east", "west"}},
+		{Host: "shop"}, {Host: "shop", Homes: []string{"south"}}, {Host: "other", Homes: []string{"north"}},
+	}}
+	if got := homesOf(c, "shop"); len(got) != 2 || !got["east"] || !got["west"] {
+		t.Errorf("homes: %v", got)
+	}
+	if got := homesOf(nil, "shop"); len(got) != 0 {
+		t.Errorf("homes without a configuration: %v", got)
+	}
+}
+
+// An instance that stops waits for requests, not for the idle connections of
+// its peers.
+func TestStopDoesNotWaitForIdlePeers(t *testing.T) {
+	w := newWorld(t)
+	x := newTarget(t, "b-1")
+	w.list(x, "b", "ready", 1)
+	w.operator(nil)
+	p, q := w.start("a"), w.start("b")
+	eventually(t, "a hop is served", func() bool { return call("GET", p.url("/safe/stock"), nil).status == http.StatusOK })
+	q.cancel()
+	<-q.done
+	q.done <- nil
+	if strings.Contains(q.log.String(), event.DrainCut.Name) {
+		t.Error("the drain was cut short although nothing was running")
+	}
+}
