Let a stopping instance wait for requests only

Cause: instances took their whole grace of 8 s to stop and logged that the drain was cut short with nothing running: Shutdown waits for idle HTTP/2 connections of peers and for connections without a request. Two of three instances of a region were missing at a time while all were restarted in turn. Change: servers stop listening, and the process ends once no request of a caller or peer was in progress for 100 ms. Ruled out: closing at once; a request that was just read would be lost.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -13,6 +15,11 @@
 	// drainReserve is the time left before the process is killed in which it must
 	// have ended.
 	drainReserve = 300 * time.Millisecond
+	// drainPoll is the pause between two looks at the requests in progress, and
+	// drainQuiet the looks in a row that must find none: a request that was just
+	// read is not counted yet.
+	drainPoll  = 20 * time.Millisecond
+	drainQuiet = 5
 )
 
 // Ready reports whether callers should be sent here.
@@ -21,25 +28,32 @@
 // Draining reports whether the instance is being stopped.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
-// Running is the number of callers' requests in progress.
+// Running is the number of requests in progress, those of other instances
+// included.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
 // BeginDrain makes the instance not ready; answers then close their connections.
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
-// Drain serves requests that still arrive, then closes the servers and waits
-// until the requests in progress have ended, within grace. It returns an error
-// if some had to be cut.
+// Drain serves requests that still arrive, then closes the servers once no
+// request is in progress, or at the end of grace. It returns an error if some
+// had to be cut. Connections without a request are not waited for.
 func (g *Gateway) Drain(grace time.Duration, servers ...*http.Server) error {
 	start := time.Now()
 	time.Sleep(min(acceptWhileDraining, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-drainReserve))
 	defer cancel()
-	var err error
 	for _, s := range servers {
-		if e := s.Shutdown(ctx); e != nil && err == nil {
-			err = e
+		go func() { _ = s.Shutdown(ctx) }() // stops listening and closes idle connections
+	}
+	for quiet := 0; quiet < drainQuiet; {
+		if ctx.Err() != nil {
+			return errors.Newf("%d requests were still running", g.Running())
+		}
+		time.Sleep(drainPoll)
+		if quiet++; g.Running() > 0 {
+			quiet = 0
 		}
 	}
-	return err
+	return nil
 }
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -146,6 +146,8 @@
 
 // Forward implements peerv1connect.PeerHandler.
 func (p *Peer) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	p.Gateway.running.Add(1)
+	defer p.Gateway.running.Add(-1)
 	m := req.Msg
 	h := http.Header{}
 	for _, x := range m.GetHeaders() {
