Keep shared prompt parts at one home in all regions; copy them elsewhere

Change: rendezvous hashing over the targets of all regions names the home of a part; a request goes there while half of its objective covers the way and the wait. A target without the part copies it from the one that has it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if choice.Region != "" {
-		d.away = choice.Region
+		d.away, d.expected = choice.Region, choice.Delay
 		a, f := g.forward(ctx, c, choice.Region, d.lastEvent)
 		if f != nil {
 			return f
@@ -36,17 +36,22 @@
 		defer a.body.Close()
 		return g.deliver(c, a, d, func() {})
 	}
+	d.expected = choice.Delay
 	e := v.Targets[choice.Target]
 	team := v.Config.Teams[c.team]
 	q := c.query(g.Settings.Region, team, time.Now())
 	attemptID, leave, _ := g.Suspects.Begin(e.ID, c.fingerprint(), true)
-	run := g.Tracker.Begin(e, v.Config.Services[c.service], q, time.Now())
+	fetchFrom := ""
+	if holder := v.Targets[choice.FetchFrom]; holder != nil {
+		fetchFrom = holder.Address
+	}
+	run := g.Tracker.Begin(e, v.Config.Services[c.service], q, fetchFrom != "", time.Now())
 	first := func() { run.First(time.Now()) }
 	if limit := g.silence(c); limit > 0 {
 		timer := time.AfterFunc(limit, func() { cancel(errSilent) })
 		first = func() { timer.Stop(); run.First(time.Now()) }
 	}
-	f := g.exchange(ctx, c, e, v, d, first)
+	f := g.exchange(ctx, c, e, v, d, fetchFrom, first)
 	leave()
 	outcome := placing.Good
 	if f != nil {
@@ -76,8 +81,8 @@
 }
 
 // exchange sends a call to a target and passes its answer on.
-func (g *Gateway) exchange(ctx context.Context, c *call, e *catalog.Entry, v *catalog.View, d *delivery, first func()) *failure {
-	a, f := g.send(ctx, c, e, v.Config.Teams[c.team], d.lastEvent)
+func (g *Gateway) exchange(ctx context.Context, c *call, e *catalog.Entry, v *catalog.View, d *delivery, fetchFrom string, first func()) *failure {
+	a, f := g.send(ctx, c, e, v.Config.Teams[c.team], d.lastEvent, fetchFrom)
 	if f != nil {
 		return f
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -199,7 +199,7 @@
 	if err == nil {
 		if took := d.first.Sub(c.arrived); took > c.route.Objective && c.route.Objective > 0 {
 			g.Log.Emit(event.RequestSlow, zap.String("request", c.ID), zap.String("route", c.route.Name), zap.Duration("took", took),
-				zap.String("target", d.target), zap.String("away", d.away), zap.Int("sends", c.sends+1))
+				zap.Duration("expected", d.expected), zap.String("target", d.target), zap.String("away", d.away), zap.Int("sends", c.sends+1))
 		}
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,8 @@
 	fallback *buffered
 	target   string
 	away     string
+	// expected is the delay that the choice of the last place expected.
+	expected time.Duration
 	first    time.Time
 }
 
@@ -137,6 +139,7 @@
 	var regions []placing.Region
 	if !c.hop {
 		regions = g.regions(c, team, exclude)
+		q.HomeRegion = g.Tracker.HomeRegion(v, c.service, q.SharedKey, func(region string) bool { return site.Permits(c.route, team, region) })
 	}
 	choice := placing.Choose(q, targets, regions, placing.ModelOf(v.Config.Services[c.service]))
 	if choice.Target == "" && choice.Region == "" {
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -53,7 +53,7 @@
 }
 
 // send sends a call to a target and waits for the head of the answer.
-func (g *Gateway) send(ctx context.Context, c *call, e *catalog.Entry, team *site.Team, resumeAfter string) (*answer, *failure) {
+func (g *Gateway) send(ctx context.Context, c *call, e *catalog.Entry, team *site.Team, resumeAfter, fetchFrom string) (*answer, *failure) {
 	var conn connected
 	req, err := http.NewRequestWithContext(conn.trace(ctx), c.method, "http://"+e.Address, bodyOf(c.body))
 	if err != nil {
@@ -64,7 +64,7 @@
 	req.Host = c.host
 	req.ContentLength = int64(len(c.body))
 	req.Header = c.header.Clone()
-	errand := platform.Errand{Target: e.ID, TimeLeft: time.Until(c.deadline), Priority: c.route.PriorityOf(team), ResumeAfter: resumeAfter}
+	errand := platform.Errand{Target: e.ID, TimeLeft: time.Until(c.deadline), Priority: c.route.PriorityOf(team), ResumeAfter: resumeAfter, FetchFrom: fetchFrom}
 	if !c.route.Open {
 		errand.Team = c.team
 	}
--- a/internal/placing/beliefs.go
+++ b/internal/placing/beliefs.go
@@ -49,6 +49,9 @@
 	used   time.Time
 }
 
+// used is when a part was last used; zero if it is not there.
+func (c *cache) used(key string) time.Time { return c.parts[key].used }
+
 func (c *cache) has(key string, now time.Time) bool {
 	p, ok := c.parts[key]
 	return ok && key != "" && now.Sub(p.used) < cacheMemory
--- a/internal/placing/choose.go
+++ b/internal/placing/choose.go
@@ -19,10 +19,17 @@
 	comfort = 0.45
 	// awayMargin is what another region must gain over the own one.
 	awayMargin = 150 * time.Millisecond
-	// homeBonus is the delay that the home of a prompt may cost more, as a part of
-	// the time that reading its shared parts takes elsewhere. It is the hysteresis
-	// of homes.
+	// homeBonus is the delay that a target with the shared parts may cost more
+	// than one without, as a part of the time that reading them takes there. It is
+	// the hysteresis of homes.
 	homeBonus = 0.9
+	// homeComfort is the part of the objective up to which a request goes to the
+	// region of the home of its shared parts.
+	homeComfort = 0.5
+	// fetchCost is the delay that a target with the shared parts may cost more
+	// than one that can fetch them: a fetch takes a few milliseconds, but the
+	// memory moved is paid for and displaces other parts.
+	fetchCost = 60 * time.Millisecond
 )
 
 // Query is what a choice depends on.
@@ -32,7 +39,10 @@
 	// SharedKey names them; 0 and "" for none.
 	SharedTokens int
 	SharedKey    string
-	Objective    time.Duration
+	// HomeRegion is the region with the home of the shared parts among the
+	// targets of all regions; empty if there is none.
+	HomeRegion string
+	Objective  time.Duration
 	// Left is the time that the caller still waits.
 	Left time.Duration
 	// AllowedHere is false if residency forbids the own region.
@@ -47,8 +57,10 @@
 	Engine  bool
 	// PendingTokens are prompt tokens at the target that are probably not read.
 	PendingTokens int
-	// Cached is true if the shared parts are believed to be in its memory.
-	Cached bool
+	// Cached is true if the shared parts are believed to be in its memory, and
+	// CachedAt is when they were last used there.
+	Cached   bool
+	CachedAt time.Time
 	// Pace is the time of the target relative to the usual one; 1 is usual.
 	Pace float64
 	// Full is set if the target takes no request now: cold and at its rate, at
@@ -71,6 +83,9 @@
 // which capacity is expected.
 type Choice struct {
 	Target, Region string
+	// FetchFrom is a target from which Target can copy the shared parts instead
+	// of reading them; empty if it has them or none is known to.
+	FetchFrom string
 	// Delay is the expected time to the first byte.
 	Delay time.Duration
 	// RetryAfter is set if neither Target nor Region is.
@@ -87,17 +102,25 @@
 	StepMS, StepPerRequestMS float64
 	// WorkMS is the work of one request at a plain service.
 	WorkMS float64
+	// FetchTokensPerMS is the speed at which a target copies parts from another
+	// one; 0 if it cannot.
+	FetchTokensPerMS float64
 }
 
-// Delay is the expected time to the first byte on t.
-func (m *Model) Delay(q *Query, t *Target) time.Duration {
+// Delay is the expected time to the first byte on t. fetch is set if t copies the
+// shared parts from another target.
+func (m *Model) Delay(q *Query, t *Target, fetch bool) time.Duration {
 	var ms float64
 	if t.Engine {
 		tokens := q.PromptTokens + t.PendingTokens
-		if t.Cached {
-			tokens -= min(q.SharedTokens, q.PromptTokens)
+		switch shared := min(q.SharedTokens, q.PromptTokens); {
+		case t.Cached:
+			tokens -= shared
+		case fetch:
+			tokens -= shared
+			ms += float64(shared) / m.FetchTokensPerMS
 		}
-		ms = float64(tokens)/m.TokensPerMS + eventTokens*(m.StepMS+m.StepPerRequestMS*float64(t.Running))
+		ms += float64(tokens)/m.TokensPerMS + eventTokens*(m.StepMS+m.StepPerRequestMS*float64(t.Running))
 	} else {
 		queued := max(t.Running+1-t.Slots, 0)
 		ms = m.WorkMS * (1 + float64(queued)/float64(max(t.Slots, 1)))
@@ -109,9 +132,12 @@
 
 // Choose returns where the request should run.
 func Choose(q *Query, targets []Target, regions []Region, m *Model) Choice {
-	local, delay := bestTarget(q, targets, m)
+	if r := homeRegion(q, targets, regions); r != nil {
+		return Choice{Region: r.Name, Delay: r.Delay + r.RoundTrip, Reason: "home of the shared parts"}
+	}
+	local, from, delay := bestTarget(q, targets, m)
 	if local != nil && delay <= time.Duration(comfort*float64(q.Objective)) {
-		return Choice{Target: local.ID, Delay: delay, Reason: "own region has room"}
+		return Choice{Target: local.ID, FetchFrom: from, Delay: delay, Reason: "own region has room"}
 	}
 	away := bestRegion(regions)
 	limit := min(time.Duration(lateFactor*float64(q.Objective)), q.Left)
@@ -122,24 +148,45 @@
 		}
 	}
 	if local != nil && delay <= limit {
-		return Choice{Target: local.ID, Delay: delay, Reason: "own region is no worse"}
+		return Choice{Target: local.ID, FetchFrom: from, Delay: delay, Reason: "own region is no worse"}
 	}
 	return Choice{RetryAfter: comeBack(q, delay), Reason: "no place in time"}
 }
 
+// homeRegion returns the region in which the shared parts of a request are kept
+// for all regions, if it has room and the own region does not have them too.
+func homeRegion(q *Query, targets []Target, regions []Region) *Region {
+	if q.HomeRegion == "" {
+		return nil
+	}
+	for i := range targets {
+		if targets[i].Cached && !targets[i].Full && q.AllowedHere {
+			return nil
+		}
+	}
+	for i := range regions {
+		r := &regions[i]
+		if r.Name == q.HomeRegion && r.Free > 0 && r.Delay+r.RoundTrip < time.Duration(homeComfort*float64(q.Objective)) {
+			return r
+		}
+	}
+	return nil
+}
+
 // comeBack advises when to try again: when half of what is ahead now is done.
 func comeBack(q *Query, delay time.Duration) time.Duration {
 	return min(max(delay/2, 200*time.Millisecond), q.Left/4)
 }
 
-// bestTarget returns the target with the least expected delay; the home of the
-// shared parts is preferred to others that would read them again.
-func bestTarget(q *Query, targets []Target, m *Model) (best *Target, delay time.Duration) {
+// bestTarget returns the target with the least expected delay, and the one from
+// which it copies the shared parts. A target that has them is preferred to others
+// that would have to read or copy them.
+func bestTarget(q *Query, targets []Target, m *Model) (best *Target, from string, delay time.Duration) {
 	if !q.AllowedHere {
-		return nil, 0
+		return nil, "", 0
 	}
 	bestCost := time.Duration(0)
-	home := Home(q.SharedKey, targets)
+	holder := holderOf(q, targets)
 	for i := range targets {
 		t := &targets[i]
 		if t.Full {
@@ -147,17 +194,39 @@
 		}
 		view := *t
 		// The home reads the parts once for all instances.
-		view.Cached = t.Cached || t.ID == home
-		d := m.Delay(q, &view)
+		view.Cached = t.Cached || t.ID == holder
+		fetch := holder != "" && m.FetchTokensPerMS > 0 && !view.Cached
+		d := m.Delay(q, &view, fetch)
 		cost := d
-		if q.SharedKey != "" && !view.Cached {
+		switch {
+		case fetch:
+			cost += fetchCost
+		case q.SharedKey != "" && !view.Cached:
 			cost += time.Duration(homeBonus * float64(q.SharedTokens) / m.TokensPerMS * float64(time.Millisecond))
 		}
 		if best == nil || cost < bestCost {
-			best, bestCost, delay = t, cost, d
+			best, bestCost, delay, from = t, cost, d, ""
+			if fetch {
+				from = holder
+			}
 		}
 	}
-	return best, delay
+	return best, from, delay
+}
+
+// holderOf returns the target that probably has the shared parts: the one to
+// which this instance sent them last, or else their home.
+func holderOf(q *Query, targets []Target) string {
+	var last *Target
+	for i := range targets {
+		if t := &targets[i]; t.Cached && (last == nil || t.CachedAt.After(last.CachedAt)) {
+			last = t
+		}
+	}
+	if last != nil {
+		return last.ID
+	}
+	return Home(q.SharedKey, targets)
 }
 
 // Home returns the target that all instances prefer for a shared part: the one
@@ -169,13 +238,15 @@
 	}
 	home, top := "", uint64(0)
 	for i := range targets {
-		if rank := xxhash.Sum64String(key + "\x00" + targets[i].ID); home == "" || rank > top {
+		if rank := homeRank(key, targets[i].ID); home == "" || rank > top {
 			home, top = targets[i].ID, rank
 		}
 	}
 	return home
 }
 
+func homeRank(key, id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
+
 func bestRegion(regions []Region) *Region {
 	var best *Region
 	for i := range regions {
--- /dev/null
+++ b/internal/placing/choose_test.go
@@ -0,0 +1,121 @@
+package placing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var engine = &Model{TokensPerMS: 30, StepMS: 5, StepPerRequestMS: 0.15, WorkMS: 30, FetchTokensPerMS: 2500}
+
+func long(key string) *Query {
+	return &Query{PromptTokens: 17000, SharedTokens: 13300, SharedKey: key, Objective: 1200 * time.Millisecond, Left: 8 * time.Second, AllowedHere: true}
+}
+
+func engines(n int) []Target {
+	out := make([]Target, n)
+	for i := range out {
+		out[i] = Target{ID: fmt.Sprintf("t-%d", i), Slots: 64, Engine: true, Pace: 1}
+	}
+	return out
+}
+
+func region(name string, delay time.Duration) Region {
+	return Region{Name: name, Free: 10, Delay: delay, RoundTrip: 110 * time.Millisecond}
+}
+
+// Load: long prompts that share a part, from all regions. Each part has one home
+// in all regions together, so that it is read once and not once in each region.
+func TestSharedPartsHaveOneHome(t *testing.T) {
+	q := long("part-1")
+	q.HomeRegion = "west"
+	regions := []Region{region("west", 100*time.Millisecond), region("south", 20*time.Millisecond)}
+	if c := Choose(q, engines(4), regions, engine); c.Region != "west" {
+		t.Errorf("a part whose home is west: %+v", c)
+	}
+	here := engines(4)
+	here[2].Cached = true
+	if c := Choose(q, here, regions, engine); c.Target != "t-2" {
+		t.Errorf("a part that is here too: %+v", c)
+	}
+	busy := []Region{region("west", 700*time.Millisecond)}
+	if c := Choose(q, engines(4), busy, engine); c.Target == "" {
+		t.Errorf("a home that is busy: %+v", c)
+	}
+	if c := Choose(q, engines(4), nil, engine); c.Target == "" {
+		t.Errorf("a home that cannot be reached: %+v", c)
+	}
+}
+
+// Load: a popular part. Targets beside its home take requests and copy the part
+// rather than read it.
+func TestBusyHomeIsCopiedFrom(t *testing.T) {
+	q := long("part-1")
+	targets := engines(5)
+	home := Home(q.SharedKey, targets)
+	for i := range targets {
+		if targets[i].ID == home {
+			targets[i].PendingTokens = 20000
+		}
+	}
+	c := Choose(q, targets, nil, engine)
+	if c.Target == home || c.FetchFrom != home {
+		t.Errorf("choice %+v, home %s", c, home)
+	}
+	if c.Delay > 400*time.Millisecond {
+		t.Errorf("expected delay %s; the shared part is not read again", c.Delay)
+	}
+}
+
+// Load: more requests than all targets can serve in time. What would be late is
+// refused at once and told when to come back.
+func TestLateRequestsAreRefusedAtOnce(t *testing.T) {
+	q := long("part-1")
+	targets := engines(3)
+	for i := range targets {
+		targets[i].PendingTokens = 100_000
+	}
+	c := Choose(q, targets, []Region{region("west", 3*time.Second)}, engine)
+	if c.Target != "" || c.Region != "" || c.RetryAfter <= 0 || c.RetryAfter > q.Left/3 {
+		t.Errorf("choice %+v", c)
+	}
+}
+
+// Load: a region at its peak. Requests leave it for a region that is faster by
+// more than the way there, and only then.
+func TestOverflowToAnotherRegion(t *testing.T) {
+	q := &Query{PromptTokens: 383, Objective: 800 * time.Millisecond, Left: 4 * time.Second, AllowedHere: true}
+	targets := engines(2)
+	for i := range targets {
+		targets[i].PendingTokens = 18_000
+	}
+	if c := Choose(q, targets, []Region{region("west", 50*time.Millisecond)}, engine); c.Region != "west" {
+		t.Errorf("a busy region: %+v", c)
+	}
+	if c := Choose(q, targets, []Region{region("west", 560*time.Millisecond)}, engine); c.Target == "" {
+		t.Errorf("another region as busy: %+v", c)
+	}
+	q.AllowedHere = false
+	if c := Choose(q, engines(2), []Region{region("west", 50*time.Millisecond)}, engine); c.Region != "west" {
+		t.Errorf("a request that must not run here: %+v", c)
+	}
+}
+
+// A target that comes or goes moves only its own parts.
+func TestHomesAreStable(t *testing.T) {
+	all := engines(12)
+	moved := 0
+	for i := range 1000 {
+		key := fmt.Sprint("part-", i)
+		before, after := Home(key, all), Home(key, all[:11])
+		if before != after {
+			moved++
+			if before != all[11].ID {
+				t.Fatalf("%s moved from %s to %s, which both stay", key, before, after)
+			}
+		}
+	}
+	if moved > 150 {
+		t.Errorf("%d of 1000 parts moved, expected about 83", moved)
+	}
+}
--- a/internal/placing/tracker.go
+++ b/internal/placing/tracker.go
@@ -105,8 +105,12 @@
 }
 
 // ModelOf returns the usual times of a service.
-func ModelOf(*site.Service) *Model {
-	return &Model{TokensPerMS: defaultTokensPerMS, StepMS: defaultStepMS, StepPerRequestMS: defaultStepPerRequestMS, WorkMS: defaultWorkMS}
+func ModelOf(s *site.Service) *Model {
+	m := &Model{TokensPerMS: defaultTokensPerMS, StepMS: defaultStepMS, StepPerRequestMS: defaultStepPerRequestMS, WorkMS: defaultWorkMS}
+	if s.Engine != nil && s.Engine.TokenBytes > 0 && s.Engine.LinkBytesPerSecond > 0 {
+		m.FetchTokensPerMS = s.Engine.LinkBytesPerSecond / s.Engine.TokenBytes / 1000
+	}
+	return m
 }
 
 // Shared returns the key and the tokens of the parts of a prompt that other
@@ -148,11 +152,31 @@
 	return out
 }
 
+// HomeRegion returns the region of the home of a shared part among the targets
+// of a service in all regions that permitted accepts. All instances agree on it,
+// as it depends on what the platform lists only.
+func (t *Tracker) HomeRegion(v *catalog.View, service, key string, permitted func(region string) bool) string {
+	if key == "" {
+		return ""
+	}
+	home, top := "", uint64(0)
+	for _, e := range v.Targets {
+		region := t.regionOf[e.Domain]
+		if e.Service != service || e.Leaving || v.Evacuated[e.Domain] || !permitted(region) {
+			continue
+		}
+		if rank := homeRank(key, e.ID); home == "" || rank > top {
+			home, top = region, rank
+		}
+	}
+	return home
+}
+
 func (t *Tracker) view(v *catalog.View, s *site.Service, e *catalog.Entry, st *state, sharedKey string, now time.Time) Target {
 	running, pending := st.load()
 	view := Target{
 		ID: e.ID, Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending,
-		Cached: st.cache.has(sharedKey, now), Pace: st.pace.at(now, t.servicePace(s.Name)),
+		Cached: st.cache.has(sharedKey, now), CachedAt: st.cache.used(sharedKey), Pace: st.pace.at(now, t.servicePace(s.Name)),
 	}
 	bound := e.Slots
 	if s.Engine == nil {
@@ -203,16 +227,17 @@
 }
 
 // Begin notes that a request is sent to the target.
-func (t *Tracker) Begin(e *catalog.Entry, s *site.Service, q *Query, now time.Time) *Run {
+// fetch is set if the target copies the shared parts from another one.
+func (t *Tracker) Begin(e *catalog.Entry, s *site.Service, q *Query, fetch bool, now time.Time) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.state(e)
 	running, pending := st.load()
 	view := Target{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Pace: 1, Cached: st.cache.has(q.SharedKey, now)}
-	r := &Run{t: t, s: st, id: e.ID, began: now, expected: ModelOf(s).Delay(q, &view)}
+	r := &Run{t: t, s: st, id: e.ID, began: now, expected: ModelOf(s).Delay(q, &view, fetch)}
 	if s.Engine != nil {
 		r.pending = q.PromptTokens
-		if view.Cached {
+		if view.Cached || fetch {
 			r.pending -= min(q.SharedTokens, q.PromptTokens)
 		}
 		st.cache.add(q.SharedKey, q.SharedTokens, int(cacheShare*float64(s.Engine.CacheTokens)), now)
@@ -333,7 +358,7 @@
 		}
 	}
 	if free > 0 {
-		_, d := bestTarget(&Query{AllowedHere: true}, targets, ModelOf(s))
+		_, _, d := bestTarget(&Query{AllowedHere: true}, targets, ModelOf(s))
 		p.DelayMs = uint32(d.Milliseconds())
 	}
 	return p
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -90,6 +90,9 @@
 	Slots int
 	// CacheTokens is the memory for running requests and cached parts.
 	CacheTokens int
+	// TokenBytes is the memory of one cached token, and LinkBytesPerSecond the
+	// speed at which engines copy it from each other; 0 if they do not.
+	TokenBytes, LinkBytesPerSecond float64
 }
 
 // Team is a customer.
