Keep teams within their bound through cuts and kills of all instances

Three faults: both sides of a cut weighed their own demand of now against the other's of before, so that their parts added up to 2.2; one lost datagram wrote off what the sender had spent meanwhile; after all instances were killed, each region spent a whole bucket before it heard of the others. Change: parts follow the demand when the silent side was last heard, kept in a short history; what a side spent beyond its frozen part is charged on its return; a late row freezes a part long before the member counts as lost; for a second after the start the other failure domains count as silent.

--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -54,7 +54,7 @@
 			for _, t := range m.Row.GetTeams() {
 				use[t.GetTeam()] = quota.Use{Spent: t.GetSpent(), Demand: float64(t.GetDemand())}
 			}
-			peers = append(peers, quota.Peer{Address: id.GetPeerAddress(), Domain: id.GetDomain(), Incarnation: id.GetIncarnation(), Reachable: m.Reachable, Use: use})
+			peers = append(peers, quota.Peer{Address: id.GetPeerAddress(), Domain: id.GetDomain(), Incarnation: id.GetIncarnation(), Reachable: m.Reachable && !m.Late, Heard: m.Heard, Use: use})
 		}
 		i.tracker.SetPeers(near)
 		i.tracker.Forget(i.catalog.Current().Targets)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -9,14 +9,22 @@
 )
 
 const (
-	// startLevel is the part of the burst with which a bucket starts: after all
-	// instances were replaced, what was spent before them is not known.
+	// startLevel is the part of the burst with which all buckets of a fleet start
+	// together: after all instances were replaced, what was spent before is not
+	// known.
 	startLevel = 0.5
+	// settleTime is the time after the start in which the other failure domains
+	// count as silent: their first rows do not yet tell their pace.
+	settleTime = time.Second
 	// demandMemory is the time over which demand is averaged.
 	demandMemory = 2 * time.Second
 	// minWeight is the part of a team's rate that each instance counts as demand
 	// at least, so that an idle one that is cut off can serve the first requests.
 	minWeight = 0.02
+	// historyStep and historyLength are the pause between two records of demand
+	// and their number: longer than it takes to notice that a region is silent.
+	historyStep   = 250 * time.Millisecond
+	historyLength = 14
 	// paceMemory bounds how long another instance is assumed to go on spending at
 	// its last pace without news of it.
 	paceMemory = time.Second
@@ -30,6 +38,8 @@
 	Domain      string
 	Incarnation uint64
 	Reachable   bool
+	// Heard is when its last row arrived.
+	Heard time.Time
 	// Use by team.
 	Use map[string]Use
 }
@@ -45,9 +55,10 @@
 	domains []string // all but the own
 	mu      struct {
 		sync.Mutex
-		teams map[string]*bucket
-		peers map[string]*peer // by address
-		heard map[string]bool  // failure domains heard from since the start
+		started time.Time // of the first request or row
+		teams   map[string]*bucket
+		peers   map[string]*peer // by address
+		heard   map[string]bool  // failure domains heard from since the start
 	}
 }
 
@@ -64,6 +75,15 @@
 	spent       float64 // by this instance
 	demand      meter
 	others      map[string]*other
+	// history of demand, oldest first; see freeze.
+	history []record
+}
+
+// record is the demand of all instances as it was known at a time.
+type record struct {
+	at     time.Time
+	own    float64
+	others map[string]float64 // by address
 }
 
 // other is what another instance spends for one team.
@@ -72,8 +92,9 @@
 	pace   float64 // tokens a second, from the last two rows
 	demand float64
 	at     time.Time
-	// frozen is its part of the rate while it is not reachable.
-	frozen float64
+	// frozen is its part of the rate while it is not reachable, since frozenAt.
+	frozen   float64
+	frozenAt time.Time
 }
 
 // New returns a Limiter of an instance in the failure domain own.
@@ -133,32 +154,39 @@
 }
 
 func (l *Limiter) bucket(t *site.Team, now time.Time) *bucket {
+	l.begin(now)
 	b := l.mu.teams[t.Name]
 	if b == nil {
-		b = &bucket{level: t.Burst * startLevel, at: now, others: map[string]*other{}}
+		b = &bucket{level: t.Burst * startLevel / float64(len(l.domains)+1), at: now, others: map[string]*other{}}
 		l.mu.teams[t.Name] = b
 	}
 	b.rate, b.burst = t.Rate, t.Burst
 	return b
 }
 
+func (l *Limiter) begin(now time.Time) {
+	if l.mu.started.IsZero() {
+		l.mu.started = now
+	}
+}
+
 // refill adds what has accrued and returns the part of the rate of this side.
 func (l *Limiter) refill(b *bucket, now time.Time) float64 {
-	part := l.part(b)
+	part := l.part(b, now)
 	b.level = min(b.level+now.Sub(b.at).Seconds()*b.rate*part, b.burst*part)
 	b.at = now
 	return part
 }
 
 // part is what the frozen parts of others leave.
-func (l *Limiter) part(b *bucket) float64 {
+func (l *Limiter) part(b *bucket, now time.Time) float64 {
 	part := 1.0
 	for _, o := range b.others {
 		part -= o.frozen
 	}
 	silent := 0
 	for _, d := range l.domains {
-		if !l.mu.heard[d] {
+		if !l.mu.heard[d] || now.Sub(l.mu.started) < settleTime {
 			silent++
 		}
 	}
@@ -181,9 +209,47 @@
 func (l *Limiter) Observe(peers []Peer, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.begin(now)
 	for i := range peers {
 		l.observe(&peers[i], now)
 	}
+	for _, b := range l.mu.teams {
+		b.remember(now)
+	}
+}
+
+// remember records demand. A team that nobody asks for needs no record.
+func (b *bucket) remember(now time.Time) {
+	if n := len(b.history); n > 0 && now.Sub(b.history[n-1].at) < historyStep {
+		return
+	}
+	r := record{at: now, own: b.demand.perSecond(now), others: make(map[string]float64, len(b.others))}
+	sum := r.own
+	for a, o := range b.others {
+		r.others[a] = o.demand
+		sum += o.demand
+	}
+	if sum < b.rate*minWeight {
+		b.history = nil
+		return
+	}
+	if len(b.history) >= historyLength {
+		b.history = b.history[1:]
+	}
+	b.history = append(b.history, r)
+}
+
+// demandAt returns the demand as it was known at a time.
+func (b *bucket) demandAt(at time.Time) record {
+	for i := len(b.history) - 1; i >= 0; i-- {
+		if !b.history[i].at.After(at) {
+			return b.history[i]
+		}
+	}
+	if len(b.history) > 0 {
+		return b.history[0]
+	}
+	return record{}
 }
 
 func (l *Limiter) observe(p *Peer, now time.Time) {
@@ -202,18 +268,23 @@
 	for _, b := range l.mu.teams {
 		l.refill(b, now) // by the parts in force until now
 		if lost {
-			b.freeze(l, p.Address, now)
+			b.freeze(l, p.Address, p.Heard, now)
 			continue
 		}
 		if replaced {
 			delete(b.others, p.Address)
 		}
-		if o := b.others[p.Address]; o != nil && returned {
-			o.frozen = 0
-		}
 	}
-	if p.Reachable {
-		l.take(p, replaced, returned, now)
+	if !p.Reachable {
+		return
+	}
+	l.take(p, replaced, returned, now)
+	if returned {
+		for _, b := range l.mu.teams {
+			if o := b.others[p.Address]; o != nil {
+				o.frozen = 0 // also of teams that its row does not name
+			}
+		}
 	}
 }
 
@@ -233,12 +304,15 @@
 			b.others[p.Address] = o
 		}
 		o.demand = use.Demand
+		delta := use.Spent - o.spent
 		if returned && !replaced {
-			// It spent its frozen part meanwhile, which was not ours.
-			o.spent, o.at, o.pace = use.Spent, now, 0
+			// It spent its frozen part meanwhile, which was not ours. It may have
+			// spent more if it heard this side all the while.
+			part := o.frozen * b.rate * now.Sub(o.frozenAt).Seconds()
+			o.spent, o.at, o.pace, o.frozen = use.Spent, now, 0, 0
+			b.level -= max(delta-part, 0)
 			continue
 		}
-		delta := use.Spent - o.spent
 		if delta == 0 && now.Sub(o.at) < paceMemory/4 {
 			continue // the row that was seen already
 		}
@@ -250,21 +324,24 @@
 	}
 }
 
-// freeze keeps the part of an instance that fell silent.
-func (b *bucket) freeze(l *Limiter, address string, now time.Time) {
+// freeze keeps the part of an instance that fell silent. The parts are those of
+// the demand when it was last heard: what either side was asked for since is not
+// known to the other, and with it both sides would count themselves larger.
+func (b *bucket) freeze(l *Limiter, address string, heard, now time.Time) {
 	o := b.others[address]
 	if o == nil {
 		o = &other{at: now}
 		b.others[address] = o
 	}
+	then := b.demandAt(heard)
 	floor := b.rate * minWeight
-	sum := max(b.demand.perSecond(now), floor)
-	for a, x := range b.others {
+	sum := max(then.own, floor)
+	for a := range b.others {
 		if p := l.mu.peers[a]; a == address || p != nil && p.reachable {
-			sum += max(x.demand, floor)
+			sum += max(then.others[a], floor)
 		}
 	}
-	o.frozen = l.part(b) * max(o.demand, floor) / sum
+	o.frozen, o.frozenAt = l.part(b, now)*max(then.others[address], floor)/sum, now
 }
 
 // Own returns what this instance admitted and was asked for, by team.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -21,6 +21,8 @@
 	// paid by the byte.
 	farInterval = 500 * time.Millisecond
 	farSilence  = 2200 * time.Millisecond
+	// lateMargin is the time on the way and in queues that a row may take.
+	lateMargin = 200 * time.Millisecond
 	// perMember stretches the intervals with the number of members, so that an
 	// instance sends at most about 100 rows a second.
 	perMember = 20 * time.Millisecond
@@ -38,6 +40,9 @@
 	// Heard is when the last row came from the member itself.
 	Heard     time.Time
 	Reachable bool
+	// Late is set as soon as a row is missing, long before the member counts as
+	// unreachable; single datagrams are lost.
+	Late bool
 }
 
 // Name returns the name of the member.
@@ -138,6 +143,7 @@
 			continue
 		}
 		m.Reachable = silence < t.allowed(m)
+		m.Late = silence > t.interval(m)+lateMargin
 		out = append(out, m.Member)
 	}
 	slices.SortFunc(out, func(a, b Member) int {
