Refuse what would be late; count the oldest wait at a target

Change: the limit is 0.8 of the objective; a new request expects at least 0.7 of the wait of the oldest request without a first byte. Ruled out: a queue at the instances; engines batch, the work per second is the same.

--- a/internal/placing/choose.go
+++ b/internal/placing/choose.go
@@ -13,7 +13,10 @@
 	// lateFactor is the part of the objective that the expected delay may reach
 	// before a request is refused: a request that would be late takes capacity
 	// from those that can still be on time.
-	lateFactor = 1.3
+	lateFactor = 0.8
+	// oldestPart is the part of the wait of the oldest request at a target that a
+	// new one expects at least.
+	oldestPart = 0.7
 	// comfort is the part of the objective up to which the own region is taken
 	// without a look at others.
 	comfort = 0.45
@@ -61,6 +64,8 @@
 	// CachedAt is when they were last used there.
 	Cached   bool
 	CachedAt time.Time
+	// Oldest is how long a request has waited there for its first byte.
+	Oldest time.Duration
 	// Pace is the time of the target relative to the usual one; 1 is usual.
 	Pace float64
 	// Full is set if the target takes no request now: cold and at its rate, at
@@ -127,7 +132,7 @@
 		// Crowded targets are a little slower, and it spreads light load.
 		ms += 0.2 * m.WorkMS * float64(t.Running) / float64(max(t.Slots, 1))
 	}
-	return time.Duration(ms * max(t.Pace, 0.05) * float64(time.Millisecond))
+	return max(time.Duration(ms*max(t.Pace, 0.05)*float64(time.Millisecond)), time.Duration(oldestPart*float64(t.Oldest)))
 }
 
 // Choose returns where the request should run.
--- a/internal/placing/tracker.go
+++ b/internal/placing/tracker.go
@@ -64,6 +64,8 @@
 	pace    pace
 	health  health
 	sends   []time.Time // while cold
+	// waiting holds the start of the requests without a first byte.
+	waiting map[*Run]time.Time
 	others  map[string]use
 }
 
@@ -89,7 +91,7 @@
 		if s != nil {
 			running = s.running // of the start before; they end soon
 		}
-		s = &state{born: e.Born, service: e.Service, running: running, others: map[string]use{}, pace: t.servicePace(e.Service).child()}
+		s = &state{born: e.Born, service: e.Service, running: running, others: map[string]use{}, waiting: map[*Run]time.Time{}, pace: t.servicePace(e.Service).child()}
 		t.mu.targets[e.ID] = s
 	}
 	return s
@@ -176,7 +178,7 @@
 	running, pending := st.load()
 	view := Target{
 		ID: e.ID, Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending,
-		Cached: st.cache.has(sharedKey, now), CachedAt: st.cache.used(sharedKey), Pace: st.pace.at(now, t.servicePace(s.Name)),
+		Cached: st.cache.has(sharedKey, now), CachedAt: st.cache.used(sharedKey), Oldest: st.oldest(now), Pace: st.pace.at(now, t.servicePace(s.Name)),
 	}
 	bound := e.Slots
 	if s.Engine == nil {
@@ -206,6 +208,17 @@
 	return len(s.sends)
 }
 
+// oldest is how long the request that has waited longest for its first byte has
+// waited. The pace learns of a slow target only from first bytes, so it is late
+// by just the delay that matters.
+func (s *state) oldest(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, began := range s.waiting {
+		age = max(age, now.Sub(began))
+	}
+	return age
+}
+
 func (s *state) load() (running, pending int) {
 	running, pending = s.running, s.pending
 	for _, o := range s.others {
@@ -244,6 +257,7 @@
 	}
 	st.running++
 	st.pending += r.pending
+	st.waiting[r] = now
 	st.sends = append(st.sends, now)
 	st.recent(now)
 	return r
@@ -257,6 +271,7 @@
 		return
 	}
 	r.first = true
+	delete(r.s.waiting, r)
 	r.s.pending -= r.pending
 	r.pending = 0
 	r.s.pace.observe(float64(now.Sub(r.began))/float64(max(r.expected, time.Millisecond)), now, r.t.servicePace(r.s.service))
@@ -270,6 +285,7 @@
 		return false
 	}
 	r.ended = true
+	delete(r.s.waiting, r)
 	r.s.running--
 	r.s.pending -= r.pending
 	return r.s.health.note(o, now)
