--- a/internal/placing/tracker.go
+++ b/internal/placing/tracker.go
@@ -19,6 +19,9 @@
 	// plainQueue is how many requests a plain target may hold, as a multiple of
 	// its slots: a second batch keeps it busy, a third only waits.
 	plainQueue = 2
+	// maxBatch bounds the requests at an engine. A larger batch yields few more
+	// tokens a second, but long answers no longer end within their time.
+	maxBatch = 45
 	// connReserve is the part of a target's connections that is not used, for
 	// those that are just being closed.
 	connReserve = 0.1
@@ -183,6 +186,8 @@
 	bound := e.Slots
 	if s.Engine == nil {
 		bound *= plainQueue
+	} else {
+		bound = min(bound, maxBatch)
 	}
 	view.Full = running >= bound || s.MaxConns > 0 && float64(running) >= (1-connReserve)*float64(s.MaxConns)
 	if v.Cold(e, now) || now.Before(st.health.coldUntil) {
