Share what a cold target tolerates by rank among many instances

Change: where the instances outnumber the requests, those of the highest rank by rendezvous hashing send one each; for 1.5 s after its start, when it does not know the others, an instance sends a cold target none. Ruled out: asking the targets; they say how long, not how many others send.

--- a/internal/placing/tracker.go
+++ b/internal/placing/tracker.go
@@ -39,6 +39,9 @@
 	// coldWindow is the window of a cold target's rate with a reserve for the
 	// time that requests are on their way.
 	coldWindow = 1100 * time.Millisecond
+	// settleTime is the time after the start in which the other instances of the
+	// region are not all known, so that a cold target gets nothing.
+	settleTime = 1500 * time.Millisecond
 	// coldReserve is the part of the bound that is used.
 	coldReserve = 0.85
 )
@@ -46,14 +49,16 @@
 // Tracker keeps beliefs about the targets of the own region. Lock order:
 // Tracker.mu is a leaf lock.
 type Tracker struct {
+	instance string
 	regionOf map[string]string // by failure domain
 	region   string
 	bounds   site.Bounds
+	started  time.Time
 	mu       struct {
 		sync.Mutex
-		targets   map[string]*state
-		paces     map[string]*pace // by service
-		instances int              // of the own region, this one included
+		targets map[string]*state
+		paces   map[string]*pace // by service
+		near    []string         // names of the other instances of the own region
 	}
 }
 
@@ -79,11 +84,10 @@
 }
 
 // NewTracker returns the Tracker of an instance.
-func NewTracker(s *site.Settings) *Tracker {
-	t := &Tracker{regionOf: s.RegionOf, region: s.Region, bounds: s.Bounds}
+func NewTracker(s *site.Settings, now time.Time) *Tracker {
+	t := &Tracker{instance: s.Instance, regionOf: s.RegionOf, region: s.Region, bounds: s.Bounds, started: now}
 	t.mu.targets = map[string]*state{}
 	t.mu.paces = map[string]*pace{}
-	t.mu.instances = 1
 	return t
 }
 
@@ -191,19 +195,36 @@
 	}
 	view.Full = running >= bound || s.MaxConns > 0 && float64(running) >= (1-connReserve)*float64(s.MaxConns)
 	if v.Cold(e, now) || now.Before(st.health.coldUntil) {
-		view.Full = view.Full || st.recent(now) >= t.coldRate(s)
+		view.Full = view.Full || st.recent(now) >= t.coldRate(s, e.ID, now)
 	}
 	return view
 }
 
 // coldRate is the number of requests that this instance may send to a cold
-// target in one window.
-func (t *Tracker) coldRate(s *site.Service) int {
+// target in one window. Where the instances of the region are more than the
+// requests that the target tolerates, those of the highest rank for it send one
+// each.
+func (t *Tracker) coldRate(s *site.Service, target string, now time.Time) int {
 	if s.WarmupRate <= 0 {
 		return 1 << 30
 	}
-	all := coldReserve * (s.WarmupRate*t.bounds.WarmupOverage + t.bounds.WarmupSlack)
-	return max(int(all/float64(max(t.mu.instances, minInstances))), 1)
+	if now.Sub(t.started) < settleTime {
+		return 0
+	}
+	all := int(coldReserve * (s.WarmupRate*t.bounds.WarmupOverage + t.bounds.WarmupSlack))
+	if share := all / max(len(t.mu.near)+1, minInstances); share > 0 {
+		return share
+	}
+	own, ahead := homeRank(target, t.instance), 0
+	for _, name := range t.mu.near {
+		if homeRank(target, name) > own {
+			ahead++
+		}
+	}
+	if ahead < max(all, 1) {
+		return 1
+	}
+	return 0
 }
 
 func (s *state) recent(now time.Time) int {
@@ -330,12 +351,15 @@
 	}
 }
 
-// SetPeers takes the load that the other instances of the region put on its
-// targets, and their number.
+// SetPeers takes the rows of the other instances of the region: their names and the
+// load that they put on its targets.
 func (t *Tracker) SetPeers(rows map[string]*peerv1.FleetRow) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.mu.instances = len(rows) + 1
+	t.mu.near = t.mu.near[:0]
+	for _, row := range rows {
+		t.mu.near = append(t.mu.near, row.GetInstance().GetInstance())
+	}
 	for _, s := range t.mu.targets {
 		clear(s.others)
 	}
--- /dev/null
+++ b/internal/placing/tracker_test.go
@@ -0,0 +1,175 @@
+package placing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/site"
+)
+
+// region is the state of one region as its instances see it.
+type cluster struct {
+	view     *catalog.View
+	service  *site.Service
+	trackers []*Tracker
+	now      time.Time
+}
+
+func newCluster(instances, targets int) *cluster {
+	s := &site.Service{Name: "model", MaxConns: 500, Warmup: 3 * time.Second, WarmupRate: 3.4,
+		Engine: &site.Engine{Slots: 16, CacheTokens: 290_000, TokenBytes: 18432, LinkBytesPerSecond: 4.6e10}}
+	c := &cluster{service: s, now: time.Unix(5000, 0)}
+	c.view = &catalog.View{Targets: map[string]*catalog.Entry{}, Published: site.Published{Config: &site.Config{Services: map[string]*site.Service{s.Name: s}}}}
+	for i := range targets {
+		id := fmt.Sprint("t-", i)
+		c.view.Targets[id] = &catalog.Entry{Target: site.Target{ID: id, Service: s.Name, Domain: "a", Slots: 16, Born: 1}}
+	}
+	for i := range instances {
+		t := NewTracker(&site.Settings{Instance: fmt.Sprint("entry-", i), Region: "east", RegionOf: map[string]string{"a": "east"},
+			Bounds: site.Bounds{WarmupOverage: 1.5, WarmupSlack: 3}}, c.now.Add(-time.Hour))
+		c.trackers = append(c.trackers, t)
+	}
+	for i, t := range c.trackers {
+		rows := map[string]*peerv1.FleetRow{}
+		for j := range c.trackers {
+			if j != i {
+				rows[fmt.Sprint("10.0.0.", j)] = &peerv1.FleetRow{Instance: &peerv1.Identity{Instance: fmt.Sprint("entry-", j)}}
+			}
+		}
+		t.SetPeers(rows)
+	}
+	return c
+}
+
+// Load: all instances of a region want a target that has just started. Together
+// they stay within what it tolerates, however many they are.
+func TestColdTargetIsNotOverrun(t *testing.T) {
+	for _, instances := range []int{1, 3, 9, 24} {
+		c := newCluster(instances, 1)
+		e := c.view.Targets["t-0"]
+		e.ColdUntil = c.now.Add(time.Minute)
+		allowed := c.service.WarmupRate*1.5 + 3
+		var sent []time.Time
+		for range 1000 {
+			c.now = c.now.Add(5 * time.Millisecond)
+			for _, tr := range c.trackers {
+				if views := tr.Targets(c.view, "model", "", nil, c.now); len(views) == 1 && !views[0].Full {
+					tr.Begin(e, c.service, &Query{}, false, c.now)
+					sent = append(sent, c.now)
+				}
+			}
+		}
+		most, first := 0, 0
+		for i, at := range sent {
+			for at.Sub(sent[first]) > time.Second {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		if float64(most) > allowed {
+			t.Errorf("%d instances: %d requests in a second, allowed %.1f", instances, most, allowed)
+		}
+		if least := len(sent) / 5; least < 2 {
+			t.Errorf("%d instances: only %d requests in 5 s reached the target", instances, len(sent))
+		}
+	}
+}
+
+// An instance that has just started does not know how many others share a cold
+// target, and sends it nothing.
+func TestColdTargetWaitsForNewInstances(t *testing.T) {
+	c := newCluster(1, 1)
+	c.view.Targets["t-0"].ColdUntil = c.now.Add(time.Minute)
+	tr := NewTracker(&site.Settings{Instance: "entry-0", Region: "east", RegionOf: map[string]string{"a": "east"},
+		Bounds: site.Bounds{WarmupOverage: 1.5, WarmupSlack: 3}}, c.now)
+	if got := tr.Targets(c.view, "model", "", nil, c.now.Add(time.Second)); len(got) != 1 || !got[0].Full {
+		t.Errorf("view %+v", got)
+	}
+}
+
+// The load that other instances report counts for a choice.
+func TestLoadOfOtherInstancesCounts(t *testing.T) {
+	c := newCluster(2, 1)
+	row := &peerv1.FleetRow{Targets: []*peerv1.TargetUse{{Target: "t-0", Running: 16, PendingTokens: 500}}}
+	c.trackers[0].Targets(c.view, "model", "", nil, c.now)
+	c.trackers[0].SetPeers(map[string]*peerv1.FleetRow{"10.0.0.1": row})
+	got := c.trackers[0].Targets(c.view, "model", "", nil, c.now)
+	if len(got) != 1 || !got[0].Full || got[0].PendingTokens != 500 {
+		t.Errorf("view %+v", got)
+	}
+}
+
+// A target that fails most requests is left alone for a while, one that fails a
+// few is not.
+func TestFailingTargetRests(t *testing.T) {
+	for _, c := range []struct {
+		every int // one in every fails
+		rests bool
+	}{{2, true}, {7, false}} {
+		h, now, rested := health{}, time.Unix(1, 0), false
+		for i := range 60 {
+			o := Good
+			if i%c.every == 0 {
+				o = Failed
+			}
+			h.note(o, now)
+			rested = rested || !h.usable(now)
+		}
+		if rested != c.rests {
+			t.Errorf("one failure in %d: rested %v, want %v", c.every, rested, c.rests)
+		}
+	}
+}
+
+// A target that cannot be reached gets no request until a health check succeeds,
+// and few while it is cold after that.
+func TestUnreachableTargetWaitsForItsHealthCheck(t *testing.T) {
+	c := newCluster(1, 1)
+	tr, e := c.trackers[0], c.view.Targets["t-0"]
+	run := tr.Begin(e, c.service, &Query{}, false, c.now)
+	if !run.End(Unreachable, c.now) || len(tr.Down()) != 1 {
+		t.Fatal("an unreachable target is not down")
+	}
+	if got := tr.Targets(c.view, "model", "", nil, c.now.Add(time.Hour)); len(got) != 0 {
+		t.Fatalf("a target that is down is offered: %+v", got)
+	}
+	tr.SetHealthy("t-0", 3*time.Second, c.now)
+	taken := 0
+	for range 20 {
+		if got := tr.Targets(c.view, "model", "", nil, c.now); len(got) == 1 && !got[0].Full {
+			tr.Begin(e, c.service, &Query{}, false, c.now)
+			taken++
+		}
+	}
+	if taken == 0 || taken > 8 {
+		t.Errorf("%d requests at once at a target that has just started", taken)
+	}
+}
+
+// What the cache of a target cannot hold is not believed to be there.
+func TestCacheForgetsTheLeastRecent(t *testing.T) {
+	var k cache
+	now := time.Unix(1, 0)
+	for i := range 10 {
+		k.add(fmt.Sprint(i), 100, 500, now.Add(time.Duration(i)*time.Second))
+	}
+	if k.has("4", now.Add(10*time.Second)) || !k.has("9", now.Add(10*time.Second)) || k.has("9", now.Add(time.Hour)) {
+		t.Errorf("parts %v", k.parts)
+	}
+}
+
+func TestSharedParts(t *testing.T) {
+	key, tokens := Shared([]site.Part{{ID: "a", Tokens: 800}, {ID: "b", Tokens: 4000}, {ID: "own", Tokens: 9000}})
+	if key != "b" || tokens != 4800 {
+		t.Errorf("key %s, tokens %d", key, tokens)
+	}
+	if key, _ := Shared([]site.Part{{ID: "a", Tokens: 50}, {ID: "own", Tokens: 9000}}); key != "" {
+		t.Errorf("a small part has the key %s", key)
+	}
+	if key, _ := Shared(nil); key != "" {
+		t.Error("no parts have a key")
+	}
+}
