--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -141,3 +143,143 @@
 		t.Error("the drain was cut short although nothing was running")
 	}
 }
+
+// events answers with a stream of n events; it breaks off after the first whole
+// ones if that is less than n.
+func events(n, whole int) func(w http.ResponseWriter, r *http.Request) bool {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := after + 1; i <= n; i++ {
+			if i > whole {
+				_, _ = fmt.Fprintf(w, "id: %d\nda", i)
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		return true
+	}
+}
+
+// A stream that breaks off is resumed at another target; the caller gets every
+// event once.
+func TestStreamIsResumedElsewhere(t *testing.T) {
+	w := newWorld(t)
+	x, y := newTarget(t, "t-1"), newTarget(t, "t-2")
+	w.operator(nil)
+	w.list(x, "a", "ready", 1)
+	p := w.start("a")
+	eventually(t, "the request is served", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusOK })
+	x.set(events(6, 3))
+	y.set(events(6, 6))
+	w.list(y, "a", "ready", 1)
+	eventually(t, "the second target is known", func() bool { return len(p.catalog.Current().Targets) == 2 })
+	for range 5 {
+		got := call("POST", p.url("/stream/ask"), nil)
+		want := ""
+		for i := 1; i <= 6; i++ {
+			want += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		}
+		if got.status != http.StatusOK || got.body != want || got.err != nil {
+			t.Fatalf("answer: %+v", got)
+		}
+	}
+}
+
+// A request that must run once is sent once, also if its connection breaks, and
+// the answer does not say that it was not run.
+func TestOnceIsOnce(t *testing.T) {
+	w := newWorld(t)
+	x, y := newTarget(t, "t-1"), newTarget(t, "t-2")
+	breaks := func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }
+	x.set(breaks)
+	y.set(breaks)
+	w.operator(nil)
+	w.list(x, "a", "ready", 1)
+	w.list(y, "a", "ready", 1)
+	p := w.start("a")
+	eventually(t, "both targets are known", func() bool { return len(p.catalog.Current().Targets) == 2 && p.gateway.Ready() })
+	for _, id := range []string{"a", "b", "c"} {
+		before := x.ran() + y.ran()
+		got := call("POST", p.url("/unsafe/book"), func(h http.Header) { h.Set("X-Request-Id", id); h.Set("Idempotency-Key", "k") })
+		if ran := x.ran() + y.ran() - before; ran > 1 || ran == 1 && got.status != http.StatusBadGateway {
+			t.Errorf("ran %d times, answer %+v", ran, got)
+		}
+	}
+}
+
+// A rejected request has not run and goes to another target; what every target
+// rejects is answered as not run, with the time to come back.
+func TestRejectedRequestGoesElsewhere(t *testing.T) {
+	w := newWorld(t)
+	x, y := newTarget(t, "t-1"), newTarget(t, "t-2")
+	rejects := func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	x.set(rejects)
+	w.operator(nil)
+	w.list(x, "a", "ready", 1)
+	w.list(y, "a", "ready", 1)
+	p := w.start("a")
+	eventually(t, "both targets are known", func() bool { return len(p.catalog.Current().Targets) == 2 && p.gateway.Ready() })
+	for range 10 {
+		if got := call("POST", p.url("/unsafe/book"), nil); got.status != http.StatusOK {
+			t.Fatalf("answer: %+v", got)
+		}
+	}
+	y.set(rejects)
+	if got := call("POST", p.url("/unsafe/book"), nil); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("answer: %+v", got)
+	}
+}
+
+// A key that was taken away and a target that leaves get no more requests.
+func TestOperatorsAndTargetsAreFollowed(t *testing.T) {
+	w := newWorld(t)
+	x, y := newTarget(t, "t-1"), newTarget(t, "t-2")
+	w.operator(nil)
+	w.list(x, "a", "ready", 1)
+	w.list(y, "a", "ready", 1)
+	p := w.start("a")
+	eventually(t, "both targets serve", func() bool { call("GET", p.url("/safe/x"), nil); return x.ran() > 0 && y.ran() > 0 })
+	w.list(x, "a", "draining", 2)
+	eventually(t, "the leaving target is known", func() bool { return p.catalog.Current().Targets["t-1"].Leaving })
+	before := x.ran()
+	for range 20 {
+		call("GET", p.url("/safe/x"), nil)
+	}
+	if x.ran() != before {
+		t.Error("a leaving target got requests")
+	}
+	w.store.put("op/evacuate/a", map[string]any{})
+	eventually(t, "the evacuation is in force", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusServiceUnavailable })
+	w.store.remove("op/evacuate/a")
+	eventually(t, "the evacuation is taken back", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusOK })
+	w.operator(func(c map[string]any) {
+		c["tenants"] = []any{map[string]any{"name": "hotel", "api_keys": []string{"new"}}}
+	})
+	eventually(t, "the key is withdrawn", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusUnauthorized })
+	if got := call("GET", p.url("/nowhere"), nil); got.status != http.StatusNotFound {
+		t.Errorf("no route: %+v", got)
+	}
+}
+
+// An instance that the store turns away follows the others, and one that starts
+// then learns the configuration from them.
+func TestStoreTurnsEverybodyAway(t *testing.T) {
+	w := newWorld(t)
+	x := newTarget(t, "t-1")
+	w.operator(nil)
+	w.list(x, "a", "ready", 1)
+	p := w.start("a")
+	eventually(t, "the request is served", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusOK })
+	w.store.refuse.Store(true)
+	q := w.start("a")
+	eventually(t, "the new instance serves", func() bool { return call("GET", q.url("/safe/x"), nil).status == http.StatusOK })
+	if got := call("GET", p.url("/safe/x"), nil); got.status != http.StatusOK {
+		t.Errorf("the old instance: %+v", got)
+	}
+}
