Explain requests by their log lines; serve metrics

Cause: on-call engineers have logs and metrics only, and the platform's path had a line for failures alone and no metrics. Change: a line for each place that is chosen, with the expected delay, the reason and the revision; metrics of requests and of the ages of what an instance believes, on port 9464; `wigeonhill explain ID FILE...` puts the lines of several logs in order and names the cause. A test searches logs and metrics of whole instances for keys. Ruled out: a line for each answer in time; the placing line names its target.

--- a/cmd/wigeonhill/main.go
+++ b/cmd/wigeonhill/main.go
@@ -34,6 +34,7 @@
 	}
 	add("serve", "run an instance", "Runs an instance until SIGTERM or SIGINT.", &serveCommand{})
 	add("platform", "run an instance on the platform", "Runs an instance with the settings that the platform writes, until SIGTERM or SIGINT.", &platformCommand{})
+	add("explain", "explain a request", "Puts the log lines of several instances that name a request in order and names the cause of its end.", &explainCommand{})
 	add("check", "check settings and table", "Checks a settings file and a table offline. Prints every fault with its line. Exit code 2 if there are faults.", &checkCommand{})
 	add("status", "ask a running instance", "Asks a running instance what it does and why.", newStatusCommand())
 	add("version", "print the version", "Prints the version.", &versionCommand{})
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -86,6 +86,15 @@
 	return max(v.PublishedRevision, v.TargetsRevision)
 }
 
+// Ages returns the time since the store, or an instance that it answers, last
+// confirmed what operators publish and the list of targets.
+func (m *Manager) Ages() (published, targets time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	return now.Sub(m.mu.published.answered), now.Sub(m.mu.targets.answered)
+}
+
 // Run keeps the catalog until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -153,6 +153,14 @@
 	d.begun, d.target, d.first = true, a.target, time.Now()
 }
 
+// passed notes that an event is passed on.
+func (d *delivery) passed(now time.Time) {
+	if !d.lastAt.IsZero() {
+		d.longestGap = max(d.longestGap, now.Sub(d.lastAt))
+	}
+	d.lastAt = now
+}
+
 // deliverEvents passes on a stream of events, each as a whole.
 func deliverEvents(a *answer, d *delivery, first func()) *failure {
 	events := newEventReader(a.body)
@@ -172,6 +180,7 @@
 			}
 		}
 		if len(event) > 0 {
+			d.passed(time.Now())
 			if err := d.sink.Data(event); err != nil {
 				return gone(err)
 			}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -67,15 +67,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, err := g.read(w, r)
-	if c != nil {
-		defer g.memory.Add(-int64(cap(c.body)))
-	}
-	if err != nil {
-		g.refuse(w, r, c, err)
-		return nil
+	defer func() { g.memory.Add(-int64(cap(c.body))) }()
+	var team *site.Team
+	var units float64
+	if err == nil {
+		team, units, err = g.admit(c)
 	}
-	team, units, err := g.admit(c)
 	if err != nil {
+		g.Metrics.request(c, nil, err, time.Now())
 		g.refuse(w, r, c, err)
 		return nil
 	}
@@ -89,6 +88,7 @@
 	if err != nil && team != nil && result.From(err).Ran == result.NotRun {
 		g.Quota.Refund(team, units)
 	}
+	g.Metrics.request(c, d, err, time.Now())
 	g.finish(w, r, c, d, err)
 	return nil
 }
@@ -197,6 +197,10 @@
 // finish ends the answer of a request that was dispatched.
 func (g *Gateway) finish(w http.ResponseWriter, r *http.Request, c *call, d *delivery, err error) {
 	if err == nil {
+		if gap := c.route.GapObjective; gap > 0 && d.longestGap > gap {
+			g.Log.Emit(event.StreamPaused, zap.String("request", c.ID), zap.String("route", c.route.Name), zap.Duration("longest", d.longestGap),
+				zap.String("target", d.target), zap.String("away", d.away))
+		}
 		if took := d.first.Sub(c.arrived); took > c.route.Objective && c.route.Objective > 0 {
 			g.Log.Emit(event.RequestSlow, zap.String("request", c.ID), zap.String("route", c.route.Name), zap.Duration("took", took),
 				zap.Duration("expected", d.expected), zap.String("target", d.target), zap.String("away", d.away), zap.Int("sends", c.sends+1))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,8 +51,9 @@
 	Suspects *dispatch.Suspects
 	// Down is called after a target was found unreachable or lost, with the
 	// request that ran there in the latter case.
-	Down func(target string)
-	Log  *event.Logger
+	Down    func(target string)
+	Metrics *Metrics
+	Log     *event.Logger
 }
 
 // Gateway serves requests.
@@ -67,6 +68,9 @@
 // New returns a Gateway.
 func New(cfg Config) *Gateway { return &Gateway{Config: cfg, targets: newTargetTransport()} }
 
+// MemoryHeld is the memory held for the bodies of requests, in bytes.
+func (g *Gateway) MemoryHeld() int64 { return g.memory.Load() }
+
 // delivery is the state of an answer over all attempts.
 type delivery struct {
 	sink sink
@@ -82,6 +86,10 @@
 	// expected is the delay that the choice of the last place expected.
 	expected time.Duration
 	first    time.Time
+	// lastAt is when the last event was passed on, longestGap the longest pause
+	// between two.
+	lastAt     time.Time
+	longestGap time.Duration
 }
 
 // buffered is a whole answer.
@@ -103,7 +111,11 @@
 		if err != nil {
 			return g.settle(c, d, last, err)
 		}
+		g.Log.Emit(event.RequestPlaced, zap.String("request", c.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
+			zap.String("target", choice.Target), zap.String("region", choice.Region), zap.String("fetch_from", choice.FetchFrom),
+			zap.Duration("expected", choice.Delay), zap.String("reason", choice.Reason), zap.Int("sends", c.sends), zap.Int64("revision", v.TargetsRevision))
 		f := g.attempt(ctx, v, c, choice, d)
+		g.Metrics.attempt(f, choice.Delay)
 		if f == nil {
 			return nil
 		}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/site"
+)
+
+const metricsNamespace = "wigeonhill"
+
+// latencyBuckets reach from a call within a region to the longest answer, in
+// seconds; the objectives of today's routes (0.4, 0.5, 0.8, 1.2) are among them.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.2, 1.6, 2.4, 4, 8, 16}
+
+// Metrics are the counters and histograms of requests. Labels are the kind of
+// the route, the result code and own or other region: none grows with teams.
+type Metrics struct {
+	requests  *prometheus.CounterVec
+	firstByte *prometheus.HistogramVec
+	whole     *prometheus.HistogramVec
+	gap       prometheus.Histogram
+	attempts  *prometheus.CounterVec
+	expected  prometheus.Histogram
+}
+
+// NewMetrics registers the metrics of requests.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	histogram := func(name, help string) prometheus.HistogramOpts {
+		return prometheus.HistogramOpts{Namespace: metricsNamespace, Name: name, Help: help, Buckets: latencyBuckets}
+	}
+	counter := func(name, help string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}
+	}
+	m := &Metrics{
+		requests:  prometheus.NewCounterVec(counter("requests_total", "Requests of callers by kind of route, result code (0: answered) and where they ran."), []string{"kind", "code", "region"}),
+		firstByte: prometheus.NewHistogramVec(histogram("first_byte_seconds", "Time from arrival to the first byte of the answer."), []string{"kind", "region"}),
+		whole:     prometheus.NewHistogramVec(histogram("answer_seconds", "Time from arrival to the end of the answer."), []string{"kind", "region"}),
+		gap:       prometheus.NewHistogram(histogram("stream_gap_seconds", "Longest pause between two events of a stream.")),
+		attempts:  prometheus.NewCounterVec(counter("attempts_total", "Attempts at targets and other regions by outcome."), []string{"outcome"}),
+		expected:  prometheus.NewHistogram(histogram("expected_delay_seconds", "Delay that the choice of a place expected.")),
+	}
+	r.MustRegister(m.requests, m.firstByte, m.whole, m.gap, m.attempts, m.expected)
+	return m
+}
+
+var kindNames = map[site.Kind]string{site.Idempotent: "idempotent", site.Once: "once", site.Stream: "stream"}
+
+// request counts a finished request.
+func (m *Metrics) request(c *call, d *delivery, err error, now time.Time) {
+	kind, region, code := "none", "own", 0
+	if c.route != nil {
+		kind = kindNames[c.route.Kind]
+	}
+	if d != nil && d.away != "" {
+		region = "other"
+	}
+	if err != nil {
+		code = int(result.From(err).Code)
+	}
+	m.requests.WithLabelValues(kind, strconv.Itoa(code), region).Inc()
+	if d == nil || d.first.IsZero() {
+		return
+	}
+	m.firstByte.WithLabelValues(kind, region).Observe(d.first.Sub(c.arrived).Seconds())
+	m.whole.WithLabelValues(kind, region).Observe(now.Sub(c.arrived).Seconds())
+	if d.longestGap > 0 {
+		m.gap.Observe(d.longestGap.Seconds())
+	}
+}
+
+// attempt counts an attempt.
+func (m *Metrics) attempt(f *failure, expected time.Duration) {
+	outcome := "answered"
+	if f != nil {
+		outcome = f.err.Code.String() + "_" + f.err.Ran.String()
+	}
+	m.attempts.WithLabelValues(outcome).Inc()
+	m.expected.Observe(expected.Seconds())
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -58,8 +58,8 @@
 	gateway  *gateway.Gateway
 	prober   *prober
 
-	callers, ready, directory, control *http.Server
-	listeners                          map[*http.Server]net.Listener
+	callers, ready, directory, control, metrics *http.Server
+	listeners                                   map[*http.Server]net.Listener
 }
 
 // New builds an instance from the settings file at path and opens its listeners.
@@ -107,10 +107,14 @@
 	i.budget = gateway.NewBudget(s.Bounds, time.Now)
 	i.suspects = dispatch.NewSuspects(clock.NewSystem())
 	i.prober = newProber(i.catalog, i.tracker, i.log)
+	registry, metrics := i.newMetrics()
+	i.metrics = i.metricsServer(registry)
 	i.gateway = gateway.New(gateway.Config{
-		Self: i.self, Settings: s, Catalog: i.catalog, Members: i.roster, Clients: i.clients, Tracker: i.tracker,
+		Metrics: metrics,
+		Self:    i.self, Settings: s, Catalog: i.catalog, Members: i.roster, Clients: i.clients, Tracker: i.tracker,
 		Quota: i.quota, Budget: i.budget, Suspects: i.suspects, Down: i.prober.wake, Log: i.log,
 	})
+	i.registerGauges(registry)
 	return nil
 }
 
@@ -126,7 +130,7 @@
 	for _, x := range []struct {
 		server  *http.Server
 		address string
-	}{{i.callers, l.Callers}, {i.ready, l.Ready}, {i.directory, l.Directory}, {i.control, l.Control}} {
+	}{{i.callers, l.Callers}, {i.ready, l.Ready}, {i.directory, l.Directory}, {i.control, l.Control}, {i.metrics, i.metricsAddress()}} {
 		if i.listeners[x.server], err = gateway.Listen(x.address); err != nil {
 			return err
 		}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"encoding/hex"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -283,3 +285,51 @@
 		t.Errorf("the old instance: %+v", got)
 	}
 }
+
+// No key of a caller stands in any log line or metric, whatever becomes of its
+// requests.
+func TestKeysAreNotWritten(t *testing.T) {
+	w := newWorld(t)
+	x := newTarget(t, "t-1")
+	w.operator(nil)
+	w.list(x, "a", "ready", 1)
+	p := w.start("a")
+	eventually(t, "the request is served", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusOK })
+	keys := []string{"key-of-the-hotel", "key-of-nobody"}
+	for i, path := range []string{"/safe/x", "/unsafe/x", "/stream/x", "/nowhere"} {
+		for _, key := range keys {
+			call("POST", p.url(path), func(h http.Header) {
+				h.Set("Api-Key", key)
+				if i == 1 {
+					h.Set("X-Deadline-Ms", "1")
+				}
+			})
+		}
+	}
+	x.set(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	})
+	call("GET", p.url("/safe/x"), nil)
+	res, err := http.Get("http://" + p.metricsAddress() + metricsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	metrics, err := io.ReadAll(res.Body)
+	if err != nil || !strings.Contains(string(metrics), "wigeonhill_requests_total") {
+		t.Fatalf("metrics: %.200s, %v", metrics, err)
+	}
+	p.cancel()
+	<-p.done
+	p.done <- nil
+	written := string(metrics) + p.log.String()
+	if !strings.Contains(written, event.RequestPlaced.Name) || !strings.Contains(written, event.RequestRefused.Name) {
+		t.Error("the log lacks the decisions about the requests")
+	}
+	for _, key := range keys {
+		if strings.Contains(written, key) || strings.Contains(written, hex.EncodeToString([]byte(key))) {
+			t.Errorf("%s was written", key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/metrics.go
@@ -0,0 +1,92 @@
+package instance
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/wigeonhill/wigeonhill/internal/gateway"
+)
+
+const (
+	// metricsPort and metricsPath are where an instance serves its metrics; the
+	// platform's settings have no field for them, deploy/system.toml repeats them.
+	metricsPort = 9464
+	metricsPath = "/metrics"
+)
+
+// metricsServer serves the metrics of the instance.
+func (i *Instance) metricsServer(r *prometheus.Registry) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: smallTimeout, IdleTimeout: 10 * smallTimeout}
+}
+
+func (i *Instance) metricsAddress() string {
+	return net.JoinHostPort(i.settings.IP, strconv.Itoa(metricsPort))
+}
+
+// registerGauges registers the ages of what the instance believes, and the state
+// of what it depends on.
+func (i *Instance) registerGauges(r *prometheus.Registry) {
+	gauge := func(name, help string, value func() float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "wigeonhill", Name: name, Help: help}, value))
+	}
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	gauge("configuration_version", "Version of the configuration in force; 0 if none is known.", func() float64 {
+		if c := i.catalog.Current().Config; c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	gauge("store_revision", "Revision of the platform's store that the instance has seen.", func() float64 { return float64(i.catalog.Revision()) })
+	gauge("configuration_age_seconds", "Time since the store confirmed the configuration.", func() float64 { p, _ := i.catalog.Ages(); return p.Seconds() })
+	gauge("targets_age_seconds", "Time since the store confirmed the list of targets.", func() float64 { _, t := i.catalog.Ages(); return t.Seconds() })
+	gauge("targets_listed", "Targets in the list, of all regions.", func() float64 { return float64(len(i.catalog.Current().Targets)) })
+	gauge("targets_down", "Targets of the own region that are avoided until a health check succeeds.", func() float64 { return float64(len(i.tracker.Down())) })
+	gauge("requests_running", "Requests in progress, those of other instances included.", func() float64 { return float64(i.gateway.Running()) })
+	gauge("request_memory_bytes", "Memory held for the bodies of requests.", func() float64 { return float64(i.gateway.MemoryHeld()) })
+	gauge("ready", "1 if callers are sent here.", func() float64 { return bit(i.gateway.Ready()) })
+	gauge("peers_reachable", "Other instances whose rows arrive.", func() float64 { reachable, _ := i.peerCounts(); return float64(reachable) })
+	gauge("peers_lost", "Other instances whose rows stopped arriving.", func() float64 { _, lost := i.peerCounts(); return float64(lost) })
+	gauge("oldest_peer_row_seconds", "Age of the oldest row of a reachable instance.", func() float64 {
+		oldest := time.Duration(0)
+		for _, m := range i.roster.Members() {
+			if m.Reachable {
+				oldest = max(oldest, time.Since(m.Heard))
+			}
+		}
+		return oldest.Seconds()
+	})
+	gauge("allowance_part_least", "Least part of a team's rate that this side of a cut may spend; 1 if all instances are heard.", func() float64 { return i.quota.LeastPart(time.Now()) })
+	gauge("teams_over_allowance", "Teams whose allowance is used up now.", func() float64 { return float64(i.quota.Over(time.Now())) })
+}
+
+func bit(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (i *Instance) peerCounts() (reachable, lost int) {
+	for _, m := range i.roster.Members() {
+		if m.Reachable {
+			reachable++
+		} else {
+			lost++
+		}
+	}
+	return reachable, lost
+}
+
+// newMetrics returns a registry with all metrics of the instance.
+func (i *Instance) newMetrics() (*prometheus.Registry, *gateway.Metrics) {
+	r := prometheus.NewRegistry()
+	return r, gateway.NewMetrics(r)
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -355,6 +355,29 @@
 	return out
 }
 
+// LeastPart returns the least part of a team's rate that this side may spend.
+func (l *Limiter) LeastPart(now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	least := 1.0
+	for _, b := range l.mu.teams {
+		least = min(least, l.part(b, now))
+	}
+	return least
+}
+
+// Over returns the number of teams whose allowance is used up.
+func (l *Limiter) Over(now time.Time) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.mu.teams {
+		if l.refill(b, now); b.level <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // meter averages demand with an exponential memory.
 type meter struct {
 	value float64
