Let two instances of a failure domain read the store for the others

A reader that is late, stopping or not answered no longer counts, and the next ones read for themselves. Heartbeats of targets are no change. Ruled out: one reader (its loss leaves a gap of about two seconds); stale reads (up to 5.5 s behind while the store compacts).

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -28,7 +28,9 @@
 // nobody has no peers.
 type nobody struct{}
 
-func (nobody) Snapshot(context.Context, int64) ([]byte, error) { return nil, nil }
+func (nobody) Covered() bool                                     { return false }
+func (nobody) Snapshot(context.Context, Changes) ([]byte, error) { return nil, nil }
+func (nobody) Changed()                                          {}
 
 var errDown = errors.New("the store is down")
 
@@ -55,14 +57,14 @@
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	m, _ := newManager()
-	m.setPublished(published(7), 20)
-	m.setPublished(published(5), 30) // an old version under a later revision
-	m.setPublished(published(6), 10)
-	m.setPublished(site.Published{}, 40)
+	m.setPublished(published(7), 20, 20)
+	m.setPublished(published(5), 30, 30) // an old version under a later revision
+	m.setPublished(published(6), 10, 10)
+	m.setPublished(site.Published{}, 40, 40)
 	if v := m.Current(); v.Config == nil || v.Config.Version != 7 {
 		t.Fatalf("in force: %+v", v.Config)
 	}
-	m.setPublished(published(9), 50)
+	m.setPublished(published(9), 50, 50)
 	if v := m.Current(); v.Config.Version != 9 {
 		t.Errorf("in force: version %d", v.Config.Version)
 	}
@@ -74,16 +76,16 @@
 	m, c := newManager()
 	a, b := site.Target{ID: "a", Service: "s", Born: 1}, site.Target{ID: "b", Service: "s", Born: 1}
 	m.note(&m.mu.targets, "targets", nil)
-	m.setTargets(listing(a, b), 10)
-	m.setTargets(listing(a), 11)
+	m.setTargets(listing(a, b), 10, 10)
+	m.setTargets(listing(a), 11, 11)
 	if m.Current().Targets["b"] != nil {
 		t.Fatal("a target that left is kept without an outage")
 	}
-	m.setTargets(listing(a, b), 12)
+	m.setTargets(listing(a, b), 12, 12)
 	m.note(&m.mu.targets, "targets", errDown)
 	c.add(10 * time.Second)
 	m.note(&m.mu.targets, "targets", nil)
-	m.setTargets(listing(b), 13)
+	m.setTargets(listing(b), 13, 13)
 	if m.Current().Targets["a"] == nil {
 		t.Fatal("a target whose entry lapsed during the outage was dropped at once")
 	}
@@ -101,12 +103,12 @@
 
 func TestOldListingOfAStartIsIgnored(t *testing.T) {
 	m, _ := newManager()
-	m.setTargets(listing(site.Target{ID: "a", Born: 5, Sequence: 9, Leaving: true}), 10)
-	m.setTargets(listing(site.Target{ID: "a", Born: 5, Sequence: 8}), 11)
+	m.setTargets(listing(site.Target{ID: "a", Born: 5, Sequence: 9, Leaving: true}), 10, 10)
+	m.setTargets(listing(site.Target{ID: "a", Born: 5, Sequence: 8}), 11, 11)
 	if !m.Current().Targets["a"].Leaving {
 		t.Error("an old entry brought a leaving target back")
 	}
-	m.setTargets(listing(site.Target{ID: "a", Born: 6, Sequence: 1}), 12)
+	m.setTargets(listing(site.Target{ID: "a", Born: 6, Sequence: 1}), 12, 12)
 	if m.Current().Targets["a"].Leaving {
 		t.Error("a new start of the target was not taken")
 	}
@@ -114,19 +116,19 @@
 
 func TestColdness(t *testing.T) {
 	m, c := newManager()
-	m.setPublished(published(1, "d"), 1)
-	m.setTargets(listing(site.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 2)
+	m.setPublished(published(1, "d"), 1, 1)
+	m.setTargets(listing(site.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 2, 2)
 	e := m.Current().Targets["a"]
 	if !m.Current().Cold(e, c.read().Add(1900*time.Millisecond)) || m.Current().Cold(e, c.read().Add(2100*time.Millisecond)) {
 		t.Error("the warm-up of the listing is not used")
 	}
 	c.add(time.Second)
-	m.setTargets(listing(site.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 3)
+	m.setTargets(listing(site.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 3, 3)
 	if e := m.Current().Targets["a"]; m.Current().Cold(e, c.read().Add(1100*time.Millisecond)) {
 		t.Error("the same entry, read again, made the target cold for longer")
 	}
 	c.add(time.Minute)
-	m.setPublished(published(1), 4)
+	m.setPublished(published(1), 4, 4)
 	if !m.Current().Cold(m.Current().Targets["a"], c.read().Add(time.Second)) || m.Current().Cold(m.Current().Targets["a"], c.read().Add(4*time.Second)) {
 		t.Error("after an evacuation the targets count as cold for their warm-up")
 	}
@@ -137,8 +139,8 @@
 func TestSnapshotOfAPeer(t *testing.T) {
 	a, _ := newManager()
 	b, _ := newManager()
-	a.setPublished(published(4, "d"), 40)
-	a.setTargets(listing(site.Target{ID: "x", Service: "s"}), 41)
+	a.setPublished(published(4, "d"), 40, 40)
+	a.setTargets(listing(site.Target{ID: "x", Service: "s"}), 41, 41)
 	text, err := a.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -147,10 +149,75 @@
 	if v := b.Current(); v.Config == nil || v.Config.Version != 4 || !v.Evacuated["d"] || v.Targets["x"] == nil || b.Revision() != 41 {
 		t.Fatalf("taken over: %+v", v)
 	}
-	b.setPublished(published(6), 60)
+	b.setPublished(published(6), 60, 60)
 	b.adopt(text)
 	if v := b.Current(); v.Config.Version != 6 || v.Evacuated["d"] {
 		t.Errorf("an older snapshot was taken: %+v", v.Published)
 	}
 	b.adopt([]byte("{"))
 }
+
+// Heartbeats alone are no change; what decisions use is.
+func TestChangesAreWhatMatters(t *testing.T) {
+	m, _ := newManager()
+	one := site.Target{ID: "a", Service: "s", Sequence: 1}
+	m.setTargets(listing(one), 10, 10)
+	one.Sequence = 2
+	m.setTargets(listing(one), 11, 11)
+	if got := m.Current().TargetsChange; got != 10 {
+		t.Errorf("a heartbeat counts as a change at %d", got)
+	}
+	one.Sequence, one.Leaving = 3, true
+	m.setTargets(listing(one), 12, 12)
+	if got := m.Current().TargetsChange; got != 12 {
+		t.Errorf("a leaving target is a change of revision %d, want 12", got)
+	}
+	m.setPublished(published(3), 20, 20)
+	m.setPublished(published(3), 21, 21)
+	m.setPublished(published(3, "d"), 22, 22)
+	if got := m.Current().PublishedChange; got != 22 {
+		t.Errorf("an evacuation is a change of revision %d, want 22", got)
+	}
+}
+
+// An instance that is covered by others reads nothing from the store, and reads
+// again as soon as it is not.
+func TestCoveredInstanceLeavesTheStoreAlone(t *testing.T) {
+	source, peers := &countingSource{}, &switchedPeers{}
+	m := New(source, peers, event.Nop(), time.Now)
+	ctx := context.Background()
+	peers.covered = true
+	for _, step := range []func(context.Context) error{m.followPublished, m.followTargets} {
+		if err := step(ctx); err != nil || source.calls != 0 {
+			t.Fatalf("covered: %d calls, %v", source.calls, err)
+		}
+	}
+	peers.covered = false
+	if err := m.followTargets(ctx); err == nil || source.calls != 1 {
+		t.Errorf("not covered: %d calls, %v", source.calls, err)
+	}
+}
+
+type switchedPeers struct {
+	nobody
+	covered bool
+}
+
+func (p *switchedPeers) Covered() bool { return p.covered }
+
+type countingSource struct{ calls int }
+
+func (s *countingSource) Published(context.Context) (site.Published, int64, error, error) {
+	s.calls++
+	return site.Published{}, 0, nil, errDown
+}
+
+func (s *countingSource) WatchPublished(context.Context, site.Published, int64, time.Duration) (site.Published, int64, error, error) {
+	s.calls++
+	return site.Published{}, 0, nil, errDown
+}
+
+func (s *countingSource) Targets(context.Context) (map[string]*site.Target, int64, error, error) {
+	s.calls++
+	return nil, 0, nil, errDown
+}
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -29,8 +29,12 @@
 	// staleAfter is the age of the last answer of the store after which other
 	// instances are asked; longer than one wait.
 	staleAfter = 2500 * time.Millisecond
-	// peerInterval is the pause between questions to other instances.
-	peerInterval = 500 * time.Millisecond
+	// peerInterval is the pause between two looks for news that other instances
+	// have; without news it costs no message.
+	peerInterval = 100 * time.Millisecond
+	// coveredPause is the pause between two looks whether this instance must read
+	// the store itself.
+	coveredPause = 200 * time.Millisecond
 	peerTimeout  = time.Second
 )
 
@@ -41,11 +45,19 @@
 	Targets(ctx context.Context) (targets map[string]*site.Target, revision int64, faults, err error)
 }
 
-// Peers asks other instances.
+// Changes are the revisions at which the parts of a catalog last changed.
+type Changes struct{ Published, Targets int64 }
+
+// Peers are the other instances.
 type Peers interface {
-	// Snapshot returns the snapshot of an instance that has seen a later
-	// revision than the given one; nil if there is none.
-	Snapshot(ctx context.Context, after int64) ([]byte, error)
+	// Covered reports whether enough other instances of the failure domain read
+	// the store, so that this one can take the catalog from them.
+	Covered() bool
+	// Snapshot returns the snapshot of an instance that has seen a later change
+	// than have; nil if there is none.
+	Snapshot(ctx context.Context, have Changes) ([]byte, error)
+	// Changed is called after a change, of which others should know soon.
+	Changed()
 }
 
 // Manager keeps the catalog. Lock order: Manager.mu is a leaf lock; readers
@@ -131,25 +143,37 @@
 // followPublished reads what operators publish, then waits for changes until a
 // call fails.
 func (m *Manager) followPublished(ctx context.Context) error {
+	if m.peers.Covered() {
+		sleep(ctx, coveredPause)
+		return nil
+	}
 	p, revision, faults, err := m.source.Published(ctx)
 	for {
 		if m.note(&m.mu.published, "configuration", err); err != nil {
 			return err
 		}
 		m.logFaults(event.ConfigRejected, faults)
-		m.setPublished(p, revision)
+		m.setPublished(p, revision, revision)
+		if m.peers.Covered() {
+			return nil
+		}
 		p, revision, faults, err = m.source.WatchPublished(ctx, p, revision, watchWait)
 	}
 }
 
 // followTargets reads the targets once.
 func (m *Manager) followTargets(ctx context.Context) error {
+	if m.peers.Covered() {
+		sleep(ctx, coveredPause)
+		m.sweep()
+		return nil
+	}
 	listed, revision, faults, err := m.source.Targets(ctx)
 	if m.note(&m.mu.targets, "targets", err); err != nil {
 		return err
 	}
 	m.logFaults(event.TargetEntryBad, faults)
-	m.setTargets(listed, revision)
+	m.setTargets(listed, revision, revision)
 	sleep(ctx, listInterval)
 	m.sweep()
 	return nil
@@ -195,16 +219,24 @@
 	return before, &v
 }
 
-func (m *Manager) setPublished(p site.Published, revision int64) {
+// setPublished takes what operators publish as it was at revision; change is the
+// revision that counts for it if it differs from what is known.
+func (m *Manager) setPublished(p site.Published, revision, change int64) {
 	now := m.now()
 	before, after := m.update(func(v *View) {
 		if revision < v.PublishedRevision || older(p.Config, v.Config) {
 			return
 		}
+		if publishedDiffer(&v.Published, &p) {
+			v.PublishedChange = change
+		}
 		v.Restored = restored(v.Restored, v.Evacuated, p.Evacuated, now)
 		v.Published, v.PublishedRevision = p, revision
 	})
 	m.logPublished(before, after)
+	if before.PublishedChange != after.PublishedChange {
+		m.peers.Changed()
+	}
 }
 
 // older keeps a configuration from going back, whoever sends it.
@@ -229,17 +261,26 @@
 	}
 }
 
-func (m *Manager) setTargets(listed map[string]*site.Target, revision int64) {
+// setTargets takes the list of targets as it was at revision; see setPublished.
+func (m *Manager) setTargets(listed map[string]*site.Target, revision, change int64) {
 	now := m.now()
 	m.mu.Lock()
 	keep := !m.mu.targets.recovered.IsZero() && now.Before(m.mu.targets.recovered.Add(graceAfterOutage))
 	m.mu.Unlock()
 	before, after := m.update(func(v *View) {
-		if revision >= v.TargetsRevision {
-			v.Targets, v.TargetsRevision = merge(v.Targets, listed, now, keep), revision
+		if revision < v.TargetsRevision {
+			return
+		}
+		merged := merge(v.Targets, listed, now, keep)
+		if v.TargetsRevision == 0 || differ(v.Targets, merged) {
+			v.TargetsChange = change
 		}
+		v.Targets, v.TargetsRevision = merged, revision
 	})
 	m.logTargets(before, after)
+	if before.TargetsChange != after.TargetsChange {
+		m.peers.Changed()
+	}
 }
 
 // sweep ends the grace of targets that were kept over an outage.
@@ -284,13 +325,14 @@
 	PublishedRevision int64
 	Targets           map[string]*site.Target
 	TargetsRevision   int64
+	Changes           Changes
 }
 
 // Snapshot returns the state for another instance.
 func (m *Manager) Snapshot() ([]byte, error) {
 	v := m.Current()
 	s := Snapshot{Published: v.Published, PublishedRevision: v.PublishedRevision, TargetsRevision: v.TargetsRevision,
-		Targets: make(map[string]*site.Target, len(v.Targets))}
+		Changes: Changes{v.PublishedChange, v.TargetsChange}, Targets: make(map[string]*site.Target, len(v.Targets))}
 	now := m.now()
 	for id, e := range v.Targets {
 		t := e.Target
@@ -304,11 +346,12 @@
 func (m *Manager) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerInterval)
-		if !m.stale() {
+		if !m.stale() && !m.peers.Covered() {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
-		text, err := m.peers.Snapshot(call, m.Revision())
+		v := m.Current()
+		text, err := m.peers.Snapshot(call, Changes{v.PublishedChange, v.TargetsChange})
 		cancel()
 		if err != nil || text == nil {
 			continue // nobody knows more, or the next round asks another one
@@ -331,14 +374,21 @@
 		m.log.Emit(event.RowFault, zap.String("part", "snapshot"), zap.Error(err))
 		return
 	}
-	if s.Published.Config == nil || s.PublishedRevision <= m.Current().PublishedRevision && s.TargetsRevision <= m.Current().TargetsRevision {
-		return
+	v := m.Current()
+	newer := s.Published.Config != nil && s.Changes.Published > v.PublishedChange
+	if newer || s.Changes.Targets > v.TargetsChange {
+		m.log.Emit(event.SnapshotTaken, zap.Int64("published_change", s.Changes.Published), zap.Int64("targets_change", s.Changes.Targets))
 	}
-	m.log.Emit(event.SnapshotTaken, zap.Int64("revision", max(s.PublishedRevision, s.TargetsRevision)), zap.Int64("version", s.Published.Config.Version))
-	if s.PublishedRevision > m.Current().PublishedRevision {
-		m.setPublished(s.Published, s.PublishedRevision)
+	if newer {
+		m.setPublished(s.Published, s.PublishedRevision, s.Changes.Published)
+		m.update(func(v *View) { v.PublishedChange = max(v.PublishedChange, s.Changes.Published) })
 	}
-	if s.TargetsRevision > m.Current().TargetsRevision {
-		m.setTargets(s.Targets, s.TargetsRevision)
+	if s.Changes.Targets > v.TargetsChange {
+		m.setTargets(s.Targets, s.TargetsRevision, s.Changes.Targets)
+		m.update(func(v *View) { v.TargetsChange = max(v.TargetsChange, s.Changes.Targets) })
 	}
 }
+
+// StoreAnswers reports whether the store answers this instance, so that others
+// may rely on it.
+func (m *Manager) StoreAnswers() bool { return !m.stale() }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/site"
@@ -27,6 +28,9 @@
 	// which both parts hold; 0 if they were never read.
 	PublishedRevision, TargetsRevision int64
 	Targets                            map[string]*Entry
+	// PublishedChange and TargetsChange are the revisions at which the contents of
+	// the parts last changed, as far as it matters; 0 if they were never read.
+	PublishedChange, TargetsChange int64
 	// Restored is when the evacuation of a failure domain was taken back.
 	Restored map[string]time.Time
 }
@@ -88,6 +92,29 @@
 	return out
 }
 
+// coldChange is the difference of the ends of two warm-ups that is no news.
+const coldChange = 300 * time.Millisecond
+
+// differ reports whether two lists of targets differ in what decisions use.
+func differ(a, b map[string]*Entry) bool {
+	if len(a) != len(b) {
+		return true
+	}
+	for id, x := range a {
+		y := b[id]
+		if y == nil || !x.Same(&y.Target) || x.Leaving != y.Leaving || x.Service != y.Service || x.Domain != y.Domain ||
+			x.Slots != y.Slots || x.Missing != y.Missing || y.ColdUntil.After(x.ColdUntil.Add(coldChange)) {
+			return true
+		}
+	}
+	return false
+}
+
+// publishedDiffer reports whether operators have changed something.
+func publishedDiffer(a, b *site.Published) bool {
+	return (a.Config == nil) != (b.Config == nil) || a.Config != nil && a.Config.Version != b.Config.Version || !maps.Equal(a.Evacuated, b.Evacuated)
+}
+
 // sweep drops the targets that were kept over an outage and did not come back.
 func sweep(entries map[string]*Entry) (out map[string]*Entry, dropped int) {
 	out = make(map[string]*Entry, len(entries))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -97,7 +97,7 @@
 	}
 	i.roster.SetSeeds(s.Seeds)
 	i.clients = peerapi.NewImpatientClients()
-	i.catalog = catalog.New(platform.NewStore(s.StoreAddress), snapshots{i.roster, i.clients, s.Region}, i.log, time.Now)
+	i.catalog = catalog.New(platform.NewStore(s.StoreAddress), snapshots{i.self, i.roster, i.clients}, i.log, time.Now)
 	i.tracker = placing.NewTracker(s, time.Now())
 	domains := make([]string, 0, len(s.RegionOf))
 	for d := range s.RegionOf {
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/quota"
@@ -18,12 +19,13 @@
 	now := time.Now()
 	row.CallersAddress = i.settings.Listen.Callers
 	row.Ready, row.Leaving = i.gateway.Ready(), i.gateway.Draining()
-	row.Revision = i.catalog.Revision()
+	v := i.catalog.Current()
+	row.PublishedChange, row.TargetsChange, row.StoreAnswers = v.PublishedChange, v.TargetsChange, i.catalog.StoreAnswers()
 	for team, use := range i.quota.Own(now) {
 		row.Teams = append(row.Teams, &peerv1.TeamUse{Team: team, Spent: use.Spent, Demand: float32(use.Demand)})
 	}
 	row.Targets = i.tracker.Uses()
-	if v := i.catalog.Current(); v.Config != nil {
+	if v.Config != nil {
 		for service := range v.Config.Services {
 			if p := i.tracker.Pool(v, service, now); p != nil {
 				row.Pools = append(row.Pools, p)
@@ -63,25 +65,52 @@
 	}
 }
 
+// storeReaders is the number of instances of a failure domain that read the
+// store; the others take the catalog from them. With two, one may be lost, cut
+// off or stopped without a gap.
+const storeReaders = 2
+
 // snapshots implements catalog.Peers.
 type snapshots struct {
+	self    *peerv1.Identity
 	roster  *roster.Manager
 	clients *peerapi.Clients
-	region  string
 }
 
-// Snapshot asks a reachable instance that has seen a later revision, one of the
-// own region if there is one.
-func (s snapshots) Snapshot(ctx context.Context, after int64) ([]byte, error) {
+// Covered implements catalog.Peers. The first names read the store, so that all
+// instances agree without a message.
+func (s snapshots) Covered() bool {
+	n := 0
+	for _, m := range s.roster.Members() {
+		id := m.Row.GetInstance()
+		if m.Reachable && !m.Late && m.Row.GetReady() && m.Row.GetStoreAnswers() && id.GetDomain() == s.self.GetDomain() && id.GetInstance() < s.self.GetInstance() {
+			n++
+		}
+	}
+	return n >= storeReaders
+}
+
+// Changed implements catalog.Peers. Only those who read the store announce; the
+// others have it from them.
+func (s snapshots) Changed() {
+	if !s.Covered() {
+		s.roster.Announce()
+	}
+}
+
+// Snapshot implements catalog.Peers. It asks an instance of the own failure
+// domain if one has news. Others are only asked while the store is silent here.
+func (s snapshots) Snapshot(ctx context.Context, have catalog.Changes) ([]byte, error) {
+	covered := s.Covered()
 	var near, far []string
 	for _, m := range s.roster.Members() {
-		if !m.Reachable || m.Row.GetRevision() <= after {
+		if !m.Reachable || m.Row.GetPublishedChange() <= have.Published && m.Row.GetTargetsChange() <= have.Targets {
 			continue
 		}
-		if a := m.Row.GetInstance().GetPeerAddress(); m.Region() == s.region {
-			near = append(near, a)
-		} else {
-			far = append(far, a)
+		if id := m.Row.GetInstance(); id.GetDomain() == s.self.GetDomain() {
+			near = append(near, id.GetPeerAddress())
+		} else if !covered {
+			far = append(far, id.GetPeerAddress())
 		}
 	}
 	if len(near) == 0 {
