Use a target on that lost single connections

Change: a target must lose three connections in a row; one that cannot be reached is out at once as before.

--- a/internal/placing/beliefs.go
+++ b/internal/placing/beliefs.go
@@ -117,6 +117,9 @@
 	// restFirst and restMost bound the time for which a failing target is avoided.
 	restFirst = 1500 * time.Millisecond
 	restMost  = 6 * time.Second
+	// lostInRow is the number of connections lost in a row after which a target
+	// must pass a health check.
+	lostInRow = 3
 	// rejectedRest is the pause after a rejection: the target is full.
 	rejectedRest = 50 * time.Millisecond
 )
@@ -128,7 +131,9 @@
 	rest      time.Duration
 	restUntil time.Time
 	// down is set until a health check succeeds.
-	down      bool
+	down bool
+	// lost counts connections lost in a row.
+	lost      int
 	coldUntil time.Time
 }
 
@@ -137,10 +142,16 @@
 	switch o {
 	case Neutral:
 		return false
-	case Unreachable, Moved, Lost:
-		// A health check tells whether the target or only the connection is lost.
+	case Lost:
+		// If the target itself is gone, the next connection tells. One that loses
+		// answers now and then is used on.
+		if h.lost++; h.lost < lostInRow {
+			return false
+		}
+		fallthrough
+	case Unreachable, Moved:
 		avoided = !h.down
-		h.down = true
+		h.down, h.lost = true, 0
 		return avoided
 	case Rejected:
 		h.restUntil = later(h.restUntil, now.Add(rejectedRest))
@@ -149,6 +160,8 @@
 	bad := 0.0
 	if o != Good {
 		bad = 1
+	} else {
+		h.lost = 0
 	}
 	h.failures += failGain * (bad - h.failures)
 	h.outcomes++
--- a/internal/placing/tracker_test.go
+++ b/internal/placing/tracker_test.go
@@ -173,3 +173,26 @@
 		t.Error("no parts have a key")
 	}
 }
+
+// Connections that are reset during a request, of which some targets lose a few,
+// say little about the target: it is only avoided if they are lost in a row. All
+// targets of a region would be avoided when links are reset.
+func TestLostConnectionsAreNotAnOutage(t *testing.T) {
+	h, now := health{}, time.Unix(1, 0)
+	for i := range 50 {
+		o := Good
+		if i%4 == 0 {
+			o = Lost
+		}
+		h.note(o, now)
+		if !h.usable(now) {
+			t.Fatalf("avoided after %d requests, of which each fourth lost its connection", i+1)
+		}
+	}
+	for range lostInRow {
+		h.note(Lost, now)
+	}
+	if h.usable(now) {
+		t.Error("a target that loses every connection is still used")
+	}
+}
