Suspect a request of a crash only if its target is gone; tell all instances

Cause: any lost connection counted as a crash of the target, so a request whose answer was reset twice could be refused for ever; crashes were not told to other instances, where such a request comes again. Change: a loss counts once the target takes no new connection; reports go to all members over the existing Probe call. Ruled out: waiting for the target's entry to lapse (three heartbeats). Before: the test finds a request refused whose targets live. After: it is not, and a request that does crash targets runs on at most three of them at two instances.

--- a/internal/event/fleet.go
+++ b/internal/event/fleet.go
@@ -25,6 +25,7 @@
 	RequestSlow     = define(833, "request late", zapcore.InfoLevel, "an answer began later than the objective of its route")
 	RequestPlaced   = define(834, "request placed", zapcore.InfoLevel, "a place was chosen for an attempt; the fields give the reason and the delay that it expected")
 	StreamPaused    = define(835, "stream paused", zapcore.InfoLevel, "a stream had a longer pause between two events than its route allows for a timely answer")
+	ReportLost      = define(836, "crash report lost", zapcore.InfoLevel, "another instance could not be told of a target that was lost")
 	LinesDropped    = define(840, "log lines dropped", zapcore.WarnLevel, "the log could not keep up; the field counts lines that were not written")
 	SettingsReread  = define(841, "settings reread", zapcore.InfoLevel, "the settings file changed; seeds are taken from it, other fields at the next start")
 	SettingsBad     = define(842, "settings rejected", zapcore.ErrorLevel, "the settings file has faults; what was read before stays in force")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,7 @@
 		}
 	}
 	if outcome == placing.Lost {
-		g.Suspects.Report(e.ID, attemptID, c.fingerprint())
+		go g.confirmCrash(e.ID, e.Address, attemptID, c.fingerprint(), c.ID)
 	}
 	return f
 }
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/wigeonhill/wigeonhill/internal/event"
@@ -333,3 +334,56 @@
 		}
 	}
 }
+
+// A request that crashes the targets that run it is stopped after two of them, at
+// every instance. Requests whose connection is reset by a target that lives are
+// not taken for such a one.
+func TestRequestThatCrashesTargetsIsStopped(t *testing.T) {
+	w := newWorld(t)
+	w.operator(nil)
+	var targets []*target
+	for _, id := range []string{"t-1", "t-2", "t-3", "t-4"} {
+		x := newTarget(t, id)
+		targets = append(targets, x)
+		w.list(x, "a", "ready", 1)
+	}
+	crashing := atomic.Bool{}
+	for _, x := range targets {
+		x.set(func(_ http.ResponseWriter, r *http.Request) bool {
+			switch r.URL.Path {
+			case "/unsafe/poison":
+				if crashing.Load() {
+					_ = x.Listener.Close()
+				}
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+	}
+	p, q := w.start("a"), w.start("a")
+	eventually(t, "the instances know the targets and each other", func() bool {
+		return len(p.catalog.Current().Targets) == 4 && len(q.catalog.Current().Targets) == 4 && len(p.entries()) == 2 && len(q.entries()) == 2
+	})
+	for range 4 {
+		if got := call("POST", p.url("/unsafe/poison"), nil); got.status != http.StatusBadGateway {
+			t.Fatalf("reset by a living target: %+v", got)
+		}
+		call("GET", p.url("/safe/x"), nil)
+	}
+	crashing.Store(true)
+	ran := func() (n int) {
+		for _, x := range targets {
+			n += x.ran()
+		}
+		return n
+	}
+	before := ran()
+	eventually(t, "the request is stopped at both instances", func() bool {
+		a, b := call("POST", p.url("/unsafe/poison"), nil), call("POST", q.url("/unsafe/poison"), nil)
+		return a.status == http.StatusServiceUnavailable && b.status == http.StatusServiceUnavailable
+	})
+	if n := ran() - before; n > 3 {
+		t.Errorf("it ran on %d targets", n)
+	}
+	eventually(t, "other requests are served", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusOK })
+}
