Install the handler of SIGHUP before the instance starts

Change: serve installs the handler first and hands the channel over; the test keeps it for its whole life. Ruled out: load alone; the order of the two steps explains it.

--- a/cmd/wigeonhill/serve.go
+++ b/cmd/wigeonhill/serve.go
@@ -39,23 +39,24 @@
 	if err != nil {
 		return invalidError{err}
 	}
+	// Before anything is started: until then the signal would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	n, err := node.New(s, version, log)
 	if err != nil {
 		return errors.Wrap(err, "start")
 	}
-	go checkOnHangup(ctx, c.Config, log)
+	go checkOnHangup(ctx, hangups, c.Config, log)
 	return n.Run(ctx)
 }
 
 // checkOnHangup checks the settings file on each SIGHUP and logs the outcome.
 // Nothing is applied: addresses and bounds are part of what peers and callers
 // rely on, and half of a file must never be in force.
-func checkOnHangup(ctx context.Context, path string, log *event.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func checkOnHangup(ctx context.Context, hangups <-chan os.Signal, path string, log *event.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/cmd/wigeonhill/serve_test.go
+++ b/cmd/wigeonhill/serve_test.go
@@ -24,28 +24,23 @@
 	}
 	core, logs := observer.New(zapcore.InfoLevel)
 	ctx, cancel := context.WithCancel(context.Background())
+	// The handler stays installed: a signal may be delivered late on a busy
+	// machine and would then end the test's process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		checkOnHangup(ctx, path, event.NewLogger(zap.New(core)))
+		checkOnHangup(ctx, hangups, path, event.NewLogger(zap.New(core)))
 	}()
 	for logs.FilterMessage(event.SettingsChecked.Name).Len() == 0 {
-		// Until the handler is installed the signal would end this process, so
-		// it is sent only while another handler holds it.
-		hold(func() { _ = syscall.Kill(os.Getpid(), syscall.SIGHUP); time.Sleep(time.Millisecond) })
+		_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		time.Sleep(time.Millisecond)
 	}
 	cancel()
 	<-ended
 }
 
-// hold runs f while SIGHUP is delivered to a channel nobody reads.
-func hold(f func()) {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	defer signal.Stop(c)
-	f()
-}
-
 // Guards against exit codes that scripts cannot rely on.
 func TestExitCodes(t *testing.T) {
 	for _, c := range []struct {
