Tell the refused to come back at different times; shorten rows to other regions

Change: the advice is the expected delay, at least half of the objective, spread by 30% either way, within the third of their time that clients accept; rows to other regions leave the targets out.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -114,6 +114,6 @@
 	key, tokens := placing.Shared(c.Parts)
 	return &placing.Query{
 		PromptTokens: c.PromptTokens, SharedKey: key, SharedTokens: tokens, Objective: c.route.Objective,
-		Left: c.deadline.Sub(now), AllowedHere: site.Permits(c.route, team, region),
+		Left: c.deadline.Sub(now), AllowedHere: site.Permits(c.route, team, region), Spread: rand.Float64(),
 	}
 }
--- a/internal/placing/choose.go
+++ b/internal/placing/choose.go
@@ -26,6 +26,13 @@
 	// than one without, as a part of the time that reading them takes there. It is
 	// the hysteresis of homes.
 	homeBonus = 0.9
+	// comeBackPart is the least advice when to come back, as a part of the
+	// objective; comeBackSpread is how far advice for the same delay differs, as a
+	// part of it; comeBackMost is the part of the time left that clients accept,
+	// which is a third, with a reserve.
+	comeBackPart   = 0.5
+	comeBackSpread = 0.6
+	comeBackMost   = 0.3
 	// homeComfort is the part of the objective up to which a request goes to the
 	// region of the home of its shared parts.
 	homeComfort = 0.5
@@ -48,6 +55,8 @@
 	Objective  time.Duration
 	// Left is the time that the caller still waits.
 	Left time.Duration
+	// Spread is a random number from 0 to 1 that differs between requests.
+	Spread float64
 	// AllowedHere is false if residency forbids the own region.
 	AllowedHere bool
 }
@@ -155,7 +164,7 @@
 	if local != nil && delay <= limit {
 		return Choice{Target: local.ID, FetchFrom: from, Delay: delay, Reason: "own region is no worse"}
 	}
-	return Choice{RetryAfter: comeBack(q, delay), Reason: "no place in time"}
+	return Choice{RetryAfter: comeBack(q, delay, q.Spread), Reason: "no place in time"}
 }
 
 // homeRegion returns the region in which the shared parts of a request are kept
@@ -178,9 +187,13 @@
 	return nil
 }
 
-// comeBack advises when to try again: when half of what is ahead now is done.
-func comeBack(q *Query, delay time.Duration) time.Duration {
-	return min(max(delay/2, 200*time.Millisecond), q.Left/4)
+// comeBack advises when to try again: when what is ahead now is done, but not
+// before a part of the objective, since those who come back at once find the same
+// queue. spread, from 0 to 1, keeps the refused from coming back together.
+func comeBack(q *Query, delay time.Duration, spread float64) time.Duration {
+	wait := max(delay, time.Duration(comeBackPart*float64(q.Objective)))
+	wait = time.Duration((1 - comeBackSpread/2 + comeBackSpread*spread) * float64(wait))
+	return min(wait, time.Duration(float64(q.Left)*comeBackMost))
 }
 
 // bestTarget returns the target with the least expected delay, and the one from
--- a/internal/placing/choose_test.go
+++ b/internal/placing/choose_test.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// Load: many requests are refused together. They are told to come back at
+// different times, none at once.
+func TestRefusedRequestsAreSpread(t *testing.T) {
+	q := long("part-1")
+	earliest, latest := time.Hour, time.Duration(0)
+	for i := range 11 {
+		q.Spread = float64(i) / 10
+		c := Choose(q, nil, nil, engine)
+		earliest, latest = min(earliest, c.RetryAfter), max(latest, c.RetryAfter)
+	}
+	if earliest < q.Objective/3 || latest < earliest+q.Objective/4 || latest > q.Left/3 {
+		t.Errorf("come back between %s and %s", earliest, latest)
+	}
+}
+
 // Load: a region at its peak. Requests leave it for a region that is faster by
 // more than the way there, and only then.
 func TestOverflowToAnotherRegion(t *testing.T) {
--- a/internal/roster/manager.go
+++ b/internal/roster/manager.go
@@ -79,8 +79,13 @@
 		return
 	}
 	own := m.ownRow()
+	short := shortRow(own)
 	for _, a := range rows {
-		m.send(a, &peerv1.FleetReport{Rows: []*peerv1.FleetRow{own}})
+		row := own
+		if !m.Near(a) {
+			row = short
+		}
+		m.send(a, &peerv1.FleetReport{Rows: []*peerv1.FleetRow{row}})
 	}
 	for _, a := range introductions {
 		m.send(a, &peerv1.FleetReport{Rows: []*peerv1.FleetRow{own}, Introduce: true})
@@ -88,6 +93,16 @@
 	m.logChanges()
 }
 
+// shortRow leaves out the load on single targets, which only instances of the own
+// region choose among.
+func shortRow(row *peerv1.FleetRow) *peerv1.FleetRow {
+	return &peerv1.FleetRow{
+		Instance: row.GetInstance(), Sequence: row.GetSequence(), CallersAddress: row.GetCallersAddress(), Ready: row.GetReady(),
+		Leaving: row.GetLeaving(), PublishedChange: row.GetPublishedChange(), TargetsChange: row.GetTargetsChange(),
+		StoreAnswers: row.GetStoreAnswers(), Teams: row.GetTeams(), Pools: row.GetPools(), StartedMs: row.GetStartedMs(),
+	}
+}
+
 // Announce sends the own row to all members at once, for news that should not
 // wait for the next round.
 func (m *Manager) Announce() {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -152,6 +152,14 @@
 	return out
 }
 
+// Near reports whether the member at a peer address is of the own region.
+func (t *Table) Near(peerAddress string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.mu.members[peerAddress]
+	return m != nil && t.near(m)
+}
+
 func (t *Table) near(m *member) bool { return m.Region() == t.self.GetRegion() }
 
 func (t *Table) allowed(m *member) time.Duration {
