--- a/internal/placing/choose.go
+++ b/internal/placing/choose.go
@@ -30,7 +30,7 @@
 	// objective; comeBackSpread is how far advice for the same delay differs, as a
 	// part of it; comeBackMost is the part of the time left that clients accept,
 	// which is a third, with a reserve.
-	comeBackPart   = 0.5
+	comeBackPart   = 0.25
 	comeBackSpread = 0.6
 	comeBackMost   = 0.3
 	// homeComfort is the part of the objective up to which a request goes to the
