Hash a request's body once; remove what nothing uses

Cause: reading the whole change: the fingerprint of a request hashed its body up to three times an attempt (choice, begin, loss), 34 KB each for a long prompt; a field of calls and a callback of the roster had no reader. Change: the fingerprint is kept with the team that it was taken for; both dead parts are gone. Behaviour is the same.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -29,8 +29,6 @@
 	team     string
 	arrived  time.Time
 	deadline time.Time
-	// callerLeaves is the end of the caller's patience; the deadline is no later.
-	callerLeaves time.Time
 
 	route   *site.Route
 	service string
@@ -39,11 +37,20 @@
 	sent, sends int
 	// hop is set at the receiver of a hop, which sends the request no further.
 	hop bool
+
+	// print is the fingerprint for the team printTeam; see fingerprint.
+	print     *dispatch.Fingerprint
+	printTeam string
 }
 
-// fingerprint tells requests that come again from others.
+// fingerprint tells requests that come again from others. It hashes the whole
+// body, so it is kept over the attempts.
 func (c *call) fingerprint() dispatch.Fingerprint {
-	return dispatch.FingerprintOf(c.body, c.team, c.host, c.path)
+	if c.print == nil || c.printTeam != c.team {
+		f := dispatch.FingerprintOf(c.body, c.team, c.host, c.path)
+		c.print, c.printTeam = &f, c.team
+	}
+	return *c.print
 }
 
 // resolve finds the route and the team of a request by a state of the catalog.
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -110,8 +110,7 @@
 	if patience <= 0 {
 		patience = defaultPatience
 	}
-	c.callerLeaves = now.Add(patience)
-	c.deadline = c.callerLeaves
+	c.deadline = now.Add(patience)
 	if t := now.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.deadline) {
 		c.deadline = t
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -90,7 +90,7 @@
 func (i *Instance) build() (err error) {
 	s := i.settings
 	i.roster, err = roster.NewManager(roster.Config{
-		Self: i.self, IP: s.IP, Port: s.FirstPort, Own: i.ownRow, Learned: func(*peerv1.FleetRow) {}, Log: i.log,
+		Self: i.self, IP: s.IP, Port: s.FirstPort, Own: i.ownRow, Log: i.log,
 	})
 	if err != nil {
 		return err
--- a/internal/roster/manager.go
+++ b/internal/roster/manager.go
@@ -29,9 +29,7 @@
 	Port int
 	// Own fills in the row of the instance; it is called before each round.
 	Own func(row *peerv1.FleetRow)
-	// Learned is called after a row of a member has arrived.
-	Learned func(row *peerv1.FleetRow)
-	Log     *event.Logger
+	Log *event.Logger
 }
 
 // Manager sends and receives rows.
@@ -164,9 +162,6 @@
 		}
 		direct := host == from
 		fresh := m.Learn(row, direct)
-		if direct {
-			m.Learned(row)
-		}
 		if direct && (fresh || report.GetIntroduce()) {
 			m.introduce(peer)
 		}
