Keep shared prompt parts at their home while no copy is known

Cause: on the grown sites 22 instances of a region place without knowing what the others sent. The home also counted 17,000 unread tokens for a prompt whose parts it had, so that it looked busier than it was. Change: a copy from a home of which nothing is known costs 0.6 of the reading; what a request leaves unread follows the choice. The line of a placing names the shared part and whether the target is believed to have it. Ruled out: eviction (5.7 M shared tokens against 32 M of memory).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,7 +45,7 @@
 	if holder := v.Targets[choice.FetchFrom]; holder != nil {
 		fetchFrom = holder.Address
 	}
-	run := g.Tracker.Begin(e, v.Config.Services[c.service], q, fetchFrom != "", time.Now())
+	run := g.Tracker.Begin(e, v.Config.Services[c.service], q, choice, time.Now())
 	first := func() { run.First(time.Now()) }
 	if limit := g.silence(c); limit > 0 {
 		timer := time.AfterFunc(limit, func() { cancel(errSilent) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,9 +111,11 @@
 		if err != nil {
 			return g.settle(c, d, last, err)
 		}
+		shared, _ := placing.Shared(c.Parts)
 		g.Log.Emit(event.RequestPlaced, zap.String("request", c.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
 			zap.String("target", choice.Target), zap.String("region", choice.Region), zap.String("fetch_from", choice.FetchFrom),
-			zap.Duration("expected", choice.Delay), zap.String("reason", choice.Reason), zap.Int("sends", c.sends), zap.Int64("revision", v.TargetsRevision))
+			zap.Duration("expected", choice.Delay), zap.String("reason", choice.Reason), zap.String("shared", shared), zap.Bool("cached", choice.Cached),
+			zap.Int("sends", c.sends), zap.Int64("revision", v.TargetsRevision))
 		f := g.attempt(ctx, v, c, choice, d)
 		g.Metrics.attempt(f, choice.Delay)
 		if f == nil {
--- a/internal/placing/choose.go
+++ b/internal/placing/choose.go
@@ -40,6 +40,9 @@
 	// than one that can fetch them: a fetch takes a few milliseconds, but the
 	// memory moved is paid for and displaces other parts.
 	fetchCost = 60 * time.Millisecond
+	// copyRisk replaces fetchCost where no target is known to have the parts, as a
+	// part of the time that reading them takes: the home may not have them yet.
+	copyRisk = 0.6
 )
 
 // Query is what a choice depends on.
@@ -100,6 +103,8 @@
 	// FetchFrom is a target from which Target can copy the shared parts instead
 	// of reading them; empty if it has them or none is known to.
 	FetchFrom string
+	// Cached is set if Target is believed to have the shared parts.
+	Cached bool
 	// Delay is the expected time to the first byte.
 	Delay time.Duration
 	// RetryAfter is set if neither Target nor Region is.
@@ -149,22 +154,24 @@
 	if r := homeRegion(q, targets, regions); r != nil {
 		return Choice{Region: r.Name, Delay: r.Delay + r.RoundTrip, Reason: "home of the shared parts"}
 	}
-	local, from, delay := bestTarget(q, targets, m)
-	if local != nil && delay <= time.Duration(comfort*float64(q.Objective)) {
-		return Choice{Target: local.ID, FetchFrom: from, Delay: delay, Reason: "own region has room"}
+	local := bestTarget(q, targets, m)
+	if local.Target != "" && local.Delay <= time.Duration(comfort*float64(q.Objective)) {
+		local.Reason = "own region has room"
+		return local
 	}
 	away := bestRegion(regions)
 	limit := min(time.Duration(lateFactor*float64(q.Objective)), q.Left)
 	if away != nil {
 		there := away.Delay + away.RoundTrip
-		if there <= limit && (local == nil || there+awayMargin < delay) {
+		if there <= limit && (local.Target == "" || there+awayMargin < local.Delay) {
 			return Choice{Region: away.Name, Delay: there, Reason: "other region is faster"}
 		}
 	}
-	if local != nil && delay <= limit {
-		return Choice{Target: local.ID, FetchFrom: from, Delay: delay, Reason: "own region is no worse"}
+	if local.Target != "" && local.Delay <= limit {
+		local.Reason = "own region is no worse"
+		return local
 	}
-	return Choice{RetryAfter: comeBack(q, delay, q.Spread), Reason: "no place in time"}
+	return Choice{Delay: local.Delay, RetryAfter: comeBack(q, local.Delay, q.Spread), Reason: "no place in time"}
 }
 
 // homeRegion returns the region in which the shared parts of a request are kept
@@ -196,15 +203,20 @@
 	return min(wait, time.Duration(float64(q.Left)*comeBackMost))
 }
 
-// bestTarget returns the target with the least expected delay, and the one from
+// bestTarget chooses the target with the least expected delay, and the one from
 // which it copies the shared parts. A target that has them is preferred to others
-// that would have to read or copy them.
-func bestTarget(q *Query, targets []Target, m *Model) (best *Target, from string, delay time.Duration) {
+// that would have to read or copy them. The choice names no target if none takes
+// a request.
+func bestTarget(q *Query, targets []Target, m *Model) Choice {
 	if !q.AllowedHere {
-		return nil, "", 0
+		return Choice{}
+	}
+	best, bestCost := Choice{}, time.Duration(0)
+	home, known := Home(q.SharedKey, targets), lastHolder(targets)
+	from, copyCost := known, fetchCost
+	if known == "" {
+		from, copyCost = home, time.Duration(copyRisk*float64(readTime(q, m)))
 	}
-	bestCost := time.Duration(0)
-	holder := holderOf(q, targets)
 	for i := range targets {
 		t := &targets[i]
 		if t.Full {
@@ -212,39 +224,44 @@
 		}
 		view := *t
 		// The home reads the parts once for all instances.
-		view.Cached = t.Cached || t.ID == holder
-		fetch := holder != "" && m.FetchTokensPerMS > 0 && !view.Cached
+		view.Cached = t.Cached || t.ID == home
+		fetch := from != "" && m.FetchTokensPerMS > 0 && !view.Cached
 		d := m.Delay(q, &view, fetch)
 		cost := d
 		switch {
 		case fetch:
-			cost += fetchCost
+			cost += copyCost
 		case q.SharedKey != "" && !view.Cached:
-			cost += time.Duration(homeBonus * float64(q.SharedTokens) / m.TokensPerMS * float64(time.Millisecond))
+			cost += time.Duration(homeBonus * float64(readTime(q, m)))
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost, delay, from = t, cost, d, ""
+		if best.Target == "" || cost < bestCost {
+			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.SharedKey != "", Delay: d}, cost
 			if fetch {
-				from = holder
+				best.FetchFrom = from
 			}
 		}
 	}
-	return best, from, delay
+	return best
 }
 
-// holderOf returns the target that probably has the shared parts: the one to
-// which this instance sent them last, or else their home.
-func holderOf(q *Query, targets []Target) string {
+// readTime is the time that reading the shared parts takes.
+func readTime(q *Query, m *Model) time.Duration {
+	return time.Duration(float64(q.SharedTokens) / m.TokensPerMS * float64(time.Millisecond))
+}
+
+// lastHolder returns the target to which this instance sent the shared parts
+// last; empty if it knows none.
+func lastHolder(targets []Target) string {
 	var last *Target
 	for i := range targets {
 		if t := &targets[i]; t.Cached && (last == nil || t.CachedAt.After(last.CachedAt)) {
 			last = t
 		}
 	}
-	if last != nil {
-		return last.ID
+	if last == nil {
+		return ""
 	}
-	return Home(q.SharedKey, targets)
+	return last.ID
 }
 
 // Home returns the target that all instances prefer for a shared part: the one
--- a/internal/placing/choose_test.go
+++ b/internal/placing/choose_test.go
@@ -134,3 +134,21 @@
 		t.Errorf("%d of 1000 parts moved, expected about 83", moved)
 	}
 }
+
+// Load: many instances of a region get requests with the same shared part, and
+// none of them knows what the others sent. All keep to the home while it can
+// serve in time, also if another target is a little less busy: a copy from a home
+// that turns out not to have the part costs a second reading.
+func TestInstancesAgreeOnTheHomeWithoutNews(t *testing.T) {
+	q := long("part-1")
+	targets := engines(8)
+	home := Home(q.SharedKey, targets)
+	for i := range targets {
+		if targets[i].ID == home {
+			targets[i].PendingTokens, targets[i].Running = 7000, 10
+		}
+	}
+	if c := Choose(q, targets, nil, engine); c.Target != home || !c.Cached {
+		t.Errorf("choice %+v, home %s", c, home)
+	}
+}
--- a/internal/placing/tracker.go
+++ b/internal/placing/tracker.go
@@ -265,18 +265,17 @@
 	ended    bool
 }
 
-// Begin notes that a request is sent to the target.
-// fetch is set if the target copies the shared parts from another one.
-func (t *Tracker) Begin(e *catalog.Entry, s *site.Service, q *Query, fetch bool, now time.Time) *Run {
+// Begin notes that a request is sent to the target, as c chose.
+func (t *Tracker) Begin(e *catalog.Entry, s *site.Service, q *Query, c Choice, now time.Time) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.state(e)
 	running, pending := st.load()
-	view := Target{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Pace: 1, Cached: st.cache.has(q.SharedKey, now)}
-	r := &Run{t: t, s: st, id: e.ID, began: now, expected: ModelOf(s).Delay(q, &view, fetch)}
+	view := Target{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Pace: 1, Cached: c.Cached}
+	r := &Run{t: t, s: st, id: e.ID, began: now, expected: ModelOf(s).Delay(q, &view, c.FetchFrom != "")}
 	if s.Engine != nil {
 		r.pending = q.PromptTokens
-		if view.Cached || fetch {
+		if c.Cached || c.FetchFrom != "" {
 			r.pending -= min(q.SharedTokens, q.PromptTokens)
 		}
 		st.cache.add(q.SharedKey, q.SharedTokens, int(cacheShare*float64(s.Engine.CacheTokens)), now)
@@ -403,8 +402,7 @@
 		}
 	}
 	if free > 0 {
-		_, _, d := bestTarget(&Query{AllowedHere: true}, targets, ModelOf(s))
-		p.DelayMs = uint32(d.Milliseconds())
+		p.DelayMs = uint32(bestTarget(&Query{AllowedHere: true}, targets, ModelOf(s)).Delay.Milliseconds())
 	}
 	return p
 }
--- a/internal/placing/tracker_test.go
+++ b/internal/placing/tracker_test.go
@@ -57,7 +57,7 @@
 			c.now = c.now.Add(5 * time.Millisecond)
 			for _, tr := range c.trackers {
 				if views := tr.Targets(c.view, "model", "", nil, c.now); len(views) == 1 && !views[0].Full {
-					tr.Begin(e, c.service, &Query{}, false, c.now)
+					tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
 					sent = append(sent, c.now)
 				}
 			}
@@ -129,7 +129,7 @@
 func TestUnreachableTargetWaitsForItsHealthCheck(t *testing.T) {
 	c := newCluster(1, 1)
 	tr, e := c.trackers[0], c.view.Targets["t-0"]
-	run := tr.Begin(e, c.service, &Query{}, false, c.now)
+	run := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
 	if !run.End(Unreachable, c.now) || len(tr.Down()) != 1 {
 		t.Fatal("an unreachable target is not down")
 	}
@@ -140,7 +140,7 @@
 	taken := 0
 	for range 20 {
 		if got := tr.Targets(c.view, "model", "", nil, c.now); len(got) == 1 && !got[0].Full {
-			tr.Begin(e, c.service, &Query{}, false, c.now)
+			tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
 			taken++
 		}
 	}
