Let requests wait for a place at engines with small batches

Cause: an engine counted as full at its batch (16 and 12 on the grown sites). A region also counted what runs at full engines against the places at the others, so that it offered none to other regions although it had some. Change: an engine holds up to 1.5 batches; who waits expects the usual time that a request occupies a place, divided by the batch. Pools count only targets that take requests. Ruled out: engines rejecting (their queue is three batches). Small sites: batch of 64 above the bound of 45, unchanged.

--- a/internal/placing/choose.go
+++ b/internal/placing/choose.go
@@ -69,7 +69,9 @@
 	ID      string
 	Running int
 	Slots   int
-	Engine  bool
+	// Bound is how many requests it may hold, those that wait there included.
+	Bound  int
+	Engine bool
 	// PendingTokens are prompt tokens at the target that are probably not read.
 	PendingTokens int
 	// Cached is true if the shared parts are believed to be in its memory, and
@@ -78,6 +80,8 @@
 	CachedAt time.Time
 	// Oldest is how long a request has waited there for its first byte.
 	Oldest time.Duration
+	// Hold is how long a request usually occupies a place of the batch.
+	Hold time.Duration
 	// Pace is the time of the target relative to the usual one; 1 is usual.
 	Pace float64
 	// Full is set if the target takes no request now: cold and at its rate, at
@@ -139,7 +143,10 @@
 			tokens -= shared
 			ms += float64(shared) / m.FetchTokensPerMS
 		}
-		ms += float64(tokens)/m.TokensPerMS + eventTokens*(m.StepMS+m.StepPerRequestMS*float64(t.Running))
+		ms += float64(tokens)/m.TokensPerMS + eventTokens*(m.StepMS+m.StepPerRequestMS*float64(min(t.Running, t.Slots)))
+		if ahead := t.Running + 1 - t.Slots; ahead > 0 {
+			ms += float64(ahead) * float64(t.Hold.Milliseconds()) / float64(max(t.Slots, 1))
+		}
 	} else {
 		queued := max(t.Running+1-t.Slots, 0)
 		ms = m.WorkMS * (1 + float64(queued)/float64(max(t.Slots, 1)))
--- a/internal/placing/choose_test.go
+++ b/internal/placing/choose_test.go
@@ -152,3 +152,23 @@
 		t.Errorf("choice %+v, home %s", c, home)
 	}
 }
+
+// Load: all batches are full. A request waits at an engine for a place of the
+// batch if that is in time, and the wait grows with those that wait already.
+func TestRequestWaitsForAPlaceOfTheBatch(t *testing.T) {
+	q := &Query{PromptTokens: 383, Objective: 600 * time.Millisecond, Left: 4 * time.Second, AllowedHere: true}
+	targets := engines(3)
+	for i := range targets {
+		targets[i].Slots, targets[i].Running, targets[i].Hold = 16, 16+3*(i+1), 320*time.Millisecond
+	}
+	c := Choose(q, targets, nil, engine)
+	if c.Target != "t-0" || c.Delay < 80*time.Millisecond || c.Delay > 200*time.Millisecond {
+		t.Errorf("four requests ahead at 20 ms each: %+v", c)
+	}
+	for i := range targets {
+		targets[i].Hold = 10 * time.Second
+	}
+	if c := Choose(q, targets, nil, engine); c.Target != "" {
+		t.Errorf("places become free too late: %+v", c)
+	}
+}
--- a/internal/placing/tracker.go
+++ b/internal/placing/tracker.go
@@ -22,6 +22,14 @@
 	// maxBatch bounds the requests at an engine. A larger batch yields few more
 	// tokens a second, but long answers no longer end within their time.
 	maxBatch = 45
+	// engineQueue is how many requests an engine may hold, as a multiple of its
+	// batch, if the batch is below maxBatch: a place is free within a fraction of a
+	// second, and the load of other instances is known late.
+	engineQueue = 1.5
+	// holdGain is the weight of a new observation of how long a request occupies an
+	// engine, and defaultHold that time until one was seen.
+	holdGain    = 0.02
+	defaultHold = 400 * time.Millisecond
 	// connReserve is the part of a target's connections that is not used, for
 	// those that are just being closed.
 	connReserve = 0.1
@@ -57,8 +65,9 @@
 	mu       struct {
 		sync.Mutex
 		targets map[string]*state
-		paces   map[string]*pace // by service
-		near    []string         // names of the other instances of the own region
+		paces   map[string]*pace         // by service
+		holds   map[string]time.Duration // by service; see Target.Hold
+		near    []string                 // names of the other instances of the own region
 	}
 }
 
@@ -88,6 +97,7 @@
 	t := &Tracker{instance: s.Instance, regionOf: s.RegionOf, region: s.Region, bounds: s.Bounds, started: now}
 	t.mu.targets = map[string]*state{}
 	t.mu.paces = map[string]*pace{}
+	t.mu.holds = map[string]time.Duration{}
 	return t
 }
 
@@ -113,6 +123,13 @@
 	return p
 }
 
+func (t *Tracker) hold(service string) time.Duration {
+	if h, ok := t.mu.holds[service]; ok {
+		return h
+	}
+	return defaultHold
+}
+
 // ModelOf returns the usual times of a service.
 func ModelOf(s *site.Service) *Model {
 	m := &Model{TokensPerMS: defaultTokensPerMS, StepMS: defaultStepMS, StepPerRequestMS: defaultStepPerRequestMS, WorkMS: defaultWorkMS}
@@ -187,13 +204,15 @@
 		ID: e.ID, Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending,
 		Cached: st.cache.has(sharedKey, now), CachedAt: st.cache.used(sharedKey), Oldest: st.oldest(now), Pace: st.pace.at(now, t.servicePace(s.Name)),
 	}
-	bound := e.Slots
-	if s.Engine == nil {
-		bound *= plainQueue
-	} else {
-		bound = min(bound, maxBatch)
+	view.Bound = e.Slots * plainQueue
+	if s.Engine != nil {
+		view.Hold = t.hold(s.Name)
+		view.Bound = min(int(engineQueue*float64(e.Slots)), maxBatch)
+	}
+	if s.MaxConns > 0 {
+		view.Bound = min(view.Bound, int((1-connReserve)*float64(s.MaxConns)))
 	}
-	view.Full = running >= bound || s.MaxConns > 0 && float64(running) >= (1-connReserve)*float64(s.MaxConns)
+	view.Full = running >= view.Bound
 	if v.Cold(e, now) || now.Before(st.health.coldUntil) {
 		view.Full = view.Full || st.recent(now) >= t.coldRate(s, e.ID, now)
 	}
@@ -313,6 +332,10 @@
 	delete(r.s.waiting, r)
 	r.s.running--
 	r.s.pending -= r.pending
+	if o == Good {
+		h := r.t.hold(r.s.service)
+		r.t.mu.holds[r.s.service] = h + time.Duration(holdGain*float64(now.Sub(r.began)-h))
+	}
 	return r.s.health.note(o, now)
 }
 
@@ -393,15 +416,13 @@
 		return nil
 	}
 	p := &peerv1.PoolUse{Service: service}
-	free := 0
 	for i := range targets {
-		p.Running += uint32(max(targets[i].Running, 0))
 		if !targets[i].Full {
-			p.Capacity += uint32(targets[i].Slots)
-			free += max(targets[i].Slots-targets[i].Running, 1)
+			p.Running += uint32(max(targets[i].Running, 0))
+			p.Capacity += uint32(targets[i].Bound)
 		}
 	}
-	if free > 0 {
+	if p.Capacity > 0 {
 		p.DelayMs = uint32(bestTarget(&Query{AllowedHere: true}, targets, ModelOf(s)).Delay.Milliseconds())
 	}
 	return p
