Tell the region which target read which part; try doubtful targets one request at a time

Cause: 22 instances of a region know only of the parts that they sent themselves, so a part was read at 6 targets. Change: rows to the own region name the parts that targets have read in the last 1.5 s; what another instance read is believed like an own reading, the home is assumed to have a part only while nobody is known to. Change: after a health check a target gets one request at a time until one succeeds; a failed one makes it rest for 0.5 to 2 s, during which it is not checked either. One loss is enough if another instance avoids the target, unless that one avoids most targets.

Ruled out: a longest rest of 6 s (the targets are missed after they are well).

--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -48,7 +48,7 @@
 	gauge("configuration_age_seconds", "Time since the store confirmed the configuration.", func() float64 { p, _ := i.catalog.Ages(); return p.Seconds() })
 	gauge("targets_age_seconds", "Time since the store confirmed the list of targets.", func() float64 { _, t := i.catalog.Ages(); return t.Seconds() })
 	gauge("targets_listed", "Targets in the list, of all regions.", func() float64 { return float64(len(i.catalog.Current().Targets)) })
-	gauge("targets_down", "Targets of the own region that are avoided until a health check succeeds.", func() float64 { return float64(len(i.tracker.Down())) })
+	gauge("targets_down", "Targets of the own region that are avoided until a health check succeeds.", func() float64 { return float64(len(i.tracker.Down(time.Now()))) })
 	gauge("requests_running", "Requests in progress, those of other instances included.", func() float64 { return float64(i.gateway.Running()) })
 	gauge("request_memory_bytes", "Memory held for the bodies of requests.", func() float64 { return float64(i.gateway.MemoryHeld()) })
 	gauge("ready", "1 if callers are sent here.", func() float64 { return bit(i.gateway.Ready()) })
--- a/internal/instance/prober.go
+++ b/internal/instance/prober.go
@@ -57,7 +57,7 @@
 		case <-p.signal:
 		}
 		var wg sync.WaitGroup
-		for _, id := range p.tracker.Down() {
+		for _, id := range p.tracker.Down(time.Now()) {
 			wg.Go(func() { p.check(ctx, id) })
 		}
 		wg.Wait()
--- a/internal/instance/rows.go
+++ b/internal/instance/rows.go
@@ -24,7 +24,7 @@
 	for team, use := range i.quota.Own(now) {
 		row.Teams = append(row.Teams, &peerv1.TeamUse{Team: team, Spent: use.Spent, Demand: float32(use.Demand)})
 	}
-	row.Targets = i.tracker.Uses()
+	row.Targets, row.Parts = i.tracker.Uses(), i.tracker.Parts(now)
 	if v.Config != nil {
 		for service := range v.Config.Services {
 			if p := i.tracker.Pool(v, service, now); p != nil {
@@ -58,7 +58,7 @@
 			}
 			peers = append(peers, quota.Peer{Address: id.GetPeerAddress(), Domain: id.GetDomain(), Incarnation: id.GetIncarnation(), Reachable: m.Reachable && !m.Late, Heard: m.Heard, Use: use})
 		}
-		i.tracker.SetPeers(near)
+		i.tracker.SetPeers(near, time.Now())
 		i.tracker.Forget(i.catalog.Current().Targets)
 		i.budget.SetInstances(max(len(members)+1, 3*len(i.settings.RegionOf)))
 		i.quota.Observe(peers, time.Now())
--- a/internal/placing/beliefs.go
+++ b/internal/placing/beliefs.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/site"
+)
 
 const (
 	// paceGain is the weight of a new observation of a target's pace, and
@@ -57,15 +61,17 @@
 	return ok && key != "" && now.Sub(p.used) < cacheMemory
 }
 
+func (c *cache) drop(key string) { delete(c.parts, key) }
+
 // add notes a use; the parts that were used least recently yield.
-func (c *cache) add(key string, tokens, limit int, now time.Time) {
-	if key == "" {
+func (c *cache) add(part site.Part, limit int, now time.Time) {
+	if part.ID == "" {
 		return
 	}
 	if c.parts == nil {
 		c.parts = map[string]cached{}
 	}
-	c.parts[key] = cached{tokens, now}
+	c.parts[part.ID] = cached{part.Tokens, now}
 	sum := 0
 	for _, p := range c.parts {
 		sum += p.tokens
@@ -118,8 +124,12 @@
 	restFirst = 1500 * time.Millisecond
 	restMost  = 6 * time.Second
 	// lostInRow is the number of connections lost in a row after which a target
-	// must pass a health check.
+	// must pass a health check. One is enough if another instance avoids it.
 	lostInRow = 3
+	// trialRest is the pause after a failed trial; it doubles with each up to
+	// trialRestMost. Health checks may pass at a target that serves nobody.
+	trialRest     = 500 * time.Millisecond
+	trialRestMost = 2 * time.Second
 	// rejectedRest is the pause after a rejection: the target is full.
 	rejectedRest = 50 * time.Millisecond
 )
@@ -132,31 +142,37 @@
 	restUntil time.Time
 	// down is set until a health check succeeds.
 	down bool
+	// trial is set from then until a request succeeds: the target gets one at a
+	// time. failedTrials counts those that failed in a row.
+	trial        bool
+	failedTrials int
 	// lost counts connections lost in a row.
 	lost      int
 	coldUntil time.Time
 }
 
 // note takes an outcome and reports whether the target is avoided from now on.
-func (h *health) note(o Outcome, now time.Time) (avoided bool) {
+// witness is set if another instance avoids it too.
+func (h *health) note(o Outcome, witness bool, now time.Time) (avoided bool) {
 	switch o {
 	case Neutral:
 		return false
 	case Lost:
 		// If the target itself is gone, the next connection tells. One that loses
 		// answers now and then is used on.
-		if h.lost++; h.lost < lostInRow {
+		if h.lost++; h.lost < lostInRow && !witness && !h.trial {
 			return false
 		}
-		fallthrough
+		return h.takeDown(now)
 	case Unreachable, Moved:
-		avoided = !h.down
-		h.down, h.lost = true, 0
-		return avoided
+		return h.takeDown(now)
 	case Rejected:
 		h.restUntil = later(h.restUntil, now.Add(rejectedRest))
 		return false
 	}
+	if o == Good {
+		h.trial, h.failedTrials = false, 0
+	}
 	bad := 0.0
 	if o != Good {
 		bad = 1
@@ -186,8 +202,21 @@
 
 func (h *health) usable(now time.Time) bool { return !h.down && !now.Before(h.restUntil) }
 
+// takeDown avoids the target until a health check succeeds, and after failed
+// trials for a while whatever health checks say.
+func (h *health) takeDown(now time.Time) (avoided bool) {
+	avoided = !h.down
+	if h.trial {
+		rest := min(trialRest<<min(h.failedTrials, 8), trialRestMost)
+		h.restUntil = later(h.restUntil, now.Add(rest))
+		h.failedTrials++
+	}
+	h.down, h.trial, h.lost = true, false, 0
+	return avoided
+}
+
 // regain ends the avoidance; the target may have started anew and be cold.
 func (h *health) regain(now time.Time, warmup time.Duration) {
-	h.down = false
+	h.down, h.trial = false, true
 	h.coldUntil = later(h.coldUntil, now.Add(warmup))
 }
--- a/internal/placing/choose.go
+++ b/internal/placing/choose.go
@@ -230,8 +230,8 @@
 			continue
 		}
 		view := *t
-		// The home reads the parts once for all instances.
-		view.Cached = t.Cached || t.ID == home
+		// As long as nobody has read the parts, all instances let the home read them.
+		view.Cached = t.Cached || known == "" && t.ID == home
 		fetch := from != "" && m.FetchTokensPerMS > 0 && !view.Cached
 		d := m.Delay(q, &view, fetch)
 		cost := d
@@ -256,8 +256,8 @@
 	return time.Duration(float64(q.SharedTokens) / m.TokensPerMS * float64(time.Millisecond))
 }
 
-// lastHolder returns the target to which this instance sent the shared parts
-// last; empty if it knows none.
+// lastHolder returns the target that has read the shared parts last; empty if
+// none is known to.
 func lastHolder(targets []Target) string {
 	var last *Target
 	for i := range targets {
--- a/internal/placing/tracker.go
+++ b/internal/placing/tracker.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
-	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/site"
 )
 
@@ -68,6 +67,8 @@
 		paces   map[string]*pace         // by service
 		holds   map[string]time.Duration // by service; see Target.Hold
 		near    []string                 // names of the other instances of the own region
+		news    []partNews               // parts that targets have read, newest last
+		seen    map[string]uint64        // sequence of the last row, by peer address
 	}
 }
 
@@ -78,9 +79,11 @@
 	running int
 	pending int
 	cache   cache
-	pace    pace
-	health  health
-	sends   []time.Time // while cold
+	// cacheTokens is the part of its memory that is believed to hold shared parts.
+	cacheTokens int
+	pace        pace
+	health      health
+	sends       []time.Time // while cold
 	// waiting holds the start of the requests without a first byte.
 	waiting map[*Run]time.Time
 	others  map[string]use
@@ -98,6 +101,7 @@
 	t.mu.targets = map[string]*state{}
 	t.mu.paces = map[string]*pace{}
 	t.mu.holds = map[string]time.Duration{}
+	t.mu.seen = map[string]uint64{}
 	return t
 }
 
@@ -207,12 +211,13 @@
 	view.Bound = e.Slots * plainQueue
 	if s.Engine != nil {
 		view.Hold = t.hold(s.Name)
+		st.cacheTokens = int(cacheShare * float64(s.Engine.CacheTokens))
 		view.Bound = min(int(engineQueue*float64(e.Slots)), maxBatch)
 	}
 	if s.MaxConns > 0 {
 		view.Bound = min(view.Bound, int((1-connReserve)*float64(s.MaxConns)))
 	}
-	view.Full = running >= view.Bound
+	view.Full = running >= view.Bound || st.health.trial && st.running > 0
 	if v.Cold(e, now) || now.Before(st.health.coldUntil) {
 		view.Full = view.Full || st.recent(now) >= t.coldRate(s, e.ID, now)
 	}
@@ -264,6 +269,16 @@
 	return age
 }
 
+// witness reports whether another instance avoids the target.
+func (s *state) witness() bool {
+	for _, o := range s.others {
+		if o.avoided {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *state) load() (running, pending int) {
 	running, pending = s.running, s.pending
 	for _, o := range s.others {
@@ -278,6 +293,7 @@
 	s        *state
 	id       string
 	pending  int
+	part     site.Part // shared; without an id if there is none
 	began    time.Time
 	expected time.Duration // at the usual pace
 	first    bool
@@ -297,7 +313,8 @@
 		if c.Cached || c.FetchFrom != "" {
 			r.pending -= min(q.SharedTokens, q.PromptTokens)
 		}
-		st.cache.add(q.SharedKey, q.SharedTokens, int(cacheShare*float64(s.Engine.CacheTokens)), now)
+		r.part = site.Part{ID: q.SharedKey, Tokens: q.SharedTokens}
+		st.cache.add(r.part, int(cacheShare*float64(s.Engine.CacheTokens)), now)
 	}
 	st.running++
 	st.pending += r.pending
@@ -318,6 +335,7 @@
 	delete(r.s.waiting, r)
 	r.s.pending -= r.pending
 	r.pending = 0
+	r.t.noteRead(r.id, r.part, now)
 	r.s.pace.observe(float64(now.Sub(r.began))/float64(max(r.expected, time.Millisecond)), now, r.t.servicePace(r.s.service))
 }
 
@@ -332,11 +350,14 @@
 	delete(r.s.waiting, r)
 	r.s.running--
 	r.s.pending -= r.pending
+	if !r.first {
+		r.s.cache.drop(r.part.ID) // the parts were probably not read
+	}
 	if o == Good {
 		h := r.t.hold(r.s.service)
 		r.t.mu.holds[r.s.service] = h + time.Duration(holdGain*float64(now.Sub(r.began)-h))
 	}
-	return r.s.health.note(o, now)
+	return r.s.health.note(o, r.s.witness(), now)
 }
 
 // SetHealthy ends the avoidance of a target that answered a health check; it
@@ -349,13 +370,14 @@
 	}
 }
 
-// Down returns the targets that are avoided until a health check succeeds.
-func (t *Tracker) Down() []string {
+// Down returns the targets that are avoided until a health check succeeds, those
+// left out that rest.
+func (t *Tracker) Down(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for id, s := range t.mu.targets {
-		if s.health.down {
+		if s.health.down && !now.Before(s.health.restUntil) {
 			out = append(out, id)
 		}
 	}
@@ -372,58 +394,3 @@
 		}
 	}
 }
-
-// SetPeers takes the rows of the other instances of the region: their names and the
-// load that they put on its targets.
-func (t *Tracker) SetPeers(rows map[string]*peerv1.FleetRow) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.mu.near = t.mu.near[:0]
-	for _, row := range rows {
-		t.mu.near = append(t.mu.near, row.GetInstance().GetInstance())
-	}
-	for _, s := range t.mu.targets {
-		clear(s.others)
-	}
-	for peer, row := range rows {
-		for _, u := range row.GetTargets() {
-			if s := t.mu.targets[u.GetTarget()]; s != nil {
-				s.others[peer] = use{int(u.GetRunning()), int(u.GetPendingTokens()), u.GetAvoided()}
-			}
-		}
-	}
-}
-
-// Uses returns the load that this instance puts on targets, for its row.
-func (t *Tracker) Uses() []*peerv1.TargetUse {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []*peerv1.TargetUse
-	for id, s := range t.mu.targets {
-		if s.running > 0 || s.health.down {
-			out = append(out, &peerv1.TargetUse{Target: id, Running: uint32(max(s.running, 0)), PendingTokens: uint32(max(s.pending, 0)), Avoided: s.health.down})
-		}
-	}
-	return out
-}
-
-// Pool is the load of a service in the own region, for the rows to others: the
-// delay that a small request would see, and the places that are left.
-func (t *Tracker) Pool(v *catalog.View, service string, now time.Time) *peerv1.PoolUse {
-	targets := t.Targets(v, service, "", nil, now)
-	s := v.Config.Services[service]
-	if s == nil || len(targets) == 0 {
-		return nil
-	}
-	p := &peerv1.PoolUse{Service: service}
-	for i := range targets {
-		if !targets[i].Full {
-			p.Running += uint32(max(targets[i].Running, 0))
-			p.Capacity += uint32(targets[i].Bound)
-		}
-	}
-	if p.Capacity > 0 {
-		p.DelayMs = uint32(bestTarget(&Query{AllowedHere: true}, targets, ModelOf(s)).Delay.Milliseconds())
-	}
-	return p
-}
--- a/internal/placing/tracker_test.go
+++ b/internal/placing/tracker_test.go
@@ -39,7 +39,7 @@
 				rows[fmt.Sprint("10.0.0.", j)] = &peerv1.FleetRow{Instance: &peerv1.Identity{Instance: fmt.Sprint("entry-", j)}}
 			}
 		}
-		t.SetPeers(rows)
+		t.SetPeers(rows, c.now)
 	}
 	return c
 }
@@ -95,7 +95,7 @@
 	c := newCluster(2, 1)
 	row := &peerv1.FleetRow{Targets: []*peerv1.TargetUse{{Target: "t-0", Running: 24, PendingTokens: 500}}}
 	c.trackers[0].Targets(c.view, "model", "", nil, c.now)
-	c.trackers[0].SetPeers(map[string]*peerv1.FleetRow{"10.0.0.1": row})
+	c.trackers[0].SetPeers(map[string]*peerv1.FleetRow{"10.0.0.1": row}, c.now)
 	got := c.trackers[0].Targets(c.view, "model", "", nil, c.now)
 	if len(got) != 1 || !got[0].Full || got[0].Running != 24 || got[0].PendingTokens != 500 {
 		t.Errorf("view %+v", got)
@@ -108,7 +108,7 @@
 	c := newCluster(2, 4)
 	row := &peerv1.FleetRow{Targets: []*peerv1.TargetUse{{Target: "t-0", Running: 24}, {Target: "t-1", Running: 24}, {Target: "t-2", Running: 4}}}
 	c.trackers[0].Targets(c.view, "model", "", nil, c.now)
-	c.trackers[0].SetPeers(map[string]*peerv1.FleetRow{"10.0.0.1": row})
+	c.trackers[0].SetPeers(map[string]*peerv1.FleetRow{"10.0.0.1": row}, c.now)
 	p := c.trackers[0].Pool(c.view, "model", c.now)
 	if free := int(p.GetCapacity()) - int(p.GetRunning()); free != 20+24 {
 		t.Errorf("%d places are free: %v", free, p)
@@ -128,7 +128,7 @@
 			if i%c.every == 0 {
 				o = Failed
 			}
-			h.note(o, now)
+			h.note(o, false, now)
 			rested = rested || !h.usable(now)
 		}
 		if rested != c.rests {
@@ -143,7 +143,7 @@
 	c := newCluster(1, 1)
 	tr, e := c.trackers[0], c.view.Targets["t-0"]
 	run := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
-	if !run.End(Unreachable, c.now) || len(tr.Down()) != 1 {
+	if !run.End(Unreachable, c.now) || len(tr.Down(c.now)) != 1 {
 		t.Fatal("an unreachable target is not down")
 	}
 	if got := tr.Targets(c.view, "model", "", nil, c.now.Add(time.Hour)); len(got) != 0 {
@@ -167,7 +167,7 @@
 	var k cache
 	now := time.Unix(1, 0)
 	for i := range 10 {
-		k.add(fmt.Sprint(i), 100, 500, now.Add(time.Duration(i)*time.Second))
+		k.add(site.Part{ID: fmt.Sprint(i), Tokens: 100}, 500, now.Add(time.Duration(i)*time.Second))
 	}
 	if k.has("4", now.Add(10*time.Second)) || !k.has("9", now.Add(10*time.Second)) || k.has("9", now.Add(time.Hour)) {
 		t.Errorf("parts %v", k.parts)
@@ -197,13 +197,13 @@
 		if i%4 == 0 {
 			o = Lost
 		}
-		h.note(o, now)
+		h.note(o, false, now)
 		if !h.usable(now) {
 			t.Fatalf("avoided after %d requests, of which each fourth lost its connection", i+1)
 		}
 	}
 	for range lostInRow {
-		h.note(Lost, now)
+		h.note(Lost, false, now)
 	}
 	if h.usable(now) {
 		t.Error("a target that loses every connection is still used")
@@ -232,3 +232,92 @@
 		t.Errorf("at twice the batch: %+v", v)
 	}
 }
+
+// Load: a target passes its health checks and resets every request, then becomes
+// well. It costs few requests while it lies, and is used again soon after.
+func TestHealthCheckAloneDoesNotRestoreTrust(t *testing.T) {
+	c := newCluster(1, 1)
+	tr, e := c.trackers[0], c.view.Targets["t-0"]
+	const step, lies = 5 * time.Millisecond, 6 * time.Second
+	start, checked := c.now, c.now
+	lost, good := 0, time.Time{}
+	for c.now = start; c.now.Before(start.Add(2 * lies)); c.now = c.now.Add(step) {
+		if c.now.Sub(checked) >= 400*time.Millisecond {
+			for _, id := range tr.Down(c.now) {
+				tr.SetHealthy(id, 0, c.now)
+			}
+			checked = c.now
+		}
+		if got := tr.Targets(c.view, "model", "", nil, c.now); len(got) != 1 || got[0].Full {
+			continue
+		}
+		run := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+		if c.now.Sub(start) < lies {
+			run.End(Lost, c.now)
+			lost++
+			continue
+		}
+		if good.IsZero() {
+			good = c.now
+		}
+		run.First(c.now)
+		run.End(Good, c.now)
+	}
+	if lost > 10 {
+		t.Errorf("%d requests lost in %s", lost, lies)
+	}
+	if wait := good.Sub(start.Add(lies)); good.IsZero() || wait > 3*time.Second {
+		t.Errorf("used again %s after it became well", wait)
+	}
+}
+
+// What another instance found out about a target shortens the doubt here, but
+// one that avoids most targets has a fault of its own.
+func TestOtherInstancesAreWitnesses(t *testing.T) {
+	c := newCluster(2, 3)
+	tr, e := c.trackers[0], c.view.Targets["t-0"]
+	losses := func(avoided ...string) (n int) {
+		row := &peerv1.FleetRow{}
+		for _, id := range avoided {
+			row.Targets = append(row.Targets, &peerv1.TargetUse{Target: id, Avoided: true})
+		}
+		tr.SetPeers(map[string]*peerv1.FleetRow{"10.0.0.1": row}, c.now)
+		for n = 1; !tr.Begin(e, c.service, &Query{}, Choice{}, c.now).End(Lost, c.now); n++ {
+		}
+		tr.SetHealthy("t-0", 0, c.now)
+		run := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+		run.End(Good, c.now)
+		return n
+	}
+	tr.Targets(c.view, "model", "", nil, c.now)
+	if alone, told, doubted := losses(), losses("t-0"), losses("t-0", "t-1", "t-2"); alone != lostInRow || told != 1 || doubted != lostInRow {
+		t.Errorf("losses until the target is avoided: alone %d, with a witness %d, with one that avoids all %d", alone, told, doubted)
+	}
+}
+
+// Load: a part is read away from its home, since that is full. The other
+// instances hear of it and use the copy; they also hear of no part that the
+// target never read.
+func TestInstancesTellEachOtherOfParts(t *testing.T) {
+	c := newCluster(2, 4)
+	q := &Query{PromptTokens: 17000, SharedTokens: 13300, SharedKey: "part-1"}
+	for _, tr := range c.trackers {
+		tr.Targets(c.view, "model", q.SharedKey, nil, c.now)
+	}
+	read, unread := c.view.Targets["t-2"], c.view.Targets["t-3"]
+	run := c.trackers[0].Begin(read, c.service, q, Choice{}, c.now)
+	run.First(c.now)
+	c.trackers[0].Begin(unread, c.service, q, Choice{}, c.now).End(Unreachable, c.now)
+	row := &peerv1.FleetRow{Sequence: 7, Parts: c.trackers[0].Parts(c.now.Add(time.Second))}
+	c.trackers[1].SetPeers(map[string]*peerv1.FleetRow{"10.0.0.0": row}, c.now)
+	for i, tr := range c.trackers {
+		for _, v := range tr.Targets(c.view, "model", q.SharedKey, nil, c.now) {
+			if v.Cached != (v.ID == "t-2") {
+				t.Errorf("instance %d: target %s cached %v", i, v.ID, v.Cached)
+			}
+		}
+	}
+	if late := c.trackers[0].Parts(c.now.Add(time.Hour)); len(late) != 0 {
+		t.Errorf("old news %v", late)
+	}
+}
