--- a/internal/instance/world_test.go
+++ b/internal/instance/world_test.go
@@ -147,6 +147,8 @@
 	mu   sync.Mutex
 	runs []string // request ids, in order
 	seen []http.Header
+	// paths are those of the requests.
+	paths []string
 	// handle reports whether it has answered.
 	handle func(w http.ResponseWriter, r *http.Request) bool
 }
@@ -171,6 +173,7 @@
 	x.mu.Lock()
 	x.runs = append(x.runs, r.Header.Get("X-Request-Id"))
 	x.seen = append(x.seen, r.Header.Clone())
+	x.paths = append(x.paths, r.URL.Path)
 	handle := x.handle
 	x.mu.Unlock()
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
@@ -212,6 +215,15 @@
 	nextIP  int
 	version int
 	seeds   []string
+	// behind is the address of a proxy before the store; empty for none.
+	behind string
+}
+
+func (w *world) storeAddress() string {
+	if w.behind != "" {
+		return w.behind
+	}
+	return w.store.Listener.Addr().String()
 }
 
 // hosts numbers the loopback networks of worlds.
@@ -269,10 +281,10 @@
 
 var zones = map[string]string{"a": "east", "b": "west", "c": "south"}
 
-// start starts an instance in a failure domain.
-func (w *world) start(zone string) *process {
+// settings writes the settings of a new instance in a failure domain.
+func (w *world) settings(zone string) (path, ip string) {
 	w.t.Helper()
-	ip := fmt.Sprintf("127.7.%d.%d", (w.port-21000)/20, w.nextIP)
+	ip = fmt.Sprintf("127.7.%d.%d", (w.port-21000)/20, w.nextIP)
 	w.nextIP++
 	control := fmt.Sprintf("%s:%d", ip, w.port+3)
 	if len(w.seeds) == 0 {
@@ -314,11 +326,18 @@
 [platform]
 address = %q
 `, zone, w.nextIP, ip, zone, zones[zone], w.port+8, w.port+15, seeds, ip, w.port, ip, w.port+1, control, ip, w.port+2,
-		w.store.Listener.Addr().String())
-	path := filepath.Join(w.t.TempDir(), "node.toml")
+		w.storeAddress())
+	path = filepath.Join(w.t.TempDir(), "node.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
+	return path, ip
+}
+
+// start starts an instance in a failure domain.
+func (w *world) start(zone string) *process {
+	w.t.Helper()
+	path, ip := w.settings(zone)
 	p := &process{ip: ip, done: make(chan error, 1), log: &bytes.Buffer{}}
 	log, lines, err := event.BuildAsync(p.log, "info")
 	if err != nil {
