Check the platform's settings and configurations from files

Cause: wigeonhill check knew only the files of serve; faults of a configuration showed as refused requests.

--- a/cmd/wigeonhill/check.go
+++ b/cmd/wigeonhill/check.go
@@ -3,42 +3,79 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonhill/wigeonhill/internal/settings"
 	"github.com/wigeonhill/wigeonhill/internal/table"
+	"github.com/wigeonhill/wigeonhill/platform"
 )
 
 type checkCommand struct {
 	Config string `short:"c" long:"config" description:"settings file to check" value-name:"FILE"`
 	Table  string `short:"t" long:"table" description:"published table to check" value-name:"FILE"`
+	// Files of the platform, in its own formats.
+	PlatformConfig string `long:"platform-config" description:"settings file of the platform to check" value-name:"FILE"`
+	PlatformTable  string `long:"platform-table" description:"configuration as operators publish it on the platform, to check" value-name:"FILE"`
 }
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
-	if c.Config == "" && c.Table == "" {
-		return invalidError{errors.New("nothing to check: give --config FILE, --table FILE or both")}
-	}
-	var faults error
-	if c.Config != "" {
-		if _, err := settings.Load(c.Config); err != nil {
-			faults = err
-		} else {
-			fmt.Printf("%s: ok\n", c.Config)
+	checks := []struct {
+		path  string
+		check func(path string) error
+	}{{c.Config, checkSettings}, {c.Table, checkTable}, {c.PlatformConfig, checkPlatformSettings}, {c.PlatformTable, checkPlatformTable}}
+	var faults []string
+	checked := 0
+	for _, x := range checks {
+		if x.path == "" {
+			continue
 		}
-	}
-	if c.Table != "" {
-		if err := checkTable(c.Table); err != nil {
-			if faults != nil {
-				err = errors.Newf("%s\n%s", faults, err)
-			}
-			faults = err
+		checked++
+		if err := x.check(x.path); err != nil {
+			faults = append(faults, err.Error())
 		}
 	}
-	if faults != nil {
-		return invalidError{faults}
+	if checked == 0 {
+		return invalidError{errors.New("nothing to check: give --config, --table, --platform-config or --platform-table with a file")}
+	}
+	if len(faults) > 0 {
+		return invalidError{errors.New(strings.Join(faults, "\n"))}
+	}
+	return nil
+}
+
+func checkSettings(path string) error {
+	if _, err := settings.Load(path); err != nil {
+		return err
+	}
+	fmt.Printf("%s: ok\n", path)
+	return nil
+}
+
+func checkPlatformSettings(path string) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: ok: instance %s in failure domain %s of region %s, %d seeds\n", path, s.Instance, s.Domain, s.Region, len(s.Seeds))
+	return nil
+}
+
+func checkPlatformTable(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "reading configuration")
+	}
+	c, err := platform.DecodeConfig(text)
+	if err == nil {
+		err = c.Check()
+	}
+	if err != nil {
+		return errors.Wrapf(err, "configuration %s", path)
 	}
+	fmt.Printf("%s: ok: version %d, %d routes, %d services, %d teams\n", path, c.Version, len(c.Routes), len(c.Services), len(c.Teams))
 	return nil
 }
 
