Test that a caller that leaves ends its request at the target

Change: a test at the instance that the caller used and over the hop, for each kind, before the first byte. It passed at once; no change of the program was needed.

--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -387,3 +388,47 @@
 	}
 	eventually(t, "other requests are served", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusOK })
 }
+
+// A caller that leaves ends its request at the target, also over the hop and
+// before the first byte of the answer.
+func TestCallerThatLeavesEndsItsRequest(t *testing.T) {
+	w := newWorld(t)
+	x := newTarget(t, "t-1")
+	w.operator(nil)
+	w.list(x, "b", "ready", 1)
+	near, far := w.start("b"), w.start("a")
+	for _, p := range []*process{near, far} {
+		eventually(t, "the request is served", func() bool { return call("GET", p.url("/safe/x"), nil).status == http.StatusOK })
+	}
+	begun, ended := make(chan struct{}), make(chan struct{})
+	x.set(func(_ http.ResponseWriter, r *http.Request) bool {
+		begun <- struct{}{}
+		<-r.Context().Done()
+		ended <- struct{}{}
+		return true
+	})
+	for _, path := range []string{"/safe/leave", "/stream/leave", "/unsafe/leave"} {
+		for _, p := range []*process{near, far} {
+			ctx, leave := context.WithCancel(context.Background())
+			req, err := http.NewRequestWithContext(ctx, "GET", p.url(path), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "shop.example"
+			req.Header.Set("X-Request-Id", fmt.Sprintf("leaves-%d", requests.Add(1)))
+			req.Header.Set("X-Deadline-Ms", "600000")
+			req.Header.Set("Api-Key", "key-of-the-hotel")
+			gone := make(chan error)
+			go func() {
+				_, err := callerTransport.RoundTrip(req)
+				gone <- err
+			}()
+			<-begun
+			leave()
+			<-ended // the test times out if the target is left to work
+			if err := <-gone; err == nil {
+				t.Errorf("%s: an answer for a caller that left", path)
+			}
+		}
+	}
+}
