Average the pace at which other instances spend a team's allowance

After the restart of all instances 95 requests were refused with 429 although their teams were inside their rate: logs show levels down to -312,000 within a second. What another instance has spent since its last row was assumed at the pace between its last two rows; with rows 50 ms apart one prompt of 20,000 tokens counted as 400,000 tokens a second. Change: the pace is averaged over 0.5 s. Ruled out: frozen parts (part 1.00 in most lines), the half burst at the start. Test: TestOnePromptIsNotAPace failed before (level -10,850 after one prompt); the 60 random histories keep the bound and the limits of refusals.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,6 +28,9 @@
 	// paceMemory bounds how long another instance is assumed to go on spending at
 	// its last pace without news of it.
 	paceMemory = time.Second
+	// paceAverage is the time over which that pace is averaged: some prompts of the
+	// largest teams.
+	paceAverage = 500 * time.Millisecond
 	// longestWait bounds the advice when to come back.
 	longestWait = 5 * time.Second
 )
@@ -89,7 +92,7 @@
 // other is what another instance spends for one team.
 type other struct {
 	spent  float64
-	pace   float64 // tokens a second, from the last two rows
+	pace   float64 // tokens a second, averaged over paceAverage
 	demand float64
 	at     time.Time
 	// frozen is its part of the rate while it is not reachable, since frozenAt.
@@ -317,13 +320,21 @@
 			continue // the row that was seen already
 		}
 		b.level -= delta
-		if dt := now.Sub(o.at).Seconds(); dt > 0 {
-			o.pace = max(delta/max(dt, 0.05), 0)
-		}
+		o.observePace(delta, now.Sub(o.at))
 		o.spent, o.at = use.Spent, now
 	}
 }
 
+// observePace takes what was spent over dt into the pace. A row that follows
+// another at once may hold one long prompt, which is no pace.
+func (o *other) observePace(delta float64, dt time.Duration) {
+	if dt <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-float64(dt)/float64(paceAverage))
+	o.pace = max(o.pace+weight*(delta/dt.Seconds()-o.pace), 0)
+}
+
 // freeze keeps the part of an instance that fell silent. The parts are those of
 // the demand when it was last heard: what either side was asked for since is not
 // known to the other, and with it both sides would count themselves larger.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -293,3 +293,24 @@
 		t.Error("a team without a limit was refused")
 	}
 }
+
+// Load: all instances were replaced, and another one has admitted a single long
+// prompt between its first two rows, which come 50 ms apart. That is not its pace:
+// nobody is refused for it until the next row.
+func TestOnePromptIsNotAPace(t *testing.T) {
+	team := &site.Team{Name: "hotel", Rate: 250_000, Burst: 500_000, ByTokens: true}
+	l, now := New("a", []string{"a", "b"}), time.Unix(100, 0)
+	row := func(spent float64) {
+		l.Observe([]Peer{{Address: "p", Domain: "b", Incarnation: 1, Reachable: true, Heard: now, Use: map[string]Use{"hotel": {Spent: spent, Demand: spent}}}}, now)
+	}
+	l.Admit(team, 300, now)
+	row(0)
+	now = now.Add(50 * time.Millisecond)
+	row(21_000)
+	for range 8 {
+		now = now.Add(50 * time.Millisecond)
+		if v := l.Admit(team, 400, now); !v.OK {
+			t.Fatalf("refused %s after a row: level %.0f, part %.2f", now.Sub(time.Unix(100, 0)), v.Level, v.Part)
+		}
+	}
+}
