--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,9 +28,9 @@
 	// paceMemory bounds how long another instance is assumed to go on spending at
 	// its last pace without news of it.
 	paceMemory = time.Second
-	// paceAverage is the time over which that pace is averaged: some prompts of the
-	// largest teams.
-	paceAverage = 500 * time.Millisecond
+	// paceAverage is the time over which that pace is averaged: a few rows of the own
+	// region. With 500 ms, kills and cuts in a row take a team over its bound.
+	paceAverage = 150 * time.Millisecond
 	// longestWait bounds the advice when to come back.
 	longestWait = 5 * time.Second
 )
