--- a/cmd/wigeonhill/explain.go
+++ b/cmd/wigeonhill/explain.go
@@ -90,6 +90,7 @@
 var printedFields = []string{
 	"instance", "from", "name", "code", "ran", "reason", "route", "service", "target", "region", "away", "fetch_from", "team",
 	"expected", "took", "longest", "after", "retry_after", "sends", "sent", "revision",
+	"source", "targets_age",
 }
 
 // explain prints the log lines of a request in order of time and then the cause
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -28,9 +28,11 @@
 // noPeers implements Peers for an instance that knows no other.
 type noPeers struct{}
 
-func (noPeers) EnoughReaders() bool                                            { return false }
-func (noPeers) FetchSnapshot(context.Context, ChangeRevisions) ([]byte, error) { return nil, nil }
-func (noPeers) AnnounceChange()                                                {}
+func (noPeers) EnoughReaders() bool { return false }
+func (noPeers) FetchSnapshot(context.Context, ChangeRevisions) ([]byte, string, error) {
+	return nil, "", nil
+}
+func (noPeers) AnnounceChange() {}
 
 var errDown = errors.New("the store is down")
 
@@ -79,16 +81,16 @@
 	m, c := newManager()
 	a, b := deployment.Target{ID: "a", Service: "s", StartedMS: 1}, deployment.Target{ID: "b", Service: "s", StartedMS: 1}
 	m.recordResult(&m.mu.targets, "targets", nil)
-	m.applyTargets(listing(a, b), 10, 10)
-	m.applyTargets(listing(a), 11, 11)
+	m.applyTargets(listing(a, b), 10, 10, sourceStore)
+	m.applyTargets(listing(a), 11, 11, sourceStore)
 	if m.Current().Targets["b"] != nil {
 		t.Fatal("an unlisted target is retained without an outage")
 	}
-	m.applyTargets(listing(a, b), 12, 12)
+	m.applyTargets(listing(a, b), 12, 12, sourceStore)
 	m.recordResult(&m.mu.targets, "targets", errDown)
 	c.add(10 * time.Second)
 	m.recordResult(&m.mu.targets, "targets", nil)
-	m.applyTargets(listing(b), 13, 13)
+	m.applyTargets(listing(b), 13, 13, sourceStore)
 	if m.Current().Targets["a"] == nil {
 		t.Fatal("a target whose entry expired during the outage was dropped at once")
 	}
@@ -108,12 +110,12 @@
 // later entry of the same incarnation; an entry of a new incarnation must.
 func TestOutdatedEntryOfIncarnationIsIgnored(t *testing.T) {
 	m, _ := newManager()
-	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 5, Sequence: 9, Leaving: true}), 10, 10)
-	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 5, Sequence: 8}), 11, 11)
+	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 5, Sequence: 9, Leaving: true}), 10, 10, sourceStore)
+	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 5, Sequence: 8}), 11, 11, sourceStore)
 	if !m.Current().Targets["a"].Leaving {
 		t.Error("an outdated entry made a leaving target available again")
 	}
-	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 6, Sequence: 1}), 12, 12)
+	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 6, Sequence: 1}), 12, 12, sourceStore)
 	if m.Current().Targets["a"].Leaving {
 		t.Error("the entry of a new incarnation was ignored")
 	}
@@ -125,13 +127,13 @@
 func TestWarmup(t *testing.T) {
 	m, c := newManager()
 	m.applyPublished(published(1, "d"), 1, 1)
-	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 2, 2)
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 2, 2, sourceStore)
 	e := m.Current().Targets["a"]
 	if !m.Current().WarmingUp(e, c.read().Add(1900*time.Millisecond)) || m.Current().WarmingUp(e, c.read().Add(2100*time.Millisecond)) {
 		t.Error("the warm-up of the listing is ignored")
 	}
 	c.add(time.Second)
-	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 3, 3)
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 3, 3, sourceStore)
 	if e := m.Current().Targets["a"]; m.Current().WarmingUp(e, c.read().Add(1100*time.Millisecond)) {
 		t.Error("reading the same entry again extended the warm-up")
 	}
@@ -148,21 +150,21 @@
 	a, _ := newManager()
 	b, _ := newManager()
 	a.applyPublished(published(4, "d"), 40, 40)
-	a.applyTargets(listing(deployment.Target{ID: "x", Service: "s"}), 41, 41)
+	a.applyTargets(listing(deployment.Target{ID: "x", Service: "s"}), 41, 41, sourceStore)
 	snapshot, err := a.MarshalSnapshot()
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.applySnapshot(snapshot)
+	b.applySnapshot(snapshot, "peer")
 	if v := b.Current(); v.Config == nil || v.Config.Version != 4 || !v.Evacuated["d"] || v.Targets["x"] == nil || b.Revision() != 41 {
 		t.Fatalf("after the snapshot: %+v", v)
 	}
 	b.applyPublished(published(6), 60, 60)
-	b.applySnapshot(snapshot)
+	b.applySnapshot(snapshot, "peer")
 	if v := b.Current(); v.Config.Version != 6 || v.Evacuated["d"] {
 		t.Errorf("an older snapshot was applied: %+v", v.PublishedState)
 	}
-	b.applySnapshot([]byte("{"))
+	b.applySnapshot([]byte("{"), "peer")
 }
 
 // Every change makes other instances fetch a snapshot. The heartbeats of targets,
@@ -171,14 +173,14 @@
 func TestOnlyRelevantChangesCount(t *testing.T) {
 	m, _ := newManager()
 	target := deployment.Target{ID: "a", Service: "s", Sequence: 1}
-	m.applyTargets(listing(target), 10, 10)
+	m.applyTargets(listing(target), 10, 10, sourceStore)
 	target.Sequence = 2
-	m.applyTargets(listing(target), 11, 11)
+	m.applyTargets(listing(target), 11, 11, sourceStore)
 	if got := m.Current().TargetsChange; got != 10 {
 		t.Errorf("a heartbeat counts as a change at %d", got)
 	}
 	target.Sequence, target.Leaving = 3, true
-	m.applyTargets(listing(target), 12, 12)
+	m.applyTargets(listing(target), 12, 12, sourceStore)
 	if got := m.Current().TargetsChange; got != 12 {
 		t.Errorf("a leaving target is a change at revision %d, want 12", got)
 	}
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -57,8 +57,8 @@
 	// read the store, so that this one can take the catalog from them.
 	EnoughReaders() bool
 	// FetchSnapshot returns the JSON of a Snapshot from an instance that has seen a
-	// later change than have; nil if there is none.
-	FetchSnapshot(ctx context.Context, have ChangeRevisions) ([]byte, error)
+	// later change than have, and the name of that instance; nil if there is none.
+	FetchSnapshot(ctx context.Context, have ChangeRevisions) (snapshot []byte, from string, err error)
 	// AnnounceChange is called after a change, so that other instances learn of it
 	// without delay.
 	AnnounceChange()
@@ -183,7 +183,7 @@
 		return err
 	}
 	m.logFaults(event.TargetEntryInvalid, faults)
-	m.applyTargets(listed, revision, revision)
+	m.applyTargets(listed, revision, revision, sourceStore)
 	sleep(ctx, listInterval)
 	m.expireUnlisted()
 	return nil
@@ -275,8 +275,13 @@
 	}
 }
 
-// applyTargets merges the list of targets at revision; see applyPublished.
-func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64) {
+// sourceStore is the source of a list of targets that this instance has read from
+// the store; otherwise the source is the name of another instance.
+const sourceStore = "store"
+
+// applyTargets merges the list of targets at revision, read from source; see
+// applyPublished.
+func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
 	now := m.now()
 	m.mu.Lock()
 	keepUnlisted := !m.mu.targets.recoveredAt.IsZero() && now.Before(m.mu.targets.recoveredAt.Add(outageGracePeriod))
@@ -290,6 +295,7 @@
 			v.TargetsChange = change
 		}
 		v.Targets, v.TargetsRevision = merged, revision
+		v.TargetsSource, v.TargetsReadAt = source, now
 	})
 	m.logTargets(before, after)
 	if before.TargetsChange != after.TargetsChange {
@@ -316,19 +322,25 @@
 
 func (m *Manager) logTargets(before, after *View) {
 	for id, e := range after.Targets {
-		if old := before.Targets[id]; old == nil || !old.SameIncarnation(&e.Target) || old.Leaving != e.Leaving {
+		old := before.Targets[id]
+		if old == nil || !old.SameIncarnation(&e.Target) || old.Leaving != e.Leaving {
 			ev := event.TargetListed
 			if e.Leaving {
 				ev = event.TargetRemoved
 			}
 			m.log.Emit(ev, zap.String("target", id), zap.String("service", e.Service), zap.String("domain", e.Domain),
-				zap.Bool("leaving", e.Leaving), zap.Duration("warmup_left", e.WarmupLeft), zap.Int64("revision", after.TargetsRevision))
+				zap.Bool("leaving", e.Leaving), zap.Duration("warmup_left", e.WarmupLeft), zap.Int64("revision", after.TargetsRevision),
+				zap.String("source", after.TargetsSource))
+		}
+		if e.Unlisted && (old == nil || !old.Unlisted) {
+			m.log.Emit(event.TargetRetained, zap.String("target", id), zap.String("service", e.Service), zap.String("domain", e.Domain),
+				zap.Int64("revision", after.TargetsRevision), zap.String("source", after.TargetsSource))
 		}
 	}
 	for id, old := range before.Targets {
 		if after.Targets[id] == nil {
 			m.log.Emit(event.TargetRemoved, zap.String("target", id), zap.String("service", old.Service), zap.Bool("gone", true),
-				zap.Int64("revision", after.TargetsRevision))
+				zap.Bool("retained", old.Unlisted), zap.Int64("revision", after.TargetsRevision), zap.String("source", after.TargetsSource))
 		}
 	}
 }
@@ -369,12 +381,14 @@
 		}
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
 		v := m.Current()
-		snapshot, err := m.peers.FetchSnapshot(call, ChangeRevisions{v.PublishedChange, v.TargetsChange})
+		snapshot, from, err := m.peers.FetchSnapshot(call, ChangeRevisions{v.PublishedChange, v.TargetsChange})
 		cancel()
-		if err != nil || snapshot == nil {
-			continue // no peer has newer state, or the call failed and the next check retries
+		switch {
+		case err != nil: // the next check retries, possibly at another peer
+			m.log.Emit(event.SnapshotFetchFailed, zap.String("from", from), zap.Error(err))
+		case snapshot != nil:
+			m.applySnapshot(snapshot, from)
 		}
-		m.applySnapshot(snapshot)
 	}
 }
 
@@ -390,23 +404,24 @@
 
 // applySnapshot takes those parts of a snapshot that changed later than the
 // current view.
-func (m *Manager) applySnapshot(snapshot []byte) {
+func (m *Manager) applySnapshot(snapshot []byte, from string) {
 	var s Snapshot
 	if err := json.Unmarshal(snapshot, &s); err != nil {
-		m.log.Emit(event.PeerMessageInvalid, zap.String("part", "snapshot"), zap.Error(err))
+		m.log.Emit(event.PeerMessageInvalid, zap.String("part", "snapshot"), zap.String("from", from), zap.Error(err))
 		return
 	}
 	v := m.Current()
 	newPublished := s.Published.Config != nil && s.Changes.Published > v.PublishedChange
 	if newPublished || s.Changes.Targets > v.TargetsChange {
-		m.log.Emit(event.SnapshotApplied, zap.Int64("published_change", s.Changes.Published), zap.Int64("targets_change", s.Changes.Targets))
+		m.log.Emit(event.SnapshotApplied, zap.String("from", from), zap.Int64("published_change", s.Changes.Published), zap.Int64("targets_change", s.Changes.Targets),
+			zap.Int64("revision", s.TargetsRevision), zap.Int64("had", v.TargetsRevision))
 	}
 	if newPublished {
 		m.applyPublished(s.Published, s.PublishedRevision, s.Changes.Published)
 		m.update(func(v *View) { v.PublishedChange = max(v.PublishedChange, s.Changes.Published) })
 	}
 	if s.Changes.Targets > v.TargetsChange {
-		m.applyTargets(s.Targets, s.TargetsRevision, s.Changes.Targets)
+		m.applyTargets(s.Targets, s.TargetsRevision, s.Changes.Targets, from)
 		m.update(func(v *View) { v.TargetsChange = max(v.TargetsChange, s.Changes.Targets) })
 	}
 }
--- a/internal/catalog/model_test.go
+++ b/internal/catalog/model_test.go
@@ -81,7 +81,7 @@
 			for j := range s {
 				if snapshot, err := s.manager(j).MarshalSnapshot(); i != j && err == nil {
 					m := s.manager(i)
-					m.applySnapshot(snapshot)
+					m.applySnapshot(snapshot, "peer")
 					visit(i, fmt.Sprint("a snapshot of instance ", j), s.withManager(i, m))
 				}
 			}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -28,6 +28,10 @@
 	// published state and the targets are current; 0 if never read.
 	PublishedRevision, TargetsRevision int64
 	Targets                            map[string]*Entry
+	// TargetsSource says where the list of targets was read, and TargetsReadAt when
+	// (monotonic clock); see sourceStore.
+	TargetsSource string
+	TargetsReadAt time.Time
 	// PublishedChange and TargetsChange are the store revisions of the last
 	// relevant change to each of them (see publishedDiffer and targetsDiffer); 0 if
 	// never read.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,7 @@
 	streamGap     prometheus.Histogram
 	attempts      *prometheus.CounterVec
 	expectedDelay prometheus.Histogram
+	sendDelay     prometheus.Histogram
 }
 
 // NewMetrics returns the metrics of requests, registered with r.
@@ -44,8 +45,9 @@
 		streamGap:     prometheus.NewHistogram(histogram("stream_gap_seconds", "Longest pause between two events of a stream.")),
 		attempts:      prometheus.NewCounterVec(counter("attempts_total", "Attempts at targets and other regions by outcome."), []string{"outcome"}),
 		expectedDelay: prometheus.NewHistogram(histogram("expected_delay_seconds", "Delay that the choice of a place expected.")),
+		sendDelay:     prometheus.NewHistogram(histogram("send_delay_seconds", "Time from the choice of a target until the request was written to it.")),
 	}
-	r.MustRegister(m.requests, m.firstByte, m.fullResponse, m.streamGap, m.attempts, m.expectedDelay)
+	r.MustRegister(m.requests, m.firstByte, m.fullResponse, m.streamGap, m.attempts, m.expectedDelay, m.sendDelay)
 	return m
 }
 
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -104,28 +104,29 @@
 // failure domain that has a later change. Instances of other failure domains
 // are asked only if this one has to read the store itself; the catalog then
 // calls FetchSnapshot only while the store is unreachable.
-func (p catalogPeers) FetchSnapshot(ctx context.Context, have catalog.ChangeRevisions) ([]byte, error) {
+func (p catalogPeers) FetchSnapshot(ctx context.Context, have catalog.ChangeRevisions) (snapshot []byte, from string, err error) {
 	enoughReaders := p.EnoughReaders()
-	var candidates, fallback []string
+	var candidates, fallback []*peerv1.Identity
 	for _, m := range p.heartbeats.Members() {
 		if !m.Reachable || m.Heartbeat.GetPublishedChange() <= have.Published && m.Heartbeat.GetTargetsChange() <= have.Targets {
 			continue
 		}
 		if id := m.Heartbeat.GetInstance(); id.GetDomain() == p.self.GetDomain() {
-			candidates = append(candidates, id.GetPeerAddress())
+			candidates = append(candidates, id)
 		} else if !enoughReaders {
-			fallback = append(fallback, id.GetPeerAddress())
+			fallback = append(fallback, id)
 		}
 	}
 	if len(candidates) == 0 {
 		candidates = fallback
 	}
 	if len(candidates) == 0 {
-		return nil, nil
+		return nil, "", nil
 	}
-	res, err := p.clients.Client(candidates[rand.IntN(len(candidates))]).FetchEdition(ctx, connect.NewRequest(&peerv1.FetchEditionRequest{}))
+	source := candidates[rand.IntN(len(candidates))]
+	res, err := p.clients.Client(source.GetPeerAddress()).FetchEdition(ctx, connect.NewRequest(&peerv1.FetchEditionRequest{}))
 	if err != nil {
-		return nil, err
+		return nil, source.GetInstance(), err
 	}
-	return res.Msg.GetText(), nil
+	return res.Msg.GetText(), source.GetInstance(), nil
 }
