Retain unlisted targets only after a real outage of the store

What callers saw: requests reached targets that had been removed from the list, at instances that had no trouble at the time.

Cause: an instance counted a failed call of its own as an outage until its next own read succeeded. While it takes the list from other instances it makes no calls, so that one failed call ended as an 'outage' many seconds later, when it next read the store, for example because a reader was killed. The same happened to one reader that the store turned away while the others were served. The class: the end of one's own failed call taken for the end of an outage of the store.

Change: an outage is a gap of more than 1 s in which the store answered neither this instance nor a reachable one. All instances notice it, also those that make no calls, and after it each retains targets as before (TestLapsedTargetsAreRetainedAtAllInstances).

Why it works: while one instance that is heard reads the store, the list is known to be complete, and a target that is missing has been removed.

Ruled out: clearing the failure when others take over reading; it leaves the reader that is turned away alone.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -29,6 +29,7 @@
 type noPeers struct{}
 
 func (noPeers) EnoughReaders() bool { return false }
+func (noPeers) StoreAnswers() bool  { return false }
 func (noPeers) FetchSnapshot(context.Context, ChangeRevisions) ([]byte, string, error) {
 	return nil, "", nil
 }
--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -211,6 +212,11 @@
 	return n >= 2
 }
 
+// StoreAnswers implements Peers.
+func (i *testInstance) StoreAnswers() bool {
+	return slices.ContainsFunc(i.reachablePeers(), func(p *testInstance) bool { return p.manager.StoreAnswers() })
+}
+
 // FetchSnapshot implements Peers.
 func (i *testInstance) FetchSnapshot(_ context.Context, have ChangeRevisions) ([]byte, string, error) {
 	peers := i.reachablePeers()
@@ -274,10 +280,34 @@
 	}
 }
 
+// A target that a reader retains after it was cut off from everything must not
+// come back, or stay, at instances that had no outage.
+func TestTargetRetainedByIsolatedReaderIsNotPassedOn(t *testing.T) {
+	for phase := range 20 {
+		inBubble(t, 4, func(t *testing.T, fleet *testFleet) {
+			isolated := fleet.instances[phase%2]
+			isolated.setRefused(true)
+			isolated.setIsolated(true)
+			time.Sleep(testContactPeriod - time.Duration(phase)*200*time.Millisecond)
+			fleet.store.remove("b")
+			time.Sleep(time.Duration(phase) * 200 * time.Millisecond)
+			fleet.store.change(func(map[string]*deployment.Target) {}) // the reader's list gets a later revision
+			isolated.setRefused(false)
+			isolated.setIsolated(false)
+			time.Sleep(testDropDelay)
+			for _, i := range fleet.instances {
+				if i != isolated && i.lists("b") {
+					t.Errorf("phase %d: instance %d lists a removed target", phase, i.index)
+				}
+			}
+		})
+	}
+}
+
 // An instance whose calls to the store failed, and which then took the list from
 // others, must not treat its next read as the end of an outage.
 func TestReaderTakingOverDropsRemovedTargets(t *testing.T) {
-	for phase := range 10 {
+	for phase := range 40 {
 		inBubble(t, 4, func(t *testing.T, fleet *testFleet) {
 			fleet.setRefused(true)
 			time.Sleep(testContactPeriod)
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -33,6 +33,9 @@
 	// peerPollInterval is the interval between checks for newer state at other
 	// instances. A check without an update sends no message.
 	peerPollInterval = 100 * time.Millisecond
+	// maxSupplyGap is the longest time without any contact to the store that is no
+	// outage. Entries of targets lapse only after several seconds.
+	maxSupplyGap = time.Second
 	// readerCheckInterval is the interval between checks whether this instance has
 	// to read the store itself.
 	readerCheckInterval = 200 * time.Millisecond
@@ -56,6 +59,9 @@
 	// EnoughReaders reports whether enough other instances of the failure domain
 	// read the store, so that this one can take the catalog from them.
 	EnoughReaders() bool
+	// StoreAnswers reports whether the store answers any other instance that is
+	// reachable from this one.
+	StoreAnswers() bool
 	// FetchSnapshot returns the JSON of a Snapshot from an instance that has seen a
 	// later change than have, and the name of that instance; nil if there is none.
 	FetchSnapshot(ctx context.Context, have ChangeRevisions) (snapshot []byte, from string, err error)
@@ -75,18 +81,23 @@
 	mu    struct {
 		sync.Mutex
 		published, targets storeHealth
+		// lastSupplied is when the store last answered this instance or another that
+		// it can reach, and outageEnded when it did so after more than maxSupplyGap.
+		lastSupplied, outageEnded time.Time
 	}
 }
 
 // storeHealth is the state of the calls to the store for the published state or
 // for the targets.
 type storeHealth struct {
-	// lastSuccess is the time of the last successful call, failing is set if the
-	// last call failed, and recoveredAt is the time of the first success after a
-	// failure.
+	// lastSuccess is the time of the last successful call, and failing is set if
+	// the last call failed.
 	lastSuccess time.Time
 	failing     bool
-	recoveredAt time.Time
+}
+
+func (h *storeHealth) stale(now time.Time) bool {
+	return h.failing || now.Sub(h.lastSuccess) > staleAfter
 }
 
 // New returns a Manager with an empty catalog; Run fills it.
@@ -120,6 +131,7 @@
 	wg.Go(func() { m.runWithBackoff(ctx, m.followPublished) })
 	wg.Go(func() { m.runWithBackoff(ctx, m.pollTargets) })
 	wg.Go(func() { m.pollPeers(ctx) })
+	wg.Go(func() { m.watchSupply(ctx) })
 	wg.Wait()
 	return nil
 }
@@ -195,14 +207,13 @@
 	m.mu.Lock()
 	now := m.now()
 	changed := h.failing != (err != nil)
-	switch {
-	case err == nil && h.failing:
-		h.recoveredAt = now
-		fallthrough
-	case err == nil:
+	if err == nil {
 		h.lastSuccess = now
 	}
 	h.failing = err != nil
+	if h == &m.mu.targets && err == nil {
+		m.recordSupply(now)
+	}
 	m.mu.Unlock()
 	switch {
 	case !changed:
@@ -213,6 +224,29 @@
 	}
 }
 
+// recordSupply records that the store answered this instance or a reachable one.
+// The caller holds m.mu.
+func (m *Manager) recordSupply(now time.Time) {
+	if !m.mu.lastSupplied.IsZero() && now.Sub(m.mu.lastSupplied) > maxSupplyGap {
+		m.mu.outageEnded = now
+	}
+	m.mu.lastSupplied = now
+}
+
+// watchSupply notices outages of the store. Calls of this instance do not suffice
+// for that, because it makes none while it takes the list from other instances.
+func (m *Manager) watchSupply(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, peerPollInterval)
+		peerSupplied := m.peers.StoreAnswers()
+		m.mu.Lock()
+		if now := m.now(); peerSupplied || !m.mu.targets.stale(now) {
+			m.recordSupply(now)
+		}
+		m.mu.Unlock()
+	}
+}
+
 func (m *Manager) logFaults(e event.Event, faults error) {
 	if faults != nil {
 		m.log.Emit(e, zap.Error(faults))
@@ -284,7 +318,7 @@
 func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
 	now := m.now()
 	m.mu.Lock()
-	keepUnlisted := !m.mu.targets.recoveredAt.IsZero() && now.Before(m.mu.targets.recoveredAt.Add(outageGracePeriod))
+	keepUnlisted := !m.mu.outageEnded.IsZero() && now.Before(m.mu.outageEnded.Add(outageGracePeriod))
 	m.mu.Unlock()
 	before, after := m.update(func(v *View) {
 		if revision < v.TargetsRevision {
@@ -307,7 +341,7 @@
 // still not listed when the grace period ends.
 func (m *Manager) expireUnlisted() {
 	m.mu.Lock()
-	graceEnded := !m.mu.targets.failing && m.now().After(m.mu.targets.recoveredAt.Add(outageGracePeriod))
+	graceEnded := !m.mu.targets.failing && m.now().After(m.mu.outageEnded.Add(outageGracePeriod))
 	m.mu.Unlock()
 	if !graceEnded {
 		return
@@ -398,8 +432,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	outdated := func(h *storeHealth) bool { return h.failing || now.Sub(h.lastSuccess) > staleAfter }
-	return outdated(&m.mu.published) || outdated(&m.mu.targets)
+	return m.mu.published.stale(now) || m.mu.targets.stale(now)
 }
 
 // applySnapshot takes those parts of a snapshot that changed later than the
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -92,6 +93,13 @@
 	return n >= storeReaders
 }
 
+// StoreAnswers implements catalog.Peers.
+func (p catalogPeers) StoreAnswers() bool {
+	return slices.ContainsFunc(p.heartbeats.Members(), func(m heartbeat.Member) bool {
+		return m.Reachable && !m.Late && m.Heartbeat.GetStoreAnswers()
+	})
+}
+
 // AnnounceChange implements catalog.Peers. Only store readers announce a
 // change; the other instances get it from them.
 func (p catalogPeers) AnnounceChange() {
