Drop a retained target when its grace period ends, whatever the store does

What callers saw: requests reached a target up to 3.8 s after it had vanished from the list, at instances whose calls to the store failed again or had just recovered.

Cause: a target that is retained after an outage was dropped only by the loop that reads the list, about once a second, and not at all while calls failed. The 2.2 s of grace became up to 3.2 s, or lasted as long as the next outage. The class: a deadline that is checked only on the path that succeeds.

Change: each retained target carries its own deadline, set once, and a check every 100 ms drops it, whether calls succeed or not. Retaining it again does not extend the deadline.

Why it works: the deadline depends on the clock of the instance alone.

Ruled out: checking the deadline at each choice of a target; every reader of the list would need the check.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -96,12 +96,12 @@
 		t.Fatal("a target whose entry expired during the outage was dropped at once")
 	}
 	c.add(time.Second)
-	m.expireUnlisted()
+	m.expireRetained()
 	if m.Current().Targets["a"] == nil {
 		t.Fatal("the target was dropped before it could be listed again")
 	}
 	c.add(2 * time.Second)
-	m.expireUnlisted()
+	m.expireRetained()
 	if m.Current().Targets["a"] != nil || m.Current().Targets["b"] == nil {
 		t.Errorf("after the grace period: %v", m.Current().Targets)
 	}
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -187,7 +187,6 @@
 func (m *Manager) pollTargets(ctx context.Context) error {
 	if m.peers.EnoughReaders() {
 		sleep(ctx, readerCheckInterval)
-		m.expireUnlisted()
 		return nil
 	}
 	listed, revision, faults, err := m.store.ReadTargets(ctx)
@@ -197,7 +196,6 @@
 	m.logFaults(event.TargetEntryInvalid, faults)
 	m.applyTargets(listed, revision, revision, sourceStore)
 	sleep(ctx, listInterval)
-	m.expireUnlisted()
 	return nil
 }
 
@@ -233,8 +231,9 @@
 	m.mu.lastSupplied = now
 }
 
-// watchSupply notices outages of the store. Calls of this instance do not suffice
-// for that, because it makes none while it takes the list from other instances.
+// watchSupply notices outages of the store and drops the targets that were retained
+// long enough after one. Calls of this instance do not suffice to notice outages,
+// because it makes none while it takes the list from other instances.
 func (m *Manager) watchSupply(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerPollInterval)
@@ -244,6 +243,7 @@
 			m.recordSupply(now)
 		}
 		m.mu.Unlock()
+		m.expireRetained()
 	}
 }
 
@@ -318,13 +318,16 @@
 func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
 	now := m.now()
 	m.mu.Lock()
-	keepUnlisted := !m.mu.outageEnded.IsZero() && now.Before(m.mu.outageEnded.Add(outageGracePeriod))
+	var retainUntil time.Time
+	if !m.mu.outageEnded.IsZero() {
+		retainUntil = m.mu.outageEnded.Add(outageGracePeriod)
+	}
 	m.mu.Unlock()
 	before, after := m.update(func(v *View) {
 		if revision < v.TargetsRevision {
 			return
 		}
-		merged := mergeListing(v.Targets, listed, now, keepUnlisted)
+		merged := mergeListing(v.Targets, listed, now, retainUntil)
 		if v.TargetsRevision == 0 || targetsDiffer(v.Targets, merged) {
 			v.TargetsChange = change
 		}
@@ -337,20 +340,13 @@
 	}
 }
 
-// expireUnlisted drops the targets that were retained after an outage and are
-// still not listed when the grace period ends.
-func (m *Manager) expireUnlisted() {
-	m.mu.Lock()
-	graceEnded := !m.mu.targets.failing && m.now().After(m.mu.outageEnded.Add(outageGracePeriod))
-	m.mu.Unlock()
-	if !graceEnded {
+// expireRetained drops the targets whose grace period after an outage has ended.
+func (m *Manager) expireRetained() {
+	now := m.now()
+	if targets := m.Current().Targets; len(withoutExpired(targets, now)) == len(targets) {
 		return
 	}
-	before, after := m.update(func(v *View) {
-		if kept, dropped := dropUnlisted(v.Targets); dropped > 0 {
-			v.Targets = kept
-		}
-	})
+	before, after := m.update(func(v *View) { v.Targets = withoutExpired(v.Targets, now) })
 	m.logTargets(before, after)
 }
 
@@ -366,7 +362,7 @@
 				zap.Bool("leaving", e.Leaving), zap.Duration("warmup_left", e.WarmupLeft), zap.Int64("revision", after.TargetsRevision),
 				zap.String("source", after.TargetsSource))
 		}
-		if e.Unlisted && (old == nil || !old.Unlisted) {
+		if e.Retained() && (old == nil || !old.Retained()) {
 			m.log.Emit(event.TargetRetained, zap.String("target", id), zap.String("service", e.Service), zap.String("domain", e.Domain),
 				zap.Int64("revision", after.TargetsRevision), zap.String("source", after.TargetsSource))
 		}
@@ -374,7 +370,7 @@
 	for id, old := range before.Targets {
 		if after.Targets[id] == nil {
 			m.log.Emit(event.TargetRemoved, zap.String("target", id), zap.String("service", old.Service), zap.Bool("gone", true),
-				zap.Bool("retained", old.Unlisted), zap.Int64("revision", after.TargetsRevision), zap.String("source", after.TargetsSource))
+				zap.Bool("retained", old.Retained()), zap.Int64("revision", after.TargetsRevision), zap.String("source", after.TargetsSource))
 		}
 	}
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -16,11 +16,14 @@
 	FirstListed time.Time
 	// WarmupUntil is the end of the warm-up according to the listing; see View.Cold.
 	WarmupUntil time.Time
-	// Unlisted is set while the target is not listed but retained because the
+	// RetainedUntil is set while the target is not listed but retained because the
 	// store was unreachable; see outageGracePeriod.
-	Unlisted bool
+	RetainedUntil time.Time
 }
 
+// Retained reports whether the target is no longer listed.
+func (e *Entry) Retained() bool { return !e.RetainedUntil.IsZero() }
+
 // View is an immutable version of the catalog.
 type View struct {
 	deployment.PublishedState
@@ -65,9 +68,9 @@
 const outageGracePeriod = 2200 * time.Millisecond
 
 // mergeListing returns the entries that result from a listing read at now. Targets
-// that are not listed are dropped, unless keepUnlisted is set and they were not
-// leaving.
-func mergeListing(old map[string]*Entry, listed map[string]*deployment.Target, now time.Time, keepUnlisted bool) map[string]*Entry {
+// that are not listed are dropped; before retainUntil, those that were not leaving
+// are retained until then instead.
+func mergeListing(old map[string]*Entry, listed map[string]*deployment.Target, now, retainUntil time.Time) map[string]*Entry {
 	out := make(map[string]*Entry, len(listed))
 	for id, t := range listed {
 		prev := old[id]
@@ -85,13 +88,15 @@
 		}
 		out[id] = e
 	}
-	if !keepUnlisted {
-		return out
-	}
 	for id, prev := range old {
-		if out[id] == nil && !prev.Leaving {
-			kept := *prev
-			kept.Unlisted = true
+		if out[id] != nil || prev.Leaving {
+			continue
+		}
+		kept := *prev
+		if !kept.Retained() {
+			kept.RetainedUntil = retainUntil
+		}
+		if now.Before(kept.RetainedUntil) {
 			out[id] = &kept
 		}
 	}
@@ -110,7 +115,7 @@
 	for id, x := range a {
 		y := b[id]
 		if y == nil || !x.SameIncarnation(&y.Target) || x.Leaving != y.Leaving || x.Service != y.Service || x.Domain != y.Domain ||
-			x.Slots != y.Slots || x.Unlisted != y.Unlisted || y.WarmupUntil.After(x.WarmupUntil.Add(warmupTolerance)) {
+			x.Slots != y.Slots || x.Retained() != y.Retained() || y.WarmupUntil.After(x.WarmupUntil.Add(warmupTolerance)) {
 			return true
 		}
 	}
@@ -123,18 +128,17 @@
 	return (a.Config == nil) != (b.Config == nil) || a.Config != nil && a.Config.Version != b.Config.Version || !maps.Equal(a.Evacuated, b.Evacuated)
 }
 
-// dropUnlisted returns the entries without the targets that were retained after
-// an outage and are still not listed, and the number of those.
-func dropUnlisted(entries map[string]*Entry) (out map[string]*Entry, dropped int) {
-	out = make(map[string]*Entry, len(entries))
+// withoutExpired returns the entries without those retained until now or earlier.
+func withoutExpired(entries map[string]*Entry, now time.Time) map[string]*Entry {
+	expired := func(_ string, e *Entry) bool { return e.Retained() && !now.Before(e.RetainedUntil) }
 	for id, e := range entries {
-		if e.Unlisted {
-			dropped++
-			continue
+		if expired(id, e) {
+			out := maps.Clone(entries)
+			maps.DeleteFunc(out, expired)
+			return out
 		}
-		out[id] = e
 	}
-	return out, dropped
+	return entries
 }
 
 // evacuationsEnded returns old with now added for each failure domain that is
