Send only listed targets to other instances, not retained ones

What callers saw: requests reached a target up to 4.7 s after it had vanished from the list. Instances that had dropped it listed it again and kept it until some other target changed.

Cause: a reader that retains a target after an outage sent it to other instances like a listed one. Retaining it counted as a change, so that they fetched it, also if they had dropped the target already; the end of the grace period did not count as one, so that they were never told. The class: a local, time-limited assumption that is passed on as a fact without its time limit.

An instance that takes a list from another counts that as contact to the store, so that it notices an outage itself and retains what lapsed (TestLapsedTargetsAreRetainedAtAllInstances fails without that).

Why it works: what instances exchange is what the store listed at a revision. Nobody can get a target from another instance that the store does not list, and no state changes without a new revision.

Ruled out: sending the remaining grace period along; an instance that had no outage knows better than the sender and must not take it.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -386,14 +386,17 @@
 	Changes           ChangeRevisions
 }
 
-// MarshalSnapshot returns the current view as the JSON of a Snapshot, with the
-// remaining warm-up of each target counted from now.
+// MarshalSnapshot returns the current view as the JSON of a Snapshot, without
+// retained targets and with the remaining warm-up of each target counted from now.
 func (m *Manager) MarshalSnapshot() ([]byte, error) {
 	v := m.Current()
 	s := Snapshot{Published: v.PublishedState, PublishedRevision: v.PublishedRevision, TargetsRevision: v.TargetsRevision,
 		Changes: ChangeRevisions{v.PublishedChange, v.TargetsChange}, Targets: make(map[string]*deployment.Target, len(v.Targets))}
 	now := m.now()
 	for id, e := range v.Targets {
+		if e.Retained() {
+			continue // each instance decides by itself what to retain
+		}
 		t := e.Target
 		t.WarmupLeft = max(e.WarmupUntil.Sub(now), 0)
 		s.Targets[id] = &t
@@ -450,6 +453,9 @@
 		m.update(func(v *View) { v.PublishedChange = max(v.PublishedChange, s.Changes.Published) })
 	}
 	if s.Changes.Targets > v.TargetsChange {
+		m.mu.Lock()
+		m.recordSupply(m.now())
+		m.mu.Unlock()
 		m.applyTargets(s.Targets, s.TargetsRevision, s.Changes.Targets, from)
 		m.update(func(v *View) { v.TargetsChange = max(v.TargetsChange, s.Changes.Targets) })
 	}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -106,22 +106,28 @@
 // warmupTolerance is how much later a warm-up may end before it counts as a change.
 const warmupTolerance = 300 * time.Millisecond
 
-// targetsDiffer reports whether b differs from the earlier list a in a way that
-// affects the choice of targets.
+// targetsDiffer reports whether the targets listed in b differ from those listed
+// in a in a way that affects the choice of targets. Retained targets do not count,
+// since snapshots do not hold them.
 func targetsDiffer(a, b map[string]*Entry) bool {
-	if len(a) != len(b) {
-		return true
-	}
 	for id, x := range a {
-		y := b[id]
-		if y == nil || !x.SameIncarnation(&y.Target) || x.Leaving != y.Leaving || x.Service != y.Service || x.Domain != y.Domain ||
-			x.Slots != y.Slots || x.Retained() != y.Retained() || y.WarmupUntil.After(x.WarmupUntil.Add(warmupTolerance)) {
+		if y := b[id]; !x.Retained() && (y == nil || y.Retained() || entriesDiffer(x, y)) {
+			return true
+		}
+	}
+	for id, y := range b {
+		if x := a[id]; !y.Retained() && (x == nil || x.Retained()) {
 			return true
 		}
 	}
 	return false
 }
 
+func entriesDiffer(x, y *Entry) bool {
+	return !x.SameIncarnation(&y.Target) || x.Leaving != y.Leaving || x.Service != y.Service || x.Domain != y.Domain ||
+		x.Slots != y.Slots || y.WarmupUntil.After(x.WarmupUntil.Add(warmupTolerance))
+}
+
 // publishedDiffer reports whether the configuration version or the evacuated
 // failure domains differ.
 func publishedDiffer(a, b *deployment.PublishedState) bool {
