--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -77,12 +77,15 @@
 	self       *peerv1.Identity
 	heartbeats *heartbeat.Manager
 	clients    *peerapi.Clients
+	// failedSource is the peer address of the instance that did not deliver the
+	// last snapshot; empty if it was delivered.
+	failedSource string
 }
 
 // EnoughReaders implements catalog.Peers. The instances whose names sort first
 // read the store, so that all instances agree on the readers without exchanging
 // messages.
-func (p catalogPeers) EnoughReaders() bool {
+func (p *catalogPeers) EnoughReaders() bool {
 	n := 0
 	for _, m := range p.heartbeats.Members() {
 		id := m.Heartbeat.GetInstance()
@@ -94,7 +97,7 @@
 }
 
 // StoreAnswers implements catalog.Peers.
-func (p catalogPeers) StoreAnswers() bool {
+func (p *catalogPeers) StoreAnswers() bool {
 	return slices.ContainsFunc(p.heartbeats.Members(), func(m heartbeat.Member) bool {
 		return m.Reachable && !m.Late && m.Heartbeat.GetStoreAnswers()
 	})
@@ -102,39 +105,65 @@
 
 // AnnounceChange implements catalog.Peers. Only store readers announce a
 // change; the other instances get it from them.
-func (p catalogPeers) AnnounceChange() {
+func (p *catalogPeers) AnnounceChange() {
 	if !p.EnoughReaders() {
 		p.heartbeats.Announce()
 	}
 }
 
-// FetchSnapshot implements catalog.Peers. It asks an instance of the local
-// failure domain that has a later change. Instances of other failure domains
-// are asked only if this one has to read the store itself; the catalog then
-// calls FetchSnapshot only while the store is unreachable.
-func (p catalogPeers) FetchSnapshot(ctx context.Context, have catalog.ChangeRevisions) (snapshot []byte, from string, err error) {
-	enoughReaders := p.EnoughReaders()
-	var candidates, fallback []*peerv1.Identity
-	for _, m := range p.heartbeats.Members() {
-		if !m.Reachable || m.Heartbeat.GetPublishedChange() <= have.Published && m.Heartbeat.GetTargetsChange() <= have.Targets {
-			continue
-		}
-		if id := m.Heartbeat.GetInstance(); id.GetDomain() == p.self.GetDomain() {
-			candidates = append(candidates, id)
-		} else if !enoughReaders {
-			fallback = append(fallback, id)
-		}
-	}
-	if len(candidates) == 0 {
-		candidates = fallback
-	}
-	if len(candidates) == 0 {
+// FetchSnapshot implements catalog.Peers. It must not be called concurrently.
+func (p *catalogPeers) FetchSnapshot(ctx context.Context, have catalog.ChangeRevisions) (snapshot []byte, from string, err error) {
+	source := snapshotSource(p.heartbeats.Members(), p.self.GetDomain(), have, p.EnoughReaders(), p.failedSource)
+	if source == nil {
 		return nil, "", nil
 	}
-	source := candidates[rand.IntN(len(candidates))]
-	res, err := p.clients.Client(source.GetPeerAddress()).FetchEdition(ctx, connect.NewRequest(&peerv1.FetchEditionRequest{}))
+	p.failedSource = source.GetPeerAddress()
+	res, err := p.clients.Client(p.failedSource).FetchEdition(ctx, connect.NewRequest(&peerv1.FetchEditionRequest{}))
 	if err != nil {
 		return nil, source.GetInstance(), err
 	}
+	p.failedSource = ""
 	return res.Msg.GetText(), source.GetInstance(), nil
 }
+
+// snapshotSource returns a random one of the best sources (see sourceRank) among the
+// instances that have a later change than have, or nil if there is none. Instances
+// of other failure domains are only asked while the local one has to read the store
+// itself, that is, without enoughReaders. failed is the address of the instance that
+// did not deliver the last snapshot.
+func snapshotSource(members []heartbeat.Member, domain string, have catalog.ChangeRevisions, enoughReaders bool, failed string) *peerv1.Identity {
+	var best []*peerv1.Identity
+	bestRank := 0
+	for _, m := range members {
+		id := m.Heartbeat.GetInstance()
+		hasLaterChange := m.Heartbeat.GetPublishedChange() > have.Published || m.Heartbeat.GetTargetsChange() > have.Targets
+		if !m.Reachable || !hasLaterChange || enoughReaders && id.GetDomain() != domain {
+			continue
+		}
+		rank := sourceRank(&m, domain, failed)
+		if len(best) == 0 || rank < bestRank {
+			best, bestRank = nil, rank
+		}
+		if rank == bestRank {
+			best = append(best, id)
+		}
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	return best[rand.IntN(len(best))]
+}
+
+// sourceRank ranks an instance as a source of snapshots; lower is better. An
+// unresponsive instance costs a whole timeout.
+func sourceRank(m *heartbeat.Member, domain, failed string) int {
+	switch id := m.Heartbeat.GetInstance(); {
+	case id.GetPeerAddress() == failed:
+		return 3
+	case id.GetDomain() != domain:
+		return 2
+	case m.Late:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/instance/heartbeats_test.go
@@ -0,0 +1,43 @@
+package instance
+
+import (
+	"testing"
+
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+)
+
+func memberWithChange(address, domain string, targetsChange int64, late bool) heartbeat.Member {
+	return heartbeat.Member{Reachable: true, Late: late, Heartbeat: &peerv1.FleetRow{
+		Instance: &peerv1.Identity{Instance: address, PeerAddress: address, Domain: domain}, TargetsChange: targetsChange,
+	}}
+}
+
+// An instance that sends heartbeats but no snapshots must not keep others from
+// learning that a target leaves while a third one has the list.
+func TestSnapshotSourceAvoidsUnresponsiveInstance(t *testing.T) {
+	stuck, late, other := memberWithChange("stuck", "a", 7, false), memberWithChange("late", "a", 7, true), memberWithChange("other", "a", 7, false)
+	remote, old := memberWithChange("remote", "b", 7, false), memberWithChange("old", "a", 5, false)
+	have := catalog.ChangeRevisions{Targets: 5}
+	for _, c := range []struct {
+		name          string
+		members       []heartbeat.Member
+		enoughReaders bool
+		want          map[string]bool
+	}{
+		{"last fetch failed", []heartbeat.Member{stuck, other, old}, true, map[string]bool{"other": true}},
+		{"heartbeat is late", []heartbeat.Member{late, other, remote}, true, map[string]bool{"other": true}},
+		{"only the failed one", []heartbeat.Member{stuck, old}, true, map[string]bool{"stuck": true}},
+		{"failed one or late one", []heartbeat.Member{stuck, late}, true, map[string]bool{"late": true}},
+		{"other failure domain", []heartbeat.Member{stuck, remote}, false, map[string]bool{"remote": true}},
+		{"readers of the domain suffice", []heartbeat.Member{remote, old}, true, map[string]bool{"": true}},
+	} {
+		for range 50 {
+			if got := snapshotSource(c.members, "a", have, c.enoughReaders, "stuck"); !c.want[got.GetInstance()] {
+				t.Errorf("%s: chose %q, want one of %v", c.name, got.GetInstance(), c.want)
+				break
+			}
+		}
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -100,7 +100,7 @@
 	}
 	i.heartbeats.SetSeeds(s.Seeds)
 	i.clients = peerapi.NewFastFailClients()
-	i.catalog = catalog.New(platform.NewStore(s.StoreAddress), catalogPeers{i.self, i.heartbeats, i.clients}, i.log, time.Now)
+	i.catalog = catalog.New(platform.NewStore(s.StoreAddress), &catalogPeers{self: i.self, heartbeats: i.heartbeats, clients: i.clients}, i.log, time.Now)
 	i.tracker = placement.NewTracker(s, time.Now())
 	domains := make([]string, 0, len(s.RegionByDomain))
 	for d := range s.RegionByDomain {
