Apply evacuations while the published configuration is unusable

What callers would see: requests served in an evacuated failure domain.

Cause: the published state was taken or left as a whole. If the configuration in a read was missing, could not be decoded or had a lower version, the evacuations of the same read were ignored too, and with them those of each watch that continued from it. The class: one part that cannot be used keeps the others from taking effect.

Change: the configuration in force stays, the evacuations follow the revision of the store.

Evidence: TestEvacuationTakesEffectWithUnusableConfiguration failed before in both cases and at the instances behind; it passes now. The tests that versions never decrease (TestConfigurationVersionNeverDecreases, TestVersionNeverDecreasesInAnyOrder) are unchanged and pass.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -75,6 +75,35 @@
 	}
 }
 
+// An evacuation must take effect while the published configuration cannot be
+// decoded, or is older than the one in force.
+func TestEvacuationTakesEffectWithUnusableConfiguration(t *testing.T) {
+	for name, unusable := range map[string]deployment.PublishedState{
+		"none decoded": {Evacuated: map[string]bool{"d": true}},
+		"older":        published(5, "d"),
+	} {
+		m, _ := newManager()
+		m.applyPublished(published(7), 20, 20)
+		m.applyPublished(unusable, 30, 30)
+		v := m.Current()
+		if v.Config == nil || v.Config.Version != 7 || !v.Evacuated["d"] {
+			t.Errorf("%s: in force: %+v", name, v.PublishedState)
+		}
+		if v.PublishedChange != 30 {
+			t.Errorf("%s: the evacuation is a change at revision %d, want 30", name, v.PublishedChange)
+		}
+		snapshot, err := m.MarshalSnapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, _ := newManager()
+		other.applySnapshot(snapshot, "peer")
+		if !other.Current().Evacuated["d"] {
+			t.Errorf("%s: the evacuation does not reach other instances", name)
+		}
+	}
+}
+
 // Entries of live targets expire during an outage of the store. If the first
 // listing after it were used as it is, these targets would be dropped until they
 // are listed again. Without an outage an unlisted target is dropped at once.
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -264,15 +264,18 @@
 	return before, &v
 }
 
-// applyPublished makes p current unless it is older than the current view. p is
-// the published state at revision; change becomes the PublishedChange of the view
-// if p differs from what is known.
+// applyPublished makes p current unless it is older than the current view, except
+// for a missing or older configuration. p is the published state at revision;
+// change becomes the PublishedChange of the view if p differs from what is known.
 func (m *Manager) applyPublished(p deployment.PublishedState, revision, change int64) {
 	now := m.now()
 	before, after := m.update(func(v *View) {
-		if revision < v.PublishedRevision || isOlder(p.Config, v.Config) {
+		if revision < v.PublishedRevision {
 			return
 		}
+		if isOlder(p.Config, v.Config) {
+			p.Config = v.Config // the evacuations are current nevertheless
+		}
 		if publishedDiffer(&v.PublishedState, &p) {
 			v.PublishedChange = change
 		}
