Bound a line of a target's event stream

What callers would see: an instance is killed for its memory and all its requests fail.

Cause: the reader of event streams bounded events, but not a line without an end: it collected the bytes until the deadline of the request. The head was bounded already. The class: a bound that is checked only at the end of a line.

Ruled out: passing a long line on in pieces; the caller would get bytes that are no event.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -78,6 +79,29 @@
 	}
 }
 
+// endlessReader returns the same byte without end and counts the bytes read.
+type endlessReader struct{ n int64 }
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	if r.n > 64<<20 {
+		return 0, errors.New("the reader took 64 MB")
+	}
+	for i := range p {
+		p[i] = 'x'
+	}
+	r.n += int64(len(p))
+	return len(p), nil
+}
+
+// A target that sends bytes without a line end must not fill the memory.
+func TestEndlessLineOfTargetIsBounded(t *testing.T) {
+	endless := &endlessReader{}
+	event, _, err := newEventReader(endless).next()
+	if err == nil || len(event) > 0 || endless.n > 2*maxEventBytes {
+		t.Errorf("read %d bytes, returned %d and %v", endless.n, len(event), err)
+	}
+}
+
 // Guards against passing on a partial event of an interrupted stream, and against
 // repeating events that were delivered before the stream was resumed.
 func TestInterruptedStreamResumesAfterLastWholeEvent(t *testing.T) {
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"io"
 	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
 // eventReader splits a stream of server-sent events into whole events.
@@ -17,10 +19,13 @@
 
 const (
 	eventBufferSize = 4 << 10
-	// maxEventBytes bounds one event, in bytes; a longer one is returned in pieces.
+	// maxEventBytes bounds one event, in bytes; a longer one is returned in pieces of
+	// whole lines.
 	maxEventBytes = 256 << 10
 )
 
+var errLineTooLong = errors.New("a line of the event stream exceeds the bound")
+
 func newEventReader(r io.Reader) *eventReader {
 	return &eventReader{r: bufio.NewReaderSize(r, eventBufferSize), lastDelivered: -1}
 }
@@ -35,12 +40,15 @@
 
 // next returns the bytes of the next event with the blank line that ends it,
 // and its id, "" if it has none. At the end of the stream it returns the remaining
-// bytes with io.EOF; any other error comes without bytes.
+// bytes with io.EOF; any other error comes without bytes. A line of more than
+// maxEventBytes is an error.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	for {
 		line, err := e.r.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
+		case err == bufio.ErrBufferFull && len(event) > maxEventBytes:
+			return nil, "", errLineTooLong
 		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF:
