--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -42,6 +42,10 @@
 	peerTimeout         = time.Second
 )
 
+// sourceStore is the source of a list of targets that this instance has read from
+// the store; otherwise the source is the name of another instance.
+const sourceStore = "store"
+
 // Store reads the platform's store. The faults returned are those of single
 // items that could not be decoded.
 type Store interface {
@@ -64,6 +68,7 @@
 	StoreAnswers() bool
 	// FetchSnapshot returns the JSON of a Snapshot from an instance that has seen a
 	// later change than have, and the name of that instance; nil if there is none.
+	// Only one call is made at a time.
 	FetchSnapshot(ctx context.Context, have ChangeRevisions) (snapshot []byte, from string, err error)
 	// AnnounceChange is called after a change, so that other instances learn of it
 	// without delay.
@@ -312,10 +317,6 @@
 	}
 }
 
-// sourceStore is the source of a list of targets that this instance has read from
-// the store; otherwise the source is the name of another instance.
-const sourceStore = "store"
-
 // applyTargets merges the list of targets at revision, read from source; see
 // applyPublished.
 func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
@@ -456,6 +457,8 @@
 		m.update(func(v *View) { v.PublishedChange = max(v.PublishedChange, s.Changes.Published) })
 	}
 	if s.Changes.Targets > v.TargetsChange {
+		// The sender has read the store since this view; if that ends an outage, lapsed
+		// targets must be retained.
 		m.mu.Lock()
 		m.recordSupply(m.now())
 		m.mu.Unlock()
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -21,7 +21,7 @@
 	RetainedUntil time.Time
 }
 
-// Retained reports whether the target is no longer listed.
+// Retained reports whether the target is retained rather than listed.
 func (e *Entry) Retained() bool { return !e.RetainedUntil.IsZero() }
 
 // View is an immutable version of the catalog.
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -117,9 +117,9 @@
 	if source == nil {
 		return nil, "", nil
 	}
-	p.failedSource = source.GetPeerAddress()
-	res, err := p.clients.Client(p.failedSource).FetchEdition(ctx, connect.NewRequest(&peerv1.FetchEditionRequest{}))
+	res, err := p.clients.Client(source.GetPeerAddress()).FetchEdition(ctx, connect.NewRequest(&peerv1.FetchEditionRequest{}))
 	if err != nil {
+		p.failedSource = source.GetPeerAddress()
 		return nil, source.GetInstance(), err
 	}
 	p.failedSource = ""
@@ -127,10 +127,9 @@
 }
 
 // snapshotSource returns a random one of the best sources (see sourceRank) among the
-// instances that have a later change than have, or nil if there is none. Instances
-// of other failure domains are only asked while the local one has to read the store
-// itself, that is, without enoughReaders. failed is the address of the instance that
-// did not deliver the last snapshot.
+// instances that have a later change than have, or nil if there is none. With
+// enoughReaders, only instances of the local failure domain are considered. failed is
+// the address of the instance that did not deliver the last snapshot.
 func snapshotSource(members []heartbeat.Member, domain string, have catalog.ChangeRevisions, enoughReaders bool, failed string) *peerv1.Identity {
 	var best []*peerv1.Identity
 	bestRank := 0
