--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -75,8 +75,7 @@
 	}
 }
 
-// An evacuation must take effect while the published configuration cannot be
-// decoded, or is older than the one in force.
+// Guards against evacuations that wait for a usable configuration.
 func TestEvacuationTakesEffectWithUnusableConfiguration(t *testing.T) {
 	for name, unusable := range map[string]deployment.PublishedState{
 		"none decoded": {Evacuated: map[string]bool{"d": true}},
--- /dev/null
+++ b/internal/catalog/health.go
@@ -0,0 +1,84 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/event"
+)
+
+// storeHealth is the state of the calls to the store for the published state or
+// for the targets.
+type storeHealth struct {
+	// lastSuccess is the time of the last successful call, and failing is set if
+	// the last call failed.
+	lastSuccess time.Time
+	failing     bool
+}
+
+func (h *storeHealth) stale(now time.Time) bool {
+	return h.failing || now.Sub(h.lastSuccess) > staleAfter
+}
+
+// recordResult records the result of a call to the store in h and logs when calls
+// start or stop failing.
+func (m *Manager) recordResult(h *storeHealth, part string, err error) {
+	m.mu.Lock()
+	now := m.now()
+	changed := h.failing != (err != nil)
+	if err == nil {
+		h.lastSuccess = now
+	}
+	h.failing = err != nil
+	if h == &m.mu.targets && err == nil {
+		m.recordSupply(now)
+	}
+	m.mu.Unlock()
+	switch {
+	case !changed:
+	case err != nil:
+		m.log.Emit(event.StoreUnreachable, zap.String("part", part), zap.Error(err))
+	default:
+		m.log.Emit(event.StoreRecovered, zap.String("part", part))
+	}
+}
+
+// recordSupply records that the store answered this instance or a reachable one.
+// The caller holds m.mu.
+func (m *Manager) recordSupply(now time.Time) {
+	if !m.mu.lastSupplied.IsZero() && now.Sub(m.mu.lastSupplied) > maxSupplyGap {
+		m.mu.outageEnded = now
+	}
+	m.mu.lastSupplied = now
+}
+
+// watchSupply notices outages of the store and drops the targets that were retained
+// long enough after one. Calls of this instance do not suffice to notice outages,
+// because it makes none while it takes the list from other instances.
+func (m *Manager) watchSupply(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, peerPollInterval)
+		peerSupplied := m.peers.StoreAnswers()
+		m.mu.Lock()
+		if now := m.now(); peerSupplied || !m.mu.targets.stale(now) {
+			m.recordSupply(now)
+		}
+		m.mu.Unlock()
+		m.expireRetained()
+	}
+}
+
+// stale reports whether the last call to the store failed or is too long ago, for
+// the published state or for the targets.
+func (m *Manager) stale() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	return m.mu.published.stale(now) || m.mu.targets.stale(now)
+}
+
+// StoreAnswers reports whether the store is reachable from this instance, so that
+// other instances may take the catalog from it.
+func (m *Manager) StoreAnswers() bool { return !m.stale() }
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -92,19 +91,6 @@
 	}
 }
 
-// storeHealth is the state of the calls to the store for the published state or
-// for the targets.
-type storeHealth struct {
-	// lastSuccess is the time of the last successful call, and failing is set if
-	// the last call failed.
-	lastSuccess time.Time
-	failing     bool
-}
-
-func (h *storeHealth) stale(now time.Time) bool {
-	return h.failing || now.Sub(h.lastSuccess) > staleAfter
-}
-
 // New returns a Manager with an empty catalog; Run fills it.
 func New(store Store, peers Peers, log *event.Logger, now func() time.Time) *Manager {
 	m := &Manager{store: store, peers: peers, log: log, now: now}
@@ -204,61 +190,14 @@
 	return nil
 }
 
-// recordResult records the result of a call to the store in h and logs when calls
-// start or stop failing.
-func (m *Manager) recordResult(h *storeHealth, part string, err error) {
-	m.mu.Lock()
-	now := m.now()
-	changed := h.failing != (err != nil)
-	if err == nil {
-		h.lastSuccess = now
-	}
-	h.failing = err != nil
-	if h == &m.mu.targets && err == nil {
-		m.recordSupply(now)
-	}
-	m.mu.Unlock()
-	switch {
-	case !changed:
-	case err != nil:
-		m.log.Emit(event.StoreUnreachable, zap.String("part", part), zap.Error(err))
-	default:
-		m.log.Emit(event.StoreRecovered, zap.String("part", part))
-	}
-}
-
-// recordSupply records that the store answered this instance or a reachable one.
-// The caller holds m.mu.
-func (m *Manager) recordSupply(now time.Time) {
-	if !m.mu.lastSupplied.IsZero() && now.Sub(m.mu.lastSupplied) > maxSupplyGap {
-		m.mu.outageEnded = now
-	}
-	m.mu.lastSupplied = now
-}
-
-// watchSupply notices outages of the store and drops the targets that were retained
-// long enough after one. Calls of this instance do not suffice to notice outages,
-// because it makes none while it takes the list from other instances.
-func (m *Manager) watchSupply(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, peerPollInterval)
-		peerSupplied := m.peers.StoreAnswers()
-		m.mu.Lock()
-		if now := m.now(); peerSupplied || !m.mu.targets.stale(now) {
-			m.recordSupply(now)
-		}
-		m.mu.Unlock()
-		m.expireRetained()
-	}
-}
-
 func (m *Manager) logFaults(e event.Event, faults error) {
 	if faults != nil {
 		m.log.Emit(e, zap.Error(faults))
 	}
 }
 
-// update applies change to a copy of the view and makes the copy current.
+// update applies change to a copy of the view and makes the copy current. change is
+// called with m.mu held.
 func (m *Manager) update(change func(v *View)) (before, after *View) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -321,17 +260,11 @@
 // applyPublished.
 func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
 	now := m.now()
-	m.mu.Lock()
-	var retainUntil time.Time
-	if !m.mu.outageEnded.IsZero() {
-		retainUntil = m.mu.outageEnded.Add(outageGracePeriod)
-	}
-	m.mu.Unlock()
 	before, after := m.update(func(v *View) {
 		if revision < v.TargetsRevision {
 			return
 		}
-		merged := mergeListing(v.Targets, listed, now, retainUntil)
+		merged := mergeListing(v.Targets, listed, now, m.mu.outageEnded.Add(outageGracePeriod))
 		if v.TargetsRevision == 0 || targetsDiffer(v.Targets, merged) {
 			v.TargetsChange = change
 		}
@@ -378,95 +311,3 @@
 		}
 	}
 }
-
-// Snapshot is the form in which instances send their catalog to each other. It is
-// encoded as JSON under the names of the fields, so they must not be renamed. It
-// holds hashes of API keys, never the keys.
-type Snapshot struct {
-	Published         deployment.PublishedState
-	PublishedRevision int64
-	Targets           map[string]*deployment.Target
-	TargetsRevision   int64
-	Changes           ChangeRevisions
-}
-
-// MarshalSnapshot returns the current view as the JSON of a Snapshot, without
-// retained targets and with the remaining warm-up of each target counted from now.
-func (m *Manager) MarshalSnapshot() ([]byte, error) {
-	v := m.Current()
-	s := Snapshot{Published: v.PublishedState, PublishedRevision: v.PublishedRevision, TargetsRevision: v.TargetsRevision,
-		Changes: ChangeRevisions{v.PublishedChange, v.TargetsChange}, Targets: make(map[string]*deployment.Target, len(v.Targets))}
-	now := m.now()
-	for id, e := range v.Targets {
-		if e.Retained() {
-			continue // each instance decides by itself what to retain
-		}
-		t := e.Target
-		t.WarmupLeft = max(e.WarmupUntil.Sub(now), 0)
-		s.Targets[id] = &t
-	}
-	return json.Marshal(s)
-}
-
-// pollPeers takes newer state from other instances while the store is
-// unreachable or enough other instances read it.
-func (m *Manager) pollPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, peerPollInterval)
-		if !m.stale() && !m.peers.EnoughReaders() {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, peerTimeout)
-		v := m.Current()
-		snapshot, from, err := m.peers.FetchSnapshot(call, ChangeRevisions{v.PublishedChange, v.TargetsChange})
-		cancel()
-		switch {
-		case err != nil: // the next check retries, possibly at another peer
-			m.log.Emit(event.SnapshotFetchFailed, zap.String("from", from), zap.Error(err))
-		case snapshot != nil:
-			m.applySnapshot(snapshot, from)
-		}
-	}
-}
-
-// stale reports whether the last call to the store failed or is too long ago, for
-// the published state or for the targets.
-func (m *Manager) stale() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.now()
-	return m.mu.published.stale(now) || m.mu.targets.stale(now)
-}
-
-// applySnapshot takes those parts of a snapshot that changed later than the
-// current view.
-func (m *Manager) applySnapshot(snapshot []byte, from string) {
-	var s Snapshot
-	if err := json.Unmarshal(snapshot, &s); err != nil {
-		m.log.Emit(event.PeerMessageInvalid, zap.String("part", "snapshot"), zap.String("from", from), zap.Error(err))
-		return
-	}
-	v := m.Current()
-	newPublished := s.Published.Config != nil && s.Changes.Published > v.PublishedChange
-	if newPublished || s.Changes.Targets > v.TargetsChange {
-		m.log.Emit(event.SnapshotApplied, zap.String("from", from), zap.Int64("published_change", s.Changes.Published), zap.Int64("targets_change", s.Changes.Targets),
-			zap.Int64("revision", s.TargetsRevision), zap.Int64("had", v.TargetsRevision))
-	}
-	if newPublished {
-		m.applyPublished(s.Published, s.PublishedRevision, s.Changes.Published)
-		m.update(func(v *View) { v.PublishedChange = max(v.PublishedChange, s.Changes.Published) })
-	}
-	if s.Changes.Targets > v.TargetsChange {
-		// The sender has read the store since this view; if that ends an outage, lapsed
-		// targets must be retained.
-		m.mu.Lock()
-		m.recordSupply(m.now())
-		m.mu.Unlock()
-		m.applyTargets(s.Targets, s.TargetsRevision, s.Changes.Targets, from)
-		m.update(func(v *View) { v.TargetsChange = max(v.TargetsChange, s.Changes.Targets) })
-	}
-}
-
-// StoreAnswers reports whether the store is reachable from this instance, so that
-// other instances may take the catalog from it.
-func (m *Manager) StoreAnswers() bool { return !m.stale() }
--- a/internal/instance/endless_test.go
+++ b/internal/instance/endless_test.go
@@ -7,8 +7,7 @@
 	"testing"
 )
 
-// Bytes that a target sends without end, in the head or the body of a response, must
-// not fill the memory; the instance closes the connection.
+// Guards against responses without end that fill the memory.
 func TestEndlessResponseOfTargetIsCutOff(t *testing.T) {
 	d := newTestDeployment(t)
 	target := newFakeTarget(t, "t-1")
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -89,7 +89,7 @@
 	n := 0
 	for _, m := range p.heartbeats.Members() {
 		id := m.Heartbeat.GetInstance()
-		if m.Reachable && !m.Late && m.Heartbeat.GetReady() && m.Heartbeat.GetStoreAnswers() && id.GetDomain() == p.self.GetDomain() && id.GetInstance() < p.self.GetInstance() {
+		if storeAnswers(m) && m.Heartbeat.GetReady() && id.GetDomain() == p.self.GetDomain() && id.GetInstance() < p.self.GetInstance() {
 			n++
 		}
 	}
@@ -98,9 +98,13 @@
 
 // StoreAnswers implements catalog.Peers.
 func (p *catalogPeers) StoreAnswers() bool {
-	return slices.ContainsFunc(p.heartbeats.Members(), func(m heartbeat.Member) bool {
-		return m.Reachable && !m.Late && m.Heartbeat.GetStoreAnswers()
-	})
+	return slices.ContainsFunc(p.heartbeats.Members(), storeAnswers)
+}
+
+// storeAnswers reports whether the store answers the instance, as far as its
+// heartbeats tell.
+func storeAnswers(m heartbeat.Member) bool {
+	return m.Reachable && !m.Late && m.Heartbeat.GetStoreAnswers()
 }
 
 // AnnounceChange implements catalog.Peers. Only store readers announce a
--- a/internal/instance/heartbeats_test.go
+++ b/internal/instance/heartbeats_test.go
@@ -14,8 +14,7 @@
 	}}
 }
 
-// An instance that sends heartbeats but no snapshots must not keep others from
-// learning that a target leaves while a third one has the list.
+// Guards against fetching from an instance that does not deliver, again and again.
 func TestSnapshotSourceAvoidsUnresponsiveInstance(t *testing.T) {
 	stuck, late, other := memberWithChange("stuck", "a", 7, false), memberWithChange("late", "a", 7, true), memberWithChange("other", "a", 7, false)
 	remote, old := memberWithChange("remote", "b", 7, false), memberWithChange("old", "a", 5, false)
