Make the test of isolated readers fail reliably on the old code

Cause: TestTargetRetainedByIsolatedReaderIsNotPassedOn fails only if the reader's own read comes before its fetch from another instance, which the jitter of the backoff decides.

Change: 400 phases, the same 20 times of removal; the condition is unchanged.

--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -287,14 +287,15 @@
 
 // Guards against targets that come back at instances that had no outage.
 func TestTargetRetainedByIsolatedReaderIsNotPassedOn(t *testing.T) {
-	for phase := range 20 {
+	for phase := range 400 {
 		inBubble(t, 4, func(t *testing.T, fleet *testFleet) {
+			removedBefore := time.Duration(phase%20) * 200 * time.Millisecond
 			isolated := fleet.instances[phase%2]
 			isolated.setRefused(true)
 			isolated.setIsolated(true)
-			time.Sleep(testContactPeriod - time.Duration(phase)*200*time.Millisecond)
+			time.Sleep(testContactPeriod - removedBefore)
 			fleet.store.remove("b")
-			time.Sleep(time.Duration(phase) * 200 * time.Millisecond)
+			time.Sleep(removedBefore)
 			fleet.store.change(func(map[string]*deployment.Target) {}) // the reader's list gets a later revision
 			isolated.setRefused(false)
 			isolated.setIsolated(false)
