Log how a target's response was framed and when it ended with its connection

Change: event 837 for each response without length or chunks, with its size and whether it was complete; the field framing in 831 and 832, caller_protocol in 832; the counter responses_total by framing and end. No change of behaviour.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,6 +96,37 @@
 // deliver passes a response on. onFirstByte is called when a first part of it has
 // arrived, for event streams after each event.
 func (g *Gateway) deliver(c *call, resp *targetResponse, d *delivery, onFirstByte func()) *failure {
+	d.framing = resp.framing
+	body := &countingReader{r: resp.body}
+	resp.body = body
+	f := g.passOn(resp, d, onFirstByte)
+	g.Metrics.recordResponse(resp.framing, f)
+	if resp.framing == closeFraming {
+		reason := "complete"
+		if f != nil {
+			reason = f.err.Message
+		}
+		g.Log.Emit(event.ResponseEndedByClose, zap.String("request", c.ID), zap.String("target", resp.target), zap.Int("status", resp.status),
+			zap.Int64("bytes", body.n), zap.String("last_event", d.lastEventID), zap.String("reason", reason))
+	}
+	return f
+}
+
+// countingReader counts the bytes that are read from r.
+type countingReader struct {
+	r io.ReadCloser
+	n int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += int64(n)
+	return n, err
+}
+
+func (c *countingReader) Close() error { return c.r.Close() }
+
+func (g *Gateway) passOn(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
 	if resp.status >= 200 && resp.status < 300 && isEventStream(resp.header) {
 		return deliverEvents(resp, d, onFirstByte)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -36,7 +36,7 @@
 			for _, p := range head.GetHeaders() {
 				h.Add(p.GetName(), p.GetValue())
 			}
-			return &targetResponse{status: int(head.GetStatus()), header: h, body: respBody, target: head.GetTarget()}, nil
+			return &targetResponse{status: int(head.GetStatus()), header: h, body: respBody, target: head.GetTarget(), framing: tailFraming}, nil
 		}
 		_ = respBody.Close()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,8 @@
 	fallback     *bufferedResponse
 	target       string
 	remoteRegion string
+	// framing is that of the last response; empty before the first one.
+	framing framing
 	// expectedDelay is the delay predicted for the last placement.
 	expectedDelay time.Duration
 	firstByteAt   time.Time
@@ -139,7 +141,7 @@
 			return g.finishFailed(c, d, f, f.err)
 		}
 		g.Log.Emit(event.RequestRetried, zap.String("request", c.ID), zap.String("target", choice.Target), zap.String("region", choice.Region),
-			zap.Stringer("ran", f.err.Ran), zap.String("reason", f.err.Message), zap.Int("sent", c.possibleRuns))
+			zap.Stringer("ran", f.err.Ran), zap.String("reason", f.err.Message), zap.Int("sent", c.possibleRuns), zap.String("framing", string(d.framing)))
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,7 @@
 	fullResponse  *prometheus.HistogramVec
 	streamGap     prometheus.Histogram
 	attempts      *prometheus.CounterVec
+	responses     *prometheus.CounterVec
 	expectedDelay prometheus.Histogram
 	sendDelay     prometheus.Histogram
 }
@@ -44,10 +45,11 @@
 		fullResponse:  prometheus.NewHistogramVec(histogram("answer_seconds", "Time from arrival to the end of the answer."), []string{"kind", "region"}),
 		streamGap:     prometheus.NewHistogram(histogram("stream_gap_seconds", "Longest pause between two events of a stream.")),
 		attempts:      prometheus.NewCounterVec(counter("attempts_total", "Attempts at targets and other regions by outcome."), []string{"outcome"}),
+		responses:     prometheus.NewCounterVec(counter("responses_total", "Responses that were begun by targets or other regions, by what marks the end of the body (length, chunks, close, tail) and how they ended (complete or the name of a result code)."), []string{"framing", "end"}),
 		expectedDelay: prometheus.NewHistogram(histogram("expected_delay_seconds", "Delay that the choice of a place expected.")),
 		sendDelay:     prometheus.NewHistogram(histogram("send_delay_seconds", "Time from the choice of a target until the request was written to it.")),
 	}
-	r.MustRegister(m.requests, m.firstByte, m.fullResponse, m.streamGap, m.attempts, m.expectedDelay, m.sendDelay)
+	r.MustRegister(m.requests, m.firstByte, m.fullResponse, m.streamGap, m.attempts, m.responses, m.expectedDelay, m.sendDelay)
 	return m
 }
 
@@ -86,3 +88,13 @@
 	m.attempts.WithLabelValues(outcome).Inc()
 	m.expectedDelay.Observe(expected.Seconds())
 }
+
+// recordResponse records a response that a target or another region had begun. f
+// is the failure to pass it on, nil if it is complete.
+func (m *Metrics) recordResponse(fr framing, f *failure) {
+	end := "complete"
+	if f != nil {
+		end = f.err.Code.String()
+	}
+	m.responses.WithLabelValues(string(fr), end).Inc()
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -11,10 +11,34 @@
 // targetResponse is the response of a target, received directly or through an
 // instance of another region.
 type targetResponse struct {
-	status int
-	header http.Header
-	body   io.ReadCloser
-	target string
+	status  int
+	header  http.Header
+	body    io.ReadCloser
+	target  string
+	framing framing
+}
+
+// framing says what marks the end of a response's body.
+type framing string
+
+const (
+	lengthFraming framing = "length" // Content-Length, or no body
+	chunkFraming  framing = "chunks"
+	// closeFraming means that the body ends with the connection, which looks the
+	// same if the target crashes.
+	closeFraming framing = "close"
+	tailFraming  framing = "tail" // the last message of a forwarded response
+)
+
+// framingOf returns the framing of a response that was received from a target.
+func framingOf(resp *http.Response) framing {
+	switch {
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return lengthFraming
+	case len(resp.TransferEncoding) > 0:
+		return chunkFraming
+	}
+	return closeFraming
 }
 
 // failure is the error of an attempt.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -214,7 +214,7 @@
 		g.writeErrorResponse(w, r, c, err)
 		return
 	}
-	g.logFailure(c, result.FromError(err))
+	g.logFailure(c, result.FromError(err), zap.String("framing", string(d.framing)), zap.String("caller_protocol", r.Proto))
 	// The connection is aborted so that the caller does not take a partial response
 	// for a complete one.
 	panic(http.ErrAbortHandler)
@@ -249,7 +249,7 @@
 	return status
 }
 
-func (g *Gateway) logFailure(c *call, e *result.Error) {
+func (g *Gateway) logFailure(c *call, e *result.Error, more ...zap.Field) {
 	ev := event.RequestRefused
 	if e.Ran == result.MayHaveRun {
 		ev = event.RequestIncomplete
@@ -258,10 +258,10 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	g.Log.Emit(ev, zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.String("name", e.Code.String()), zap.Stringer("ran", e.Ran),
+	g.Log.Emit(ev, append(more, zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.String("name", e.Code.String()), zap.Stringer("ran", e.Ran),
 		zap.String("reason", e.Message), zap.String("team", c.team), zap.String("route", route), zap.String("service", c.service),
 		zap.Duration("after", time.Since(c.arrived)), zap.Int("sent", c.possibleRuns), zap.Int("sends", c.failedAttempts),
-		zap.Duration("retry_after", e.RetryAfter), zap.Int64("revision", g.Catalog.Revision()))
+		zap.Duration("retry_after", e.RetryAfter), zap.Int64("revision", g.Catalog.Revision()))...)
 }
 
 // callerSink writes a response to the caller.
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -86,7 +86,7 @@
 		_ = resp.Body.Close()
 		return nil, f
 	}
-	return &targetResponse{status: resp.StatusCode, header: resp.Header, body: resp.Body, target: entry.ID}, nil
+	return &targetResponse{status: resp.StatusCode, header: resp.Header, body: resp.Body, target: entry.ID, framing: framingOf(resp)}, nil
 }
 
 // requestBody returns a reader of b whose type net/http does not know, so that it
