Add a failing test for streams that end inside an event

It fails in each of its 36 cases on this code (three framings, two line endings, three places of the cut, with and without a hop).

--- /dev/null
+++ b/internal/instance/truncated_test.go
@@ -0,0 +1,117 @@
+package instance
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// rawResponse is a response that a target writes to its connection as it is,
+// before it closes or resets the connection.
+type rawResponse struct {
+	framing string // "length", "chunks" or "close"
+	body    string
+	// complete is the body that the framing announces; body if empty.
+	complete    string
+	contentType string
+	status      int
+	reset       bool
+}
+
+func (a rawResponse) handler(target string) func(w http.ResponseWriter, r *http.Request) bool {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = conn.Write([]byte(a.text(target, r.Header.Get("X-Request-Id"))))
+		if a.reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+		return true
+	}
+}
+
+func (a rawResponse) text(target, requestID string) string {
+	status, announced := a.status, a.complete
+	if status == 0 {
+		status = http.StatusOK
+	}
+	if announced == "" {
+		announced = a.body
+	}
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Response-Signature: signed-by-%s\r\nContent-Type: %s\r\n",
+		status, http.StatusText(status), requestID, target, a.contentType)
+	switch a.framing {
+	case "length":
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(announced)) + a.body
+	case "chunks":
+		body := ""
+		if a.body != "" {
+			body = fmt.Sprintf("%x\r\n%s\r\n", len(a.body), a.body)
+		}
+		if a.body == announced {
+			body += "0\r\n\r\n"
+		}
+		return head + "Transfer-Encoding: chunked\r\n\r\n" + body
+	}
+	return head + "Connection: close\r\n\r\n" + a.body
+}
+
+// startTruncationTest starts an instance with a target in its own region or, with
+// a hop, in another one.
+func startTruncationTest(t *testing.T, hop, resumable bool) (*testDeployment, *testInstance, *fakeTarget) {
+	d := newTestDeployment(t)
+	domain := "a"
+	if hop {
+		domain = "b"
+	}
+	target := newFakeTarget(t, "t-1")
+	d.listTarget(target, domain, "ready", 1)
+	d.publishConfig(func(config map[string]any) {
+		config["routes"].([]any)[2].(map[string]any)["resumable"] = resumable
+	})
+	inst := d.startInstance("a")
+	if hop {
+		d.startInstance("b")
+	}
+	eventually(t, "a request is served", func() bool { return sendRequest("GET", inst.url("/safe/x"), nil).status == http.StatusOK })
+	return d, inst, target
+}
+
+func streamText(n int, lineEnd string) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d%sdata: piece %d%s%s", i, lineEnd, i, lineEnd, lineEnd)
+	}
+	return b.String()
+}
+
+func TestStreamCutInsideEventIsNotDeliveredAsComplete(t *testing.T) {
+	for _, hop := range []bool{false, true} {
+		t.Run(fmt.Sprintf("hop=%v", hop), func(t *testing.T) {
+			_, inst, target := startTruncationTest(t, hop, false)
+			for _, lineEnd := range []string{"\n", "\r\n"} {
+				whole, third := streamText(4, lineEnd), streamText(3, lineEnd)
+				for _, framing := range []string{"length", "chunks", "close"} {
+					a := rawResponse{framing: framing, body: whole, contentType: "text/event-stream"}
+					target.setHandler(a.handler(target.id))
+					if got := sendRequest("POST", inst.url("/stream/ask"), nil); got.status != http.StatusOK || got.err != nil || got.body != whole {
+						t.Errorf("%s, line end %q: whole stream arrived as %+v", framing, lineEnd, got)
+					}
+					for _, cut := range []int{len(third) + 1, len(whole) - len(lineEnd), len(whole) - 1} {
+						eventually(t, "the target is used again", func() bool { return sendRequest("GET", inst.url("/stream/ask"), nil).status == http.StatusOK })
+						target.setHandler(rawResponse{framing: framing, body: whole[:cut], contentType: "text/event-stream"}.handler(target.id))
+						if got := sendRequest("POST", inst.url("/stream/ask"), nil); got.status != http.StatusOK || got.err == nil || !strings.HasPrefix(third, got.body) {
+							t.Errorf("%s, line end %q: stream cut after %d of %d bytes arrived as %+v", framing, lineEnd, cut, len(whole), got)
+						}
+						target.setHandler(a.handler(target.id))
+					}
+				}
+			}
+		})
+	}
+}
