Treat a stream that ends inside an event as interrupted

What callers saw: an event stream whose engine crashed in the middle of an event arrived with status 200 and a properly ended body, cut somewhere in that event.

Cause: eventReader.next returned the bytes of the unfinished event together with io.EOF, and deliverEvents passed them on and ended the response as complete. It relied on the transport to report a break. A response without length and chunks ends with its connection, and a crashed process closes it in the usual way.

Why it works: the end of a stream counts as its end only between two events. A stream that ends elsewhere gives io.ErrUnexpectedEOF whatever its framing, so that the caller's connection is cut, a resumable stream is resumed after its last whole event, and the target counts as lost for placement and crash suspects. Complete comment lines after the last event are still passed on.

TestEventReaderReturnsWholeEvents stated that the rest of a cut stream is returned with io.EOF. It now cuts the stream after each byte and demands the whole events, their ids and the right error.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -54,27 +54,46 @@
 	}
 }
 
-// Guards against events that are split or lost when the stream arrives in pieces,
-// with either line ending.
+// readEvents returns the events of a stream, joined, their ids and the error that
+// ended it.
+func readEvents(r io.Reader) (all string, ids []string, err error) {
+	e := newEventReader(r)
+	for {
+		event, id, err := e.next()
+		all += string(event)
+		if id != "" {
+			ids = append(ids, id)
+		}
+		if err != nil {
+			return all, ids, err
+		}
+	}
+}
+
+// Guards against events that are split, lost or returned in part when the stream
+// arrives in pieces or ends at any byte, with either line ending.
 func TestEventReaderReturnsWholeEvents(t *testing.T) {
-	const text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid:3\r\ndata: d\r\n\r\nrest"
-	for _, r := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
-		e, all, ids := newEventReader(r), "", []string{}
-		for {
-			event, id, err := e.next()
-			all += string(event)
-			if id != "" {
-				ids = append(ids, id)
-			}
-			if err == io.EOF {
+	const comment = ": the end\n"
+	events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n: c\ndata: c\n\n", "id:3\r\ndata: d\r\n\r\n"}
+	text := strings.Join(events, "") + comment
+	for cut := range len(text) + 1 {
+		want, wantErr := "", io.ErrUnexpectedEOF
+		wantIDs := 0
+		for _, event := range append(events, comment) {
+			if len(want+event) > cut {
 				break
 			}
-			if err != nil {
-				t.Fatal(err)
-			}
+			want += event
+			wantIDs = min(wantIDs+1, len(events))
 		}
-		if all != text || strings.Join(ids, " ") != "1 2 3" {
-			t.Errorf("events %q with ids %v", all, ids)
+		if len(want) == cut {
+			wantErr = io.EOF
+		}
+		for _, r := range []io.Reader{strings.NewReader(text[:cut]), iotest.OneByteReader(strings.NewReader(text[:cut]))} {
+			all, ids, err := readEvents(r)
+			if all != want || err != wantErr || len(ids) != wantIDs {
+				t.Errorf("cut after %d bytes: events %q with ids %v, %v", cut, all, ids, err)
+			}
 		}
 	}
 }
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -39,10 +39,12 @@
 }
 
 // next returns the bytes of the next event with the blank line that ends it,
-// and its id, "" if it has none. At the end of the stream it returns the remaining
-// bytes with io.EOF; any other error comes without bytes. A line of more than
-// maxEventBytes is an error.
+// and its id, "" if it has none. io.EOF means that the stream ended between two
+// events; it comes with the comments after the last one. Any other error comes
+// without bytes: io.ErrUnexpectedEOF if the stream ended inside an event, and an
+// error for a line of more than maxEventBytes.
 func (e *eventReader) next() (event []byte, id string, err error) {
+	begun := false
 	for {
 		line, err := e.r.ReadSlice('\n')
 		event = append(event, line...)
@@ -51,8 +53,10 @@
 			return nil, "", errLineTooLong
 		case err == bufio.ErrBufferFull:
 			continue
+		case err == io.EOF && (begun || len(line) > 0):
+			return nil, "", io.ErrUnexpectedEOF
 		case err == io.EOF:
-			return event, id, io.EOF
+			return event, "", io.EOF
 		case err != nil:
 			return nil, "", err
 		}
@@ -60,6 +64,7 @@
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
+		begun = begun || len(text) > 0 && text[0] != ':'
 		if len(text) > 0 && len(event) < maxEventBytes {
 			continue
 		}
