Never resume a stream inside an event that was delivered in part

What callers would see: an event of more than 256 KB is passed on in pieces. If the target broke off inside it, the stream was resumed after that event: the caller got the beginning of the event followed by the next one. If the stream ended where a piece ends, it counted as complete. A resumed target that sent the long event again had its first piece skipped and the others passed on.

Cause: each piece was treated as an event of its own; the reader kept no state between pieces.

Change: package sse reads streams in pieces that say whether the event goes on. A stream that broke off inside an event is not resumed, an event that was delivered before is skipped to its end. Lines may end with CR too: such a stream was passed on as one block at its end, which now would count as interrupted.

Evidence: TestStreamCutInsideLongEventIsNotResumed and TestLongEventIsDeliveredOnceAfterResumption fail on the code before (it would resume with 262,833 bytes of the event delivered; it refuses an event of three lines of 200 KB as one long line) and pass now. The tests of package sse cut streams after each byte, with each line end.

The tests of the old reader are now those of package sse, with the same demands and more; the bound of a line stays.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -196,15 +196,15 @@
 	d.lastEventAt = now
 }
 
-// deliverEvents passes on a stream of server-sent events, only whole events at a
-// time, so that it can be resumed after the last one.
+// deliverEvents passes on a stream of server-sent events, whole events at a time as
+// far as they are not too long, so that it can be resumed after the last one.
 func deliverEvents(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
 	events := newEventReader(resp.body)
 	if d.started {
 		events.skipThrough(d.lastEventID)
 	}
 	for {
-		event, id, err := events.next()
+		piece, err := events.next()
 		if err != nil && err != io.EOF {
 			return readFailure(err)
 		}
@@ -215,14 +215,15 @@
 				return callerWriteFailure(err)
 			}
 		}
-		if len(event) > 0 {
+		if len(piece.Raw) > 0 {
 			d.recordEvent(time.Now())
-			if err := d.sink.Data(event); err != nil {
+			if err := d.sink.Data(piece.Raw); err != nil {
 				return callerWriteFailure(err)
 			}
 		}
-		if id != "" {
-			d.lastEventID = id
+		d.inEvent = piece.More
+		if piece.ID != "" && !piece.More {
+			d.lastEventID = piece.ID
 		}
 		if err == io.EOF {
 			return nil
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -1,33 +1,29 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonhill/wigeonhill/internal/sse"
 )
 
-// eventReader splits a stream of server-sent events into whole events.
+var errUnknownPosition = errors.New("the id of an event could not be read, so it is not known whether the caller has received it")
+
+// eventReader reads the events of a stream that the caller has not received yet.
 type eventReader struct {
-	r *bufio.Reader
+	*sse.Reader
 	// lastDelivered is the id of the last event that the caller has received, or -1;
 	// events up to it are skipped.
 	lastDelivered int64
+	// inEvent is set if the next piece continues an event, skipping if that event is
+	// skipped.
+	inEvent, skipping bool
 }
 
-const (
-	eventBufferSize = 4 << 10
-	// maxEventBytes bounds one event, in bytes; a longer one is returned in pieces of
-	// whole lines.
-	maxEventBytes = 256 << 10
-)
-
-var errLineTooLong = errors.New("a line of the event stream exceeds the bound")
-
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferSize), lastDelivered: -1}
+	return &eventReader{Reader: sse.NewReader(r), lastDelivered: -1}
 }
 
 // skipThrough makes next skip the events up to and including the one with the given
@@ -38,41 +34,24 @@
 	}
 }
 
-// next returns the bytes of the next event with the blank line that ends it,
-// and its id, "" if it has none. io.EOF means that the stream ended between two
-// events; it comes with the comments after the last one. Any other error comes
-// without bytes: io.ErrUnexpectedEOF if the stream ended inside an event, and an
-// error for a line of more than maxEventBytes.
-func (e *eventReader) next() (event []byte, id string, err error) {
-	begun := false
+// next returns the next event or piece of one that is not skipped; see
+// sse.Reader.Next.
+func (e *eventReader) next() (sse.Piece, error) {
 	for {
-		line, err := e.r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case err == bufio.ErrBufferFull && len(event) > maxEventBytes:
-			return nil, "", errLineTooLong
-		case err == bufio.ErrBufferFull:
-			continue
-		case err == io.EOF && (begun || len(line) > 0):
-			return nil, "", io.ErrUnexpectedEOF
-		case err == io.EOF:
-			return event, "", io.EOF
-		case err != nil:
-			return nil, "", err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+		p, err := e.Next()
+		if err != nil {
+			return p, err
 		}
-		begun = begun || len(text) > 0 && text[0] != ':'
-		if len(text) > 0 && len(event) < maxEventBytes {
-			continue
+		if !e.inEvent {
+			if p.More && p.ID == "" && e.lastDelivered >= 0 {
+				return sse.Piece{}, errUnknownPosition
+			}
+			e.skipping = e.alreadyDelivered(p.ID)
 		}
-		if e.alreadyDelivered(id) {
-			event, id = nil, ""
-			continue
+		e.inEvent = p.More
+		if !e.skipping {
+			return p, nil
 		}
-		return event, id, nil
 	}
 }
 
--- /dev/null
+++ b/internal/sse/sse.go
@@ -0,0 +1,148 @@
+// Package sse splits streams of server-sent events into events without changing
+// their bytes. Lines end with LF, CRLF or CR, as the HTML standard defines.
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxEventBytes is the size in bytes from which on an event is returned in
+	// pieces of whole lines. A line of more bytes is an error, because bytes without
+	// a line end may have no end at all.
+	MaxEventBytes = 256 << 10
+	bufferBytes   = 4 << 10
+	// maxFieldBytes is how much of a line is kept, in bytes, to find its field.
+	maxFieldBytes = 1 << 10
+)
+
+// ErrLineTooLong means that a line has more than MaxEventBytes.
+var ErrLineTooLong = errors.New("a line of the event stream exceeds the bound")
+
+// Piece is an event with the blank line that ends it, or a part of a long event.
+type Piece struct {
+	Raw []byte
+	// ID is the id of the event, "" if it has none or if it was not read yet.
+	ID string
+	// More is set if the event continues with the next piece.
+	More bool
+	// Comment is set for comments and blank lines that belong to no event.
+	Comment bool
+}
+
+// Reader reads the events of one stream.
+type Reader struct {
+	r *bufio.Reader
+	// line is the start of the line being read, lineBytes the size of all that was
+	// read of it.
+	line      []byte
+	lineBytes int
+	// inEvent is set after the first field of an event.
+	inEvent bool
+	id      string
+	// bareCR is set once a line has ended with CR alone; skipLF if an LF that
+	// follows belongs to that line.
+	bareCR, skipLF bool
+}
+
+// NewReader returns a Reader of the stream r.
+func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, bufferBytes)} }
+
+// Next returns the next event, or the next piece of an event of at least
+// MaxEventBytes. io.EOF means that the stream ended between two events; it comes
+// with the comments after the last one. Any other error comes without bytes:
+// io.ErrUnexpectedEOF if the stream ended inside an event, or that of the
+// underlying reader, or ErrLineTooLong.
+func (r *Reader) Next() (Piece, error) {
+	var p Piece
+	for {
+		part, ended, err := r.readPart()
+		if err != nil {
+			return r.end(p, err)
+		}
+		p.Raw = append(p.Raw, part...)
+		if r.lineBytes += len(part); r.lineBytes > MaxEventBytes {
+			return Piece{}, ErrLineTooLong
+		}
+		if !ended {
+			continue
+		}
+		r.lineBytes = 0
+		if r.endLine() {
+			p.ID, p.Comment = r.id, !r.inEvent
+			r.id, r.inEvent = "", false
+			return p, nil
+		}
+		if len(p.Raw) >= MaxEventBytes {
+			p.ID, p.More = r.id, true
+			return p, nil
+		}
+	}
+}
+
+func (r *Reader) end(p Piece, err error) (Piece, error) {
+	switch {
+	case err != io.EOF:
+		return Piece{}, err
+	case r.inEvent || len(r.line) > 0:
+		return Piece{}, io.ErrUnexpectedEOF
+	}
+	return Piece{Raw: p.Raw, Comment: true}, io.EOF
+}
+
+// endLine processes the line in r.line and reports whether it is blank.
+func (r *Reader) endLine() (blank bool) {
+	line := r.line
+	r.line = r.line[:0]
+	if len(line) == 0 {
+		return true
+	}
+	r.inEvent = r.inEvent || line[0] != ':'
+	if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		r.id = string(bytes.TrimSpace(value))
+	}
+	return false
+}
+
+// readPart returns the next bytes of the stream, up to the end of a line at most;
+// ended reports whether they end one. The bytes are valid until the next call.
+func (r *Reader) readPart() (part []byte, ended bool, err error) {
+	if _, err := r.r.Peek(1); err != nil {
+		return nil, false, err
+	}
+	buf, _ := r.r.Peek(r.r.Buffered()) // cannot fail
+	text, size := buf, len(buf)
+	switch i := bytes.IndexAny(buf, "\r\n"); {
+	case i == 0 && buf[0] == '\n' && r.skipLF:
+		text, size = nil, 1
+	case i >= 0 && buf[i] == '\n':
+		text, size, ended = buf[:i], i+1, true
+	case i >= 0 && i+1 < len(buf):
+		text, size, ended = buf[:i], i+1, true
+		if buf[i+1] == '\n' {
+			size++
+		} else {
+			r.bareCR = true
+		}
+	case i > 0:
+		text, size = buf[:i], i
+	case i == 0 && !r.bareCR:
+		// Only the next byte tells whether the line ends with CR or CRLF.
+		if _, err := r.r.Peek(2); err == io.EOF {
+			return nil, false, io.ErrUnexpectedEOF
+		} else if err != nil {
+			return nil, false, err
+		}
+		return r.readPart()
+	case i == 0:
+		text, size, ended = nil, 1, true
+	}
+	r.skipLF = ended && buf[size-1] == '\r'
+	r.line = append(r.line, text[:min(len(text), maxFieldBytes-len(r.line))]...)
+	_, _ = r.r.Discard(size) // the bytes are buffered
+	return buf[:size], ended, nil
+}
