Resume a response only from a position that is known

What callers would see, on a route that may be resumed: a response of more than 256 KB that is no event stream and breaks off is continued with the events of another target; a stream that breaks off after an event without id is resumed after an earlier event, so that the caller gets events twice.

Cause: canRetry took a response that has started on a resumable route for one that can be resumed. Whether what was delivered has a position was not recorded.

Change: delivery.resumable is set only while an event stream was passed on up to its beginning or to the end of an event whose id is known.

Evidence: TestTruncatedBodyIsNotContinuedByStream and TestStreamIsNotResumedAfterEventWithoutID fail on the code before (it would go on after 524,288 bytes of a body, and after an event without id) and pass now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -211,6 +211,7 @@
 		onFirstByte()
 		if !d.started {
 			d.start(resp)
+			d.resumable = true
 			if err := d.sink.Head(resp.status, resp.header, -1, resp.target); err != nil {
 				return callerWriteFailure(err)
 			}
@@ -221,9 +222,11 @@
 				return callerWriteFailure(err)
 			}
 		}
-		d.inEvent = piece.More
-		if piece.ID != "" && !piece.More {
-			d.lastEventID = piece.ID
+		switch {
+		case piece.More || piece.ID == "" && !piece.Comment:
+			d.resumable = false
+		case piece.ID != "":
+			d.lastEventID, d.resumable = piece.ID, true
 		}
 		if err == io.EOF {
 			return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,8 +83,9 @@
 	started bool
 	// lastEventID is the id of the last event of a stream that was passed on.
 	lastEventID string
-	// inEvent is set while only a part of an event was passed on.
-	inEvent bool
+	// resumable is set while the part that was passed on is an event stream up to
+	// the end of an event whose id is lastEventID, or to its beginning.
+	resumable bool
 	// fallback is a 5xx response of a target, kept while another target is tried
 	// and passed on if none does better.
 	fallback     *bufferedResponse
@@ -206,7 +207,7 @@
 	switch {
 	case ctx.Err() != nil || c.failedAttempts >= maxAttempts || f.err.Code == result.CallerTooSlow:
 		return false
-	case d.started && (!c.route.Resumable || d.inEvent):
+	case d.started && (!c.route.Resumable || !d.resumable):
 		return false
 	case c.forwarded && f.err.Ran == result.MayHaveRun:
 		// The forwarding instance counts the targets that may have run the request.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -82,6 +82,20 @@
 	return New(Config{Log: event.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()), RetryBudget: NewRetryBudget(deployment.Bounds{RetrySlack: 10, RetryWindow: time.Second}, time.Now)})
 }
 
+func TestTruncatedBodyIsNotContinuedByStream(t *testing.T) {
+	g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
+	d := &delivery{sink: s}
+	body := strings.Repeat("x", 2*maxBufferedResponse)
+	resp := &targetResponse{status: http.StatusOK, header: http.Header{}, body: io.NopCloser(io.MultiReader(strings.NewReader(body), iotest.ErrReader(io.ErrUnexpectedEOF))), framing: lengthFraming}
+	f := g.deliver(c, resp, d, func() {})
+	if f == nil || s.body.Len() == 0 {
+		t.Fatalf("%v after %d bytes", f, s.body.Len())
+	}
+	if g.canRetry(t.Context(), c, d, f) {
+		t.Errorf("the response would be continued by another target after %d bytes of it", s.body.Len())
+	}
+}
+
 func resumableCall() *call {
 	return &call{route: &deployment.Route{Kind: deployment.Stream, Resumable: true, MaxTargets: 3}, possibleRuns: 1, failedAttempts: 1}
 }
@@ -118,6 +132,20 @@
 	}
 }
 
+func TestStreamIsNotResumedAfterEventWithoutID(t *testing.T) {
+	for text, resumable := range map[string]bool{
+		"": true, ": comment\n\n": true, "data: a\n\n": false, "id: 1\ndata: a\n\n: comment\n\n": true, "id: 1\ndata: a\n\ndata: b\n\n": false,
+		"data: a\n\nid: 2\ndata: b\n\n": true,
+	} {
+		g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
+		d := &delivery{sink: s}
+		f := g.deliver(c, streamOf(strings.NewReader(text+"id: 9\nda")), d, func() {})
+		if f == nil || s.body.String() != text || g.canRetry(t.Context(), c, d, f) != resumable {
+			t.Errorf("%q: %v, delivered %q, last id %q, resumable %v", text, f, s.body.String(), d.lastEventID, !resumable)
+		}
+	}
+}
+
 func TestLongEventIsDeliveredOnceAfterResumption(t *testing.T) {
 	long := "id: 1\n" + strings.Repeat("data: "+strings.Repeat("x", 200<<10)+"\n", 3) + "\n"
 	g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
