Pass on error responses that are too large to be kept whole

What callers would see: a response with status 5xx and more than 256 KB arrives cut to 262,145 bytes with a matching Content-Length, so that it looks complete.

Cause: such a response is kept while another target is tried. Only the part that is read at first was kept, and its size was announced as that of the response.

Change: a 5xx response is kept only if it was read to its end; a larger one is passed on at once and not retried.

Evidence: TestLargeErrorResponseIsNotTruncated fails on the code before for a response of 786,432 bytes (262,145 delivered as all) and passes now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,7 +139,7 @@
 		// The call resumes a stream, but the target did not respond with one.
 		return mayHaveRunFailure(placement.Failed, result.StreamInterrupted, "the target did not resume the stream: status %d", resp.status)
 	}
-	if resp.status >= http.StatusInternalServerError {
+	if resp.status >= http.StatusInternalServerError && len(body) <= maxBufferedResponse {
 		d.fallback = &bufferedResponse{resp.status, resp.header, body, resp.target}
 		return mayHaveRunFailure(placement.Failed, result.TargetFailed, "the target answered %d", resp.status)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,8 +86,8 @@
 	// resumable is set while the part that was passed on is an event stream up to
 	// the end of an event whose id is lastEventID, or to its beginning.
 	resumable bool
-	// fallback is a 5xx response of a target, kept while another target is tried
-	// and passed on if none does better.
+	// fallback is a whole 5xx response of a target, kept while another target is
+	// tried and passed on if none does better.
 	fallback     *bufferedResponse
 	target       string
 	remoteRegion string
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -96,6 +96,21 @@
 	}
 }
 
+func TestLargeErrorResponseIsNotTruncated(t *testing.T) {
+	for _, size := range []int{maxBufferedResponse, maxBufferedResponse + 1, 3 * maxBufferedResponse} {
+		g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
+		d := &delivery{sink: s}
+		resp := &targetResponse{status: http.StatusInternalServerError, header: http.Header{}, body: io.NopCloser(strings.NewReader(strings.Repeat("x", size))), framing: lengthFraming}
+		var err error
+		if f := g.deliver(c, resp, d, func() {}); f != nil {
+			err = g.finishFailed(c, d, f, f.err)
+		}
+		if err != nil || s.status != http.StatusInternalServerError || s.body.Len() != size {
+			t.Errorf("%d bytes: %v, status %d, %d bytes delivered", size, err, s.status, s.body.Len())
+		}
+	}
+}
+
 func resumableCall() *call {
 	return &call{route: &deployment.Route{Kind: deployment.Stream, Resumable: true, MaxTargets: 3}, possibleRuns: 1, failedAttempts: 1}
 }
