Reset an HTTP/1.0 connection whose response is incomplete

What callers would see: a caller that speaks HTTP/1.0 takes a response that broke off for complete, on the platform's path and on that of serve.

Cause: an incomplete response was shown by closing the connection. HTTP/1.0 has no chunks, so that a response without Content-Length ends with its connection, complete or not.

Change: package httpabort resets the connection in this case. Connections of HTTP/1.1 are closed as before: the missing last chunk shows the break there, and a reset could cost events that the caller still resumes from.

Evidence: TestTruncatedResponseOverHTTP10EndsWithReset fails on the code before, in five of six cases in internal/instance (the sixth gets no body at all) and in internal/entry, and passes now.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/httpabort"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
 )
@@ -86,6 +87,7 @@
 		IdleTimeout:       cfg.Bounds.IdleTimeout,
 		MaxHeaderBytes:    cfg.Bounds.MaxHeader,
 		ConnState:         s.conns.onStateChange,
+		ConnContext:       httpabort.ConnContext,
 		// Errors of single connections are not logged, because their text can
 		// contain anything that the caller has sent.
 		ErrorLog: discardLogger(),
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -1,6 +1,9 @@
 package entry_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -147,3 +150,24 @@
 		t.Fatalf("%+v", r)
 	}
 }
+
+func TestTruncatedResponseOverHTTP10EndsWithReset(t *testing.T) {
+	cluster := newTestCluster(t)
+	cluster.startTarget("t1", "north", config.PlainService, func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(rw, strings.Repeat("x", 300<<10))
+		_ = http.NewResponseController(rw).Flush()
+		if r.URL.RawQuery == "cut" {
+			abortConnection()
+		}
+	})
+	n := cluster.startInstance("n", "north")
+	for query, complete := range map[string]bool{"": true, "?cut": false} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+		check(t, err)
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "GET %s%s HTTP/1.0\r\nAuthorization: Bearer %s\r\n\r\n", bookingsPath, query, apiKey)
+		if body, err := io.ReadAll(conn); (err == nil) != complete || complete && len(body) < 300<<10 {
+			t.Errorf("query %q: %d bytes, %v", query, len(body), err)
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/httpabort"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
@@ -49,6 +50,7 @@
 	e.RouteNotFound("/*", g.handleRequest)
 	return &http.Server{
 		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeader,
+		ConnContext: httpabort.ConnContext,
 		// Errors of callers' connections would fill the log.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
@@ -217,7 +219,7 @@
 	g.logFailure(c, result.FromError(err), zap.String("framing", string(d.framing)), zap.String("caller_protocol", r.Proto))
 	// The connection is aborted so that the caller does not take a partial response
 	// for a complete one.
-	panic(http.ErrAbortHandler)
+	httpabort.Abort(r)
 }
 
 // writeErrorResponse logs err and writes it as the complete response.
@@ -225,7 +227,7 @@
 	e := result.FromError(err)
 	g.logFailure(c, e)
 	if r.Context().Err() != nil {
-		panic(http.ErrAbortHandler) // the caller closed the connection
+		httpabort.Abort(r) // the caller closed the connection
 	}
 	platform.SetErrorHeaders(w.Header(), c.ID, e.RetryAfter)
 	w.Header().Set("Content-Type", "text/plain")
--- /dev/null
+++ b/internal/httpabort/httpabort_test.go
@@ -0,0 +1,48 @@
+package httpabort
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+func TestAbortedResponseIsIncompleteForAnyHTTPVersion(t *testing.T) {
+	for _, length := range []bool{false, true} {
+		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if length {
+				w.Header().Set("Content-Length", "20")
+			}
+			_, _ = io.WriteString(w, "first half")
+			_ = http.NewResponseController(w).Flush()
+			if r.URL.Path == "/abort" {
+				Abort(r)
+			}
+			_, _ = io.WriteString(w, "other half")
+		}))
+		s.Config.ConnContext = ConnContext
+		s.Start()
+		defer s.Close()
+		for _, version := range []string{"1.0", "1.1"} {
+			for _, path := range []string{"/", "/abort"} {
+				conn, err := net.Dial("tcp", s.Listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				_, _ = fmt.Fprintf(conn, "GET %s HTTP/%s\r\nHost: h\r\nConnection: close\r\n\r\n", path, version)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				body := []byte{}
+				if err == nil {
+					body, err = io.ReadAll(resp.Body)
+				}
+				if complete := err == nil && string(body) == "first halfother half"; complete != (path == "/") || path == "/abort" && err == nil {
+					t.Errorf("HTTP/%s, length %v, %s: %q, %v", version, length, path, body, err)
+				}
+			}
+		}
+	}
+}
--- a/internal/instance/truncated_test.go
+++ b/internal/instance/truncated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -115,3 +116,43 @@
 		})
 	}
 }
+
+// callOverHTTP10 sends a request in HTTP/1.0 and returns the response up to the end
+// of the connection, with the error if the connection was reset.
+func callOverHTTP10(t *testing.T, inst *testInstance, path string) (body string, served bool, err error) {
+	conn, err := net.Dial("tcp", inst.settings.Listen.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: shop.example\r\nX-Request-Id: request-%d\r\nApi-Key: key-of-the-hotel\r\nContent-Length: 0\r\n\r\n", path, requestCount.Add(1))
+	text, err := io.ReadAll(conn)
+	head, body, _ := strings.Cut(string(text), "\r\n\r\n")
+	return body, strings.HasPrefix(head, "HTTP/1.0 200"), err
+}
+
+func TestTruncatedResponseOverHTTP10EndsWithReset(t *testing.T) {
+	_, inst, target := startTruncationTest(t, false, false)
+	large := strings.Repeat("0123456789abcdef", 64<<10)
+	for name, whole := range map[string]rawResponse{
+		"stream": {body: streamText(4, "\n"), contentType: "text/event-stream"},
+		"body":   {body: large, contentType: "text/plain"},
+	} {
+		for _, framing := range []string{"length", "chunks", "close"} {
+			whole.framing, whole.complete = framing, whole.body
+			cut := whole
+			cut.body, cut.reset = whole.body[:len(whole.body)-5], framing == "close" && name == "body"
+			target.setHandler(whole.handler(target.id))
+			eventually(t, "the target is used", func() bool {
+				body, _, err := callOverHTTP10(t, inst, "/stream/ask")
+				return body == whole.body && err == nil
+			})
+			target.setHandler(cut.handler(target.id))
+			// A target that resets its connection at once may lose all of its response.
+			body, served, err := callOverHTTP10(t, inst, "/stream/ask")
+			if served && err == nil || !served && !cut.reset || served && !strings.HasPrefix(whole.body, body) {
+				t.Errorf("%s, %s: %d of %d bytes arrived with the usual end: served %v, %v", name, framing, len(body), len(whole.body), served, err)
+			}
+		}
+	}
+}
