Compare the media type of event streams without regard to case

What callers would see: a stream whose Content-Type is written in another case, such as Text/Event-Stream, is held until it has ended or 256 KB have arrived, and if its target breaks off inside an event, the partial event arrives as complete.

Cause: the header was compared byte by byte, in two places. A response that is not recognized as a stream is passed on as a body, which has no events to be whole.

Change: sse.IsStream parses the media type; both paths use it.

Evidence: TestStreamIsRecognizedByMediaType fails on the code before for the second of its two spellings and passes now.

--- a/internal/dispatch/deliver.go
+++ b/internal/dispatch/deliver.go
@@ -4,13 +4,13 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonhill/wigeonhill/internal/auth"
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/sse"
 )
 
 const (
@@ -27,7 +27,7 @@
 	case r.call.Permit.Model == "":
 		return r.deliverService(ctx, resp)
 	case resp.status == http.StatusOK && r.call.Stream:
-		if !strings.HasPrefix(resp.header.Get("Content-Type"), "text/event-stream") {
+		if !sse.IsStream(resp.header) {
 			return newAttemptError(result.TargetFailed, true, "the target did not answer with a stream", nil)
 		}
 		return r.deliverStream(ctx, resp)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/sse"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
@@ -127,7 +128,7 @@
 func (c *countingReader) Close() error { return c.r.Close() }
 
 func (g *Gateway) passOn(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
-	if resp.status >= 200 && resp.status < 300 && isEventStream(resp.header) {
+	if resp.status >= 200 && resp.status < 300 && sse.IsStream(resp.header) {
 		return deliverEvents(resp, d, onFirstByte)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.body, maxBufferedResponse+1))
@@ -146,12 +147,6 @@
 	return deliverBody(resp, d, body)
 }
 
-func isEventStream(h http.Header) bool {
-	const prefix = "text/event-stream"
-	t := h.Get("Content-Type")
-	return len(t) >= len(prefix) && t[:len(prefix)] == prefix
-}
-
 // deliverBody passes on a response that is no event stream. body is the part that
 // was read already: all of it if it has at most maxBufferedResponse bytes.
 func deliverBody(resp *targetResponse, d *delivery, body []byte) *failure {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -191,3 +191,14 @@
 		}
 	}
 }
+
+func TestStreamIsRecognizedByMediaType(t *testing.T) {
+	for _, contentType := range []string{"text/event-stream", "Text/Event-Stream; charset=UTF-8"} {
+		g, s := newTestGateway(), &recordingSink{}
+		resp := streamOf(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+		resp.header.Set("Content-Type", contentType)
+		if f := g.deliver(resumableCall(), resp, &delivery{sink: s}, func() {}); f == nil || s.body.String() != "id: 1\ndata: a\n\n" {
+			t.Errorf("%s: %v, %q", contentType, f, s.body.String())
+		}
+	}
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -6,6 +6,8 @@
 	"bufio"
 	"bytes"
 	"io"
+	"mime"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 )
@@ -146,3 +148,27 @@
 	_, _ = r.r.Discard(size) // the bytes are buffered
 	return buf[:size], ended, nil
 }
+
+// IsStream reports whether the headers are those of a stream of events.
+func IsStream(h http.Header) bool {
+	t, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return t == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
+}
+
+// Data returns the data of an event: the values of its data fields, joined with LF.
+func Data(raw []byte) []byte {
+	var data []byte
+	first := true
+	for line := range bytes.FieldsFuncSeq(raw, func(c rune) bool { return c == '\r' || c == '\n' }) {
+		value, ok := bytes.CutPrefix(line, []byte("data:"))
+		if !ok {
+			continue
+		}
+		if !first {
+			data = append(data, '\n')
+		}
+		first = false
+		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
+	}
+	return data
+}
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -129,6 +130,26 @@
 	}
 }
 
+func TestDataJoinsLines(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		raw := strings.ReplaceAll(": note\nevent: x\ndata: a\ndata:b\ndata:\ndata:  c\n\n", "\n", lineEnd)
+		if got := string(Data([]byte(raw))); got != "a\nb\n\n c" {
+			t.Errorf("line end %q: %q", lineEnd, got)
+		}
+	}
+}
+
+func TestContentTypeIsComparedAsMediaType(t *testing.T) {
+	for contentType, want := range map[string]bool{
+		"text/event-stream": true, "Text/Event-Stream;charset=UTF-8": true, " text/event-stream ; charset=utf-8": true, "text/event-stream; =": true,
+		"text/event-streams": false, "text/plain": false, "": false,
+	} {
+		if got := IsStream(http.Header{"Content-Type": {contentType}}); got != want {
+			t.Errorf("%q: %v", contentType, got)
+		}
+	}
+}
+
 func FuzzReaderReturnsEachByteOnce(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n", uint16(3))
 	f.Add("id: 1\r\ndata: a\r\n\r\n: c\r\r\n", uint16(1))
