Suspect requests whose streams end together with their connection

What callers would see, on the path of serve: a request that crashes each engine that runs it is sent to one engine after the other, also when it is sent again, if the crashed engines close their connections in the usual way.

Cause: the end of a stream without length counted as one that the engine had marked itself, and so did an end inside an event. Neither was recorded as a crash.

Change: an end counts as marked by the engine only between two events and only if a length, a last chunk or a tail marks it. Both paths share one reader now.

Evidence: TestRequestWhoseStreamsEndWithTheirConnectionIsSuspected fails on the code before (the fourth request still gets an answer) and passes now; the request reaches two engines. TestSSEReader stated that the end inside an event is a clean one; TestEngineEvents replaces it and demands the error without bytes, and the bound on size for events of many lines too.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
+	"github.com/wigeonhill/wigeonhill/internal/sse"
 )
 
 type fakeFrames []*peerv1.ForwardResponse
@@ -172,19 +173,22 @@
 	}
 }
 
-// Guards the event reader: it returns only complete events and bounds their size.
-func TestSSEReader(t *testing.T) {
-	reader := newSSEReader(strings.NewReader(": note\n\ndata: a\r\ndata:b\r\n\r\nevent: x\ndata: c\n\ndata: half\n"))
-	for _, want := range []string{"a\nb", "c"} {
-		if ev, err := reader.next(); err != nil || string(ev.data) != want {
-			t.Fatalf("%q %v, want %q", ev.data, err, want)
+// Guards the events of engines: only complete ones are returned, and their size is
+// bounded.
+func TestEngineEvents(t *testing.T) {
+	reader := sse.NewReader(strings.NewReader(": note\n\ndata: a\r\ndata:b\r\n\r\nevent: x\ndata: c\n\ndata: half\n"))
+	for _, want := range []string{"", "a\nb", "c"} {
+		if ev, err := nextEvent(reader); err != nil || string(sse.Data(ev.Raw)) != want {
+			t.Fatalf("%q %v, want %q", ev.Raw, err, want)
 		}
 	}
-	if _, err := reader.next(); err != io.ErrUnexpectedEOF || !reader.cleanEOF {
-		t.Fatal(err)
+	if ev, err := nextEvent(reader); err != io.ErrUnexpectedEOF || len(ev.Raw) > 0 {
+		t.Fatal(ev, err)
 	}
-	if _, err := newSSEReader(strings.NewReader("data: " + strings.Repeat("x", maxEventBytes))).next(); err != errEventTooLarge {
-		t.Fatal(err)
+	for _, text := range []string{"data: " + strings.Repeat("x", sse.MaxEventBytes), strings.Repeat("data: x\n", sse.MaxEventBytes/8)} {
+		if _, err := nextEvent(sse.NewReader(strings.NewReader(text))); err != errEventTooLarge {
+			t.Fatal(err)
+		}
 	}
 }
 
--- a/internal/dispatch/sse.go
+++ b/internal/dispatch/sse.go
@@ -1,80 +1,25 @@
 package dispatch
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
-	"io"
 
 	"github.com/cockroachdb/errors"
-)
 
-// maxEventBytes bounds one server-sent event in bytes.
-const maxEventBytes = 256 << 10
+	"github.com/wigeonhill/wigeonhill/internal/sse"
+)
 
 var (
 	errEventTooLarge = errors.New("a server-sent event exceeds the bound")
 	doneData         = []byte("[DONE]")
 )
 
-// sseEvent is one complete event.
-type sseEvent struct {
-	raw  []byte // with the blank line that ends it
-	data []byte
-}
-
-// sseReader reads complete events. A partial event at the end of the input is
-// reported as io.ErrUnexpectedEOF and never returned.
-type sseReader struct {
-	r *bufio.Reader
-	// cleanEOF is set if the input ended as its transport prescribes.
-	cleanEOF bool
-}
-
-func newSSEReader(r io.Reader) *sseReader { return &sseReader{r: bufio.NewReader(r)} }
-
-func (s *sseReader) next() (sseEvent, error) {
-	var ev sseEvent
-	for {
-		line, err := s.readLine(maxEventBytes - len(ev.raw))
-		if err != nil {
-			s.cleanEOF = err == io.EOF
-			if err == io.EOF && (len(line) > 0 || len(ev.raw) > 0) {
-				err = io.ErrUnexpectedEOF
-			}
-			return sseEvent{}, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			if len(ev.data) == 0 {
-				ev.raw = nil // comments and blank lines only
-				continue
-			}
-			ev.raw = append(ev.raw, '\n')
-			return ev, nil
-		}
-		ev.raw = append(append(ev.raw, text...), '\n')
-		if value, ok := bytes.CutPrefix(text, []byte("data:")); ok {
-			if len(ev.data) > 0 {
-				ev.data = append(ev.data, '\n')
-			}
-			ev.data = append(ev.data, bytes.TrimPrefix(value, []byte(" "))...)
-		}
-	}
-}
-
-func (s *sseReader) readLine(limit int) ([]byte, error) {
-	var line []byte
-	for {
-		fragment, err := s.r.ReadSlice('\n')
-		if len(line)+len(fragment) > limit {
-			return nil, errEventTooLarge
-		}
-		line = append(line, fragment...)
-		if err != bufio.ErrBufferFull {
-			return line, err
-		}
+// nextEvent returns the next event of an engine's stream.
+func nextEvent(r *sse.Reader) (sse.Piece, error) {
+	p, err := r.Next()
+	if p.More || errors.Is(err, sse.ErrLineTooLong) {
+		return sse.Piece{}, errEventTooLarge
 	}
+	return p, err
 }
 
 // usage is the token count that an engine reports at the end of a response.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -6,32 +6,38 @@
 	"io"
 
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/sse"
 )
 
 // deliverStream passes on the events of an engine. Events without output (the
 // finish reason, the usage) are held until the next output or the end marker: if
 // the engine is lost before that, the engine that resumes sends them again.
 func (r *run) deliverStream(ctx context.Context, resp *attemptResponse) error {
-	events := newSSEReader(resp.body)
+	events := sse.NewReader(resp.body)
 	resumedAt := r.deliveredTokens
 	var pending [][]byte
 	var reported *usage
 	for {
-		ev, err := events.next()
+		ev, err := nextEvent(events)
 		if err == io.EOF || err == io.ErrUnexpectedEOF {
 			attemptErr := newAttemptError(result.TargetFailed, true, "the stream of the target ended early", err)
-			attemptErr.crash, err = !events.cleanEOF, attemptErr
+			// A target that ended the response itself is still running.
+			attemptErr.crash, err = err != io.EOF || resp.endsWithConnection, attemptErr
 		}
 		if err != nil {
 			return classifyReadError(ctx, err)
 		}
-		if bytes.Equal(ev.data, doneData) {
+		data := sse.Data(ev.Raw)
+		if len(data) == 0 {
+			continue
+		}
+		if bytes.Equal(data, doneData) {
 			if reported == nil {
 				return newAttemptError(result.TargetFailed, true, "the stream ended without usage", nil)
 			}
-			return r.endStream(resp, pending, ev.raw, reported, resumedAt)
+			return r.endStream(resp, pending, ev.Raw, reported, resumedAt)
 		}
-		c, err := parseChunk(ev.data)
+		c, err := parseChunk(data)
 		if err != nil {
 			return newAttemptError(result.TargetFailed, true, "the stream of the target is damaged", err)
 		}
@@ -45,14 +51,14 @@
 			// The first event of a resumed stream repeats the role, and its last
 			// one a finish reason that may have been sent with the last output.
 			if resumedAt == 0 || c.usage != nil || c.finished && !r.finished {
-				pending = append(pending, ev.raw)
+				pending = append(pending, ev.Raw)
 			}
 			if len(pending) > maxPendingEvents {
 				return newAttemptError(result.TargetFailed, true, "the stream has too many events without output", nil)
 			}
 			continue
 		}
-		if err := r.sendEvents(resp, append(pending, ev.raw)); err != nil {
+		if err := r.sendEvents(resp, append(pending, ev.Raw)); err != nil {
 			return err
 		}
 		pending = nil
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -16,8 +16,8 @@
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
-// attemptResponse is the response to one attempt. body returns io.EOF only if the
-// transport proves that the body is complete.
+// attemptResponse is the response to one attempt. body returns io.EOF only at the
+// end that the framing of the response marks.
 type attemptResponse struct {
 	status int
 	header http.Header
@@ -25,6 +25,9 @@
 	size   int64
 	body   io.Reader
 	close  func()
+	// endsWithConnection is set if only the end of the connection marks the end of
+	// the body, as it does if the target crashes.
+	endsWithConnection bool
 	// exclude names what to exclude if the response is interrupted; see
 	// attemptError.
 	exclude string
@@ -114,6 +117,7 @@
 	if c.Method == http.MethodHead || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
 		return out, nil
 	}
+	out.endsWithConnection = true
 	// The end of the connection is the end of the body. Only a stream with its
 	// own end marker can be distinguished from a truncated one.
 	if t.Kind == config.Engine && c.Stream {
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -45,6 +45,38 @@
 	}
 }
 
+func TestRequestWhoseStreamsEndWithTheirConnectionIsSuspected(t *testing.T) {
+	for name, text := range map[string]string{"inside an event": tokenEvent(0) + tokenEvent(1)[:9], "before the end marker": tokenEvent(0)} {
+		cluster := newTestCluster(t)
+		var crashes atomic.Int32
+		for i := 1; i < 5; i++ {
+			cluster.startTarget(fmt.Sprintf("t%d", i), "north", config.Engine, func(rw http.ResponseWriter, _ *http.Request) {
+				crashes.Add(1)
+				respondRaw(t, rw, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+text)
+			})
+		}
+		n := cluster.startInstance("n", "north")
+		for range 3 {
+			n.sendChat(true)
+		}
+		n.expectError(t, n.sendChat(true), result.RequestBlocked, "not_run")
+		if crashes.Load() != 2 {
+			t.Errorf("%s: the request reached %d targets", name, crashes.Load())
+		}
+	}
+}
+
+// respondRaw writes a response to the connection as it is and closes it.
+func respondRaw(t *testing.T, w http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	_, _ = io.WriteString(conn, text)
+	_ = conn.Close()
+}
+
 // Guards the retry budget: when every request fails once, about a tenth of them
 // are retried, and the responses to the others say that they may have run.
 func TestRetriesAreBounded(t *testing.T) {
