Accept responses that end with their connection

What callers saw, on the path of serve: status 502 for each response of a plain service, and each whole response of an engine, that has neither length nor chunks, although it was complete.

Cause: such responses were refused because a crash looks like their end.

Change: the usual end of the connection ends such a response, a reset breaks it off. A whole response of an engine still needs its usage; without it, if it ended with its connection, it counts as broken off for crash suspects too.

--- a/internal/dispatch/deliver.go
+++ b/internal/dispatch/deliver.go
@@ -62,7 +62,9 @@
 	}
 	if resp.status == http.StatusOK {
 		if r.usage = responseUsage(body); r.usage == nil {
-			return newAttemptError(result.TargetFailed, true, "the answer of the engine is incomplete", nil)
+			attemptErr := newAttemptError(result.TargetFailed, true, "the answer of the engine is incomplete", nil)
+			attemptErr.crash = resp.endsWithConnection
+			return attemptErr
 		}
 	}
 	if err := r.sendHead(resp, int64(len(body))); err != nil {
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -114,17 +114,8 @@
 		out.close()
 		return nil, failed
 	}
-	if c.Method == http.MethodHead || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
-		return out, nil
-	}
-	out.endsWithConnection = true
-	// The end of the connection is the end of the body. Only a stream with its
-	// own end marker can be distinguished from a truncated one.
-	if t.Kind == config.Engine && c.Stream {
-		return out, nil
-	}
-	out.close()
-	return nil, newAttemptError(result.TargetFailed, true, "the answer of the target has no length", nil)
+	out.endsWithConnection = c.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return out, nil
 }
 
 // classifyConnectionError classifies an attempt that got no response.
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -126,3 +127,37 @@
 		t.Errorf("directory: %+v", r)
 	}
 }
+
+func TestResponseWithoutLengthIsCompleteUnlessReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		body     string
+		reset    bool
+		complete bool
+	}{
+		"short":        {"12345", false, true},
+		"empty":        {"", false, true},
+		"long":         {strings.Repeat("x", 300<<10), false, true},
+		"short, reset": {"12345", true, false},
+		"long, reset":  {strings.Repeat("x", 300<<10), true, false},
+	} {
+		cluster := newTestCluster(t)
+		handler := func(rw http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(rw).Hijack()
+			check(t, err)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"+c.body)
+			if c.reset {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+		cluster.startTarget("t1", "south", config.PlainService, handler)
+		south, north := cluster.startInstance("s", "south"), cluster.startInstance("n", "north")
+		for _, n := range []*testInstance{south, north} {
+			r := n.do("POST", bookingsPath, "book")
+			complete := r.err == nil && r.status == 200 && r.body == c.body
+			if complete != c.complete || r.err == nil && r.status == 200 && !complete {
+				t.Errorf("%s: status %d, %d of %d bytes, %v", name, r.status, len(r.body), len(c.body), r.err)
+			}
+		}
+	}
+}
