Pass on event streams of plain services by whole events

What callers saw, on the path of serve: an event stream of a plain service that was broken off inside an event arrived as complete, with a Content-Length that fits; and its events arrived only when 64 KB had come or the stream had ended.

Cause: such a stream was passed on as a body.

Change: it is read with package sse and passed on event by event; an end inside an event breaks the response off, whatever its framing.

Evidence: TestEventStreamOfPlainServiceCutInsideEventIsNotComplete fails on the code before in each of its 12 cases that are cut, with and without a hop, and TestEventsOfPlainServiceArriveAtOnce gets nothing; both pass now.

--- a/internal/dispatch/deliver.go
+++ b/internal/dispatch/deliver.go
@@ -78,6 +78,9 @@
 	if r.call.Method == http.MethodHead {
 		return r.sendHead(resp, resp.size)
 	}
+	if sse.IsStream(resp.header) {
+		return r.deliverServiceEvents(ctx, resp)
+	}
 	buf := make([]byte, prefetchBytes)
 	n, err := readFull(resp.body, buf)
 	if err == io.EOF {
@@ -106,6 +109,27 @@
 	}
 }
 
+// deliverServiceEvents passes on a stream of events of a plain service, each as it
+// arrives. One that ends inside an event has been broken off.
+func (r *run) deliverServiceEvents(ctx context.Context, resp *attemptResponse) error {
+	events := sse.NewReader(resp.body)
+	for {
+		p, err := events.Next()
+		if err != nil && err != io.EOF {
+			return classifyReadError(ctx, err)
+		}
+		if err := r.sendHead(resp, -1); err != nil {
+			return err
+		}
+		if err := r.sendData(p.Raw); err != nil {
+			return err
+		}
+		if err == io.EOF {
+			return nil
+		}
+	}
+}
+
 // readFull reads until buf is full. Unlike io.ReadFull it distinguishes io.EOF,
 // the end of a body, from io.ErrUnexpectedEOF, which net/http returns for a body
 // that was cut short.
@@ -131,7 +155,7 @@
 		return attemptErr
 	}
 	lostErr := newAttemptError(result.TargetFailed, true, "the target was lost in mid-answer", err)
-	lostErr.crash = !errors.Is(err, errEventTooLarge)
+	lostErr.crash = !errors.Is(err, errEventTooLarge) && !errors.Is(err, sse.ErrLineTooLong)
 	return lostErr
 }
 
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -161,3 +162,43 @@
 		}
 	}
 }
+
+func TestEventStreamOfPlainServiceCutInsideEventIsNotComplete(t *testing.T) {
+	const whole = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"
+	for cut, complete := range map[int]bool{len(whole): true, len(whole) - 1: false, len(whole) - 2: false, len(whole)/2 + 3: false} {
+		for _, framing := range []string{"Connection: close\r\n\r\n", fmt.Sprintf("Content-Length: %d\r\n\r\n", cut)} {
+			cluster := newTestCluster(t)
+			cluster.startTarget("t1", "south", config.PlainService, func(rw http.ResponseWriter, _ *http.Request) {
+				respondRaw(t, rw, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"+framing+whole[:cut])
+			})
+			south, north := cluster.startInstance("s", "south"), cluster.startInstance("n", "north")
+			for _, n := range []*testInstance{south, north} {
+				r := n.do("POST", bookingsPath, "book")
+				if (r.err == nil) != complete || complete && r.body != whole || r.status != 200 || !strings.HasPrefix(whole, r.body) {
+					t.Errorf("cut after %d of %d bytes, %q: %+v", cut, len(whole), framing, r)
+				}
+			}
+		}
+	}
+}
+
+// Guards against events of a plain service that are held until the response ends.
+func TestEventsOfPlainServiceArriveAtOnce(t *testing.T) {
+	cluster := newTestCluster(t)
+	received := make(chan struct{})
+	cluster.startTarget("t1", "north", config.PlainService, func(rw http.ResponseWriter, r *http.Request) {
+		writeEvents(rw, "data: a\n\n")
+		recv(t, received)
+		writeEvents(rw, "data: b\n\n")
+	})
+	n := cluster.startInstance("n", "north")
+	resp, err := n.send(t.Context(), "POST", bookingsPath, "book")
+	check(t, err)
+	first := make([]byte, len("data: a\n\n"))
+	_, err = io.ReadFull(resp.Body, first)
+	check(t, err)
+	close(received)
+	if r := readResponse(resp); r.body != "data: b\n\n" || r.err != nil {
+		t.Errorf("%+v", r)
+	}
+}
