Do not take a stream without events for complete when its connection ends

What callers would see: an engine that crashes after the head of its response and before its first event leaves a stream without events and status 200. If it crashes while it resumes a stream, the part delivered before ends as complete.

Change: a stream that ends with its connection must have had an event, also when it is resumed. One whose end is marked otherwise may be empty.

Evidence: TestStreamWithoutEventsThatEndsWithConnectionIsNotComplete fails on the code before for each of its four cases that end with the connection and passes now.

Ruled out: to accept it when a stream is resumed, as the first target may have been lost after its last event. Then the caller's connection is cut although it has every event; the opposite error would be silent.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,7 +23,12 @@
 // response is interrupted.
 const maxBufferedResponse = 256 << 10
 
-var errUnresponsive = errors.New("no answer in a multiple of the usual time")
+var (
+	errUnresponsive = errors.New("no answer in a multiple of the usual time")
+	// errNoEvents is for streams that end with their connection: whether the target
+	// had nothing to say or crashed before its first event is not known.
+	errNoEvents = errors.New("the stream ended without an event")
+)
 
 // attempt sends a call to the target or region of choice and passes the response
 // on. It returns nil if the response was passed on completely.
@@ -200,6 +205,9 @@
 	}
 	for {
 		piece, err := events.next()
+		if err == io.EOF && resp.framing == closeFraming && !events.sawEvent {
+			err = errNoEvents
+		}
 		if err != nil && err != io.EOF {
 			return readFailure(err)
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -202,3 +202,26 @@
 		}
 	}
 }
+
+func TestStreamWithoutEventsThatEndsWithConnectionIsNotComplete(t *testing.T) {
+	for _, text := range []string{"", ": comment\n\n"} {
+		for fr, complete := range map[framing]bool{closeFraming: false, lengthFraming: true, chunkFraming: true, tailFraming: true} {
+			for _, resumed := range []bool{false, true} {
+				g, s := newTestGateway(), &recordingSink{}
+				d := &delivery{sink: s}
+				if resumed {
+					d.started, d.resumable, d.lastEventID = true, true, "3"
+				}
+				resp := streamOf(strings.NewReader(text))
+				resp.framing = fr
+				if f := g.deliver(resumableCall(), resp, d, func() {}); (f == nil) != complete {
+					t.Errorf("%q, %s, resumed %v: %v", text, fr, resumed, f)
+				}
+			}
+		}
+	}
+	g, d := newTestGateway(), &delivery{sink: &recordingSink{}, started: true, resumable: true, lastEventID: "3"}
+	if f := g.deliver(resumableCall(), streamOf(strings.NewReader("id: 3\ndata: c\n\n")), d, func() {}); f != nil {
+		t.Errorf("resumed with an event that was delivered before: %v", f)
+	}
+}
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -20,6 +20,8 @@
 	// inEvent is set if the next piece continues an event, skipping if that event is
 	// skipped.
 	inEvent, skipping bool
+	// sawEvent is set once the response has had an event, also one that is skipped.
+	sawEvent bool
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -49,6 +51,7 @@
 			e.skipping = e.alreadyDelivered(p.ID)
 		}
 		e.inEvent = p.More
+		e.sawEvent = e.sawEvent || !p.Comment
 		if !e.skipping {
 			return p, nil
 		}
