Let targets of the soak frame responses in each way and break them off

Change: half of the responses are framed at random (length, chunks, end of the connection), a third of these are broken off where it can be told: inside an event, by a reset, or before the announced end. The proxy passes resets on.

--- a/internal/instance/soak_proxy_test.go
+++ b/internal/instance/soak_proxy_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -109,7 +110,8 @@
 }
 
 // relay forwards bytes until the source ends. If bytes were dropped, it resets
-// the connection when the fault is over, as happens after a partition.
+// the connection when the fault is over or the source ends, as happens after a
+// partition; a reset of the source is passed on too.
 func (p *proxy) relay(to, from *net.TCPConn, fromServer bool) {
 	defer to.CloseWrite()
 	buf := make([]byte, 16<<10)
@@ -131,8 +133,13 @@
 				return
 			}
 		}
-		if err != nil {
-			return
+		if err == nil {
+			continue
 		}
+		if dropped || err != io.EOF {
+			_ = to.SetLinger(0)
+			_ = to.Close()
+		}
+		return
 	}
 }
--- a/internal/instance/soak_test.go
+++ b/internal/instance/soak_test.go
@@ -79,6 +79,7 @@
 //   - a request that was refused as not run has not run and does not run later;
 //   - a success is the complete response of a target that ran this very request;
 //   - a stream has every event once and in order;
+//   - a response that a target broke off does not look complete, whatever its framing;
 //   - the team is that of the API key, the key reaches no target, and a request that
 //     is restricted to a region runs nowhere else;
 //   - once the faults have ended, every instance serves again.
@@ -181,13 +182,38 @@
 }
 
 // handle is the handler of the targets: it responds after a random delay, with
-// events if the path is that of the stream route.
+// events if the path is that of the stream route. Half of the responses are framed
+// at random, and some of these are broken off.
 func (s *soak) handle(w http.ResponseWriter, r *http.Request) bool {
 	time.Sleep(time.Duration(s.intN(30)) * time.Millisecond)
-	if strings.HasPrefix(r.URL.Path, "/stream/") {
-		return eventStream(eventsPerStream, eventsPerStream)(w, r)
+	stream := strings.HasPrefix(r.URL.Path, "/stream/")
+	if s.intN(2) == 0 {
+		return stream && eventStream(eventsPerStream, eventsPerStream)(w, r)
+	}
+	target := strings.TrimPrefix(w.Header().Get("X-Response-Signature"), "signed-by-")
+	response := rawResponse{framing: []string{"length", "chunks", "close"}[s.intN(3)], contentType: "text/plain"}
+	response.body = fmt.Sprintf("%s %s %s", target, r.RequestURI, r.Header.Get("X-Request-Id"))
+	if stream {
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		response.body = strings.TrimPrefix(streamText(eventsPerStream, "\n"), streamText(after, "\n"))
+		response.contentType = "text/event-stream"
+	}
+	if s.intN(3) == 0 && response.body != "" {
+		s.breakOff(&response, stream)
+	}
+	return response.handler(target)(w, r)
+}
+
+// breakOff cuts a response, in a way that its receiver can detect.
+func (s *soak) breakOff(response *rawResponse, stream bool) {
+	whole := response.body
+	cut := s.intN(len(whole))
+	betweenEvents := cut > 0 && strings.HasSuffix(whole[:cut], "\n\n")
+	response.body, response.complete = whole[:cut], whole
+	response.reset = response.framing == "close" && (!stream || betweenEvents || s.intN(2) == 0)
+	if stream && cut > 0 && !betweenEvents && s.intN(2) == 0 {
+		response.complete = response.body // the framing says that it is whole
 	}
-	return false
 }
 
 func (s *soak) intN(n int) int {
