Leave answers that broke off out of answer_seconds

What operators saw: the histogram of whole answers contains answers that broke off after their first byte, which makes them look shorter than they are.

Cause: it was filled for each response that had begun.

Change: only complete answers are counted; first_byte_seconds stays as it was.

Evidence: TestBrokenResponseIsNotCountedAsAnswered fails on the code before and passes now; it also demands that an answer that breaks off counts as such in requests_total and responses_total.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -225,3 +225,43 @@
 		t.Errorf("resumed with an event that was delivered before: %v", f)
 	}
 }
+
+func TestBrokenResponseIsNotCountedAsAnswered(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		registry := prometheus.NewRegistry()
+		g, c := newTestGateway(), resumableCall()
+		g.Metrics = NewMetrics(registry)
+		text := "id: 1\ndata: a\n\n"
+		if !complete {
+			text += "id: 2\nda"
+		}
+		d := &delivery{sink: &recordingSink{}}
+		var err error
+		if f := g.deliver(c, streamOf(strings.NewReader(text)), d, func() {}); f != nil {
+			err = f
+		}
+		g.Metrics.recordRequest(c, d, err, time.Now())
+		families, gatherErr := registry.Gather()
+		if gatherErr != nil {
+			t.Fatal(gatherErr)
+		}
+		got := map[string]string{}
+		for _, family := range families {
+			for _, m := range family.GetMetric() {
+				for _, label := range m.GetLabel() {
+					got[family.GetName()+" "+label.GetName()] = label.GetValue()
+				}
+			}
+		}
+		wantCode, wantEnd := "0", "complete"
+		if !complete {
+			wantCode, wantEnd = "403", "stream_interrupted"
+		}
+		if got["wigeonhill_requests_total code"] != wantCode || got["wigeonhill_responses_total end"] != wantEnd || got["wigeonhill_responses_total framing"] != "close" {
+			t.Errorf("complete %v: %v", complete, got)
+		}
+		if _, answered := got["wigeonhill_answer_seconds kind"]; answered != complete {
+			t.Errorf("complete %v: counted in answer_seconds: %v", complete, answered)
+		}
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,7 +42,7 @@
 	m := &Metrics{
 		requests:      prometheus.NewCounterVec(counter("requests_total", "Requests of callers by kind of route, result code (0: answered) and where they ran."), []string{"kind", "code", "region"}),
 		firstByte:     prometheus.NewHistogramVec(histogram("first_byte_seconds", "Time from arrival to the first byte of the answer."), []string{"kind", "region"}),
-		fullResponse:  prometheus.NewHistogramVec(histogram("answer_seconds", "Time from arrival to the end of the answer."), []string{"kind", "region"}),
+		fullResponse:  prometheus.NewHistogramVec(histogram("answer_seconds", "Time from arrival to the end of the answer, without answers that broke off."), []string{"kind", "region"}),
 		streamGap:     prometheus.NewHistogram(histogram("stream_gap_seconds", "Longest pause between two events of a stream.")),
 		attempts:      prometheus.NewCounterVec(counter("attempts_total", "Attempts at targets and other regions by outcome."), []string{"outcome"}),
 		responses:     prometheus.NewCounterVec(counter("responses_total", "Responses that were begun by targets or other regions, by what marks the end of the body (length, chunks, close, tail) and how they ended (complete or the name of a result code)."), []string{"framing", "end"}),
@@ -72,7 +72,9 @@
 		return
 	}
 	m.firstByte.WithLabelValues(kind, region).Observe(d.firstByteAt.Sub(c.arrived).Seconds())
-	m.fullResponse.WithLabelValues(kind, region).Observe(now.Sub(c.arrived).Seconds())
+	if err == nil {
+		m.fullResponse.WithLabelValues(kind, region).Observe(now.Sub(c.arrived).Seconds())
+	}
 	if d.longestGap > 0 {
 		m.streamGap.Observe(d.longestGap.Seconds())
 	}
