Refuse values of the configuration service that may be cut

What callers would see, on the path of serve: teams, keys and routes that are missing, after the configuration service or a proxy before it failed while it sent a configuration without length. Any part of such a text that ends with a line is a valid configuration.

Cause: the client took the end of the connection for the end of the text.

Evidence: TestTruncatedValueIsNotAccepted fails on the code before for the value without length and passes now. The other readers of such answers decode JSON, which a cut makes invalid.

--- a/internal/confservice/client.go
+++ b/internal/confservice/client.go
@@ -121,6 +121,9 @@
 	if err != nil || v.Revision <= 0 {
 		return Value{}, false, errors.Newf("the configuration service returned invalid revision %q", res.Header.Get("X-Revision"))
 	}
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return Value{}, false, errors.New("the response of the configuration service has no length, so it cannot be told from a part of it")
+	}
 	v.Text, err = io.ReadAll(io.LimitReader(res.Body, maxValueBytes+1))
 	c.calls.bytes.Add(uint64(len(v.Text)))
 	if err != nil {
--- a/internal/confservice/client_test.go
+++ b/internal/confservice/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +14,29 @@
 	"github.com/cockroachdb/errors"
 )
 
+func TestTruncatedValueIsNotAccepted(t *testing.T) {
+	const text = "[team a]\nrate = 1\n[team b]\nrate = 1\n"
+	for framing, complete := range map[string]bool{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", len(text)):   true,
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*len(text)): false,
+		"Connection: close\r\n\r\n":                            false,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Revision: 7\r\n"+framing+text)
+			_ = conn.Close()
+		}))
+		if v, err := NewClient(server.URL).Read(t.Context(), ConfigName); (err == nil) != complete {
+			t.Errorf("%q: %q, %v", framing, v.Text, err)
+		}
+		server.Close()
+	}
+}
+
 // Guards against accepting responses of the service that are malformed, too
 // large or older than requested.
 func TestClient(t *testing.T) {
