Check each message of a forwarded response

What callers would see: a response over a hop with bytes of another request, or with a part missing, that looks complete, if messages of the hop are mixed up. A response to another request would be passed on up to its tail.

Cause: forwardBody looked at the data and the tail only; it ignored the request id and passed over messages without data. After the tail it read on.

Change: a message of another request, a second head or a message without data breaks the response off; a tail that reports success without a head does not say that the request was not run; the end is kept.

Evidence: TestForwardedResponseIsCompleteOnlyWithItsTail fails on the code before (tried with the stream's type made an interface) for crossed messages, a crossed tail, a second head, a message without part, a lone tail and the read after the end, and passes now.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,7 +30,7 @@
 	stream, err := g.Clients.Client(address).Forward(conn.trace(ctx), connect.NewRequest(g.forwardRequest(c, lastEventID)))
 	if err == nil {
 		var head *peerv1.Head
-		respBody := &forwardBody{stream: stream, cancel: cancel}
+		respBody := &forwardBody{stream: stream, requestID: c.ID, cancel: cancel}
 		if head, err = respBody.head(); err == nil {
 			h := http.Header{}
 			for _, p := range head.GetHeaders() {
@@ -75,54 +75,84 @@
 	return req
 }
 
+// forwardStream is the receiving side of the response to a forwarded request.
+type forwardStream interface {
+	Receive() bool
+	Msg() *peerv1.ForwardResponse
+	Err() error
+	Close() error
+}
+
 // forwardBody reads the response to a forwarded request. Read returns io.EOF only
 // after a tail that reports success.
 type forwardBody struct {
-	stream *connect.ServerStreamForClient[peerv1.ForwardResponse]
-	cancel context.CancelFunc
-	data   []byte
+	stream    forwardStream
+	requestID string
+	cancel    context.CancelFunc
+	data      []byte
+	err       error // ends the response
 }
 
-func (f *forwardBody) head() (*peerv1.Head, error) {
+// receive returns the next message of the response.
+func (f *forwardBody) receive() (*peerv1.ForwardResponse, error) {
 	if !f.stream.Receive() {
-		return nil, f.receiveError()
+		if err := f.stream.Err(); err != nil {
+			return nil, err
+		}
+		return nil, io.ErrUnexpectedEOF
+	}
+	msg := f.stream.Msg()
+	if msg.GetRequestId() != f.requestID {
+		return nil, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop is one to request %q", msg.GetRequestId())
 	}
-	if tail := f.stream.Msg().GetTail(); tail != nil {
+	return msg, nil
+}
+
+func (f *forwardBody) head() (*peerv1.Head, error) {
+	msg, err := f.receive()
+	if err != nil {
+		return nil, err
+	}
+	if tail := msg.GetTail(); tail != nil && tail.GetCode() != 0 {
 		return nil, tailFailure(tail)
 	}
-	head := f.stream.Msg().GetHead()
+	head := msg.GetHead()
 	if head == nil {
 		return nil, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop has no head")
 	}
 	return head, nil
 }
 
-func (f *forwardBody) receiveError() error {
-	if err := f.stream.Err(); err != nil {
-		return err
-	}
-	return io.ErrUnexpectedEOF
-}
-
 // Read implements io.Reader.
 func (f *forwardBody) Read(p []byte) (int, error) {
-	for len(f.data) == 0 {
-		if !f.stream.Receive() {
-			return 0, f.receiveError()
-		}
-		if tail := f.stream.Msg().GetTail(); tail != nil {
-			if tail.GetCode() == 0 {
-				return 0, io.EOF
-			}
-			return 0, tailFailure(tail)
-		}
-		f.data = f.stream.Msg().GetData()
+	for len(f.data) == 0 && f.err == nil {
+		f.data, f.err = f.nextData()
+	}
+	if len(f.data) == 0 {
+		return 0, f.err
 	}
 	n := copy(p, f.data)
 	f.data = f.data[n:]
 	return n, nil
 }
 
+func (f *forwardBody) nextData() ([]byte, error) {
+	msg, err := f.receive()
+	if err != nil {
+		return nil, err
+	}
+	switch part := msg.GetPart().(type) {
+	case *peerv1.ForwardResponse_Data:
+		return part.Data, nil
+	case *peerv1.ForwardResponse_Tail:
+		if part.Tail.GetCode() == 0 {
+			return nil, io.EOF
+		}
+		return nil, tailFailure(part.Tail)
+	}
+	return nil, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "a message of the hop has no data")
+}
+
 // Close implements io.Closer.
 func (f *forwardBody) Close() error {
 	f.cancel()
