Reset an unfinished HTTP/1.0 response also when the server or process ends

What callers would see: an HTTP/1.0 caller whose response is running when the drain times out, or when the instance is killed, takes the part for all of it.

Cause: the connection was set to reset only where a handler breaks a response off. Closed by anything else, it ends in the usual way.

Change: the connection is set to reset before the handler runs and back after it has returned, in one wrapper around the handlers of both servers, so that whatever ends the connection before that resets it.

Evidence: TestResponseCutByServerEndIsIncompleteForAnyHTTPVersion fails on the code before for HTTP/1.0 and passes now. A killed process was not tried.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -19,7 +19,6 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
-	"github.com/wigeonhill/wigeonhill/internal/httpabort"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
@@ -116,8 +115,8 @@
 }
 
 // finish writes the error, if any, waits until the response has been written
-// out, and reports the request. It does not
-// return if the response is incomplete and the connection must be closed to show it.
+// out, and reports the request. It panics with http.ErrAbortHandler if the
+// response is incomplete and the connection must be closed to show it.
 func (x *exchange) finish(out dispatch.Outcome, err error) {
 	abort := false
 	if x.sink == nil || !x.sink.started() {
@@ -132,7 +131,8 @@
 	}
 	x.report(out, err)
 	if abort {
-		httpabort.Abort(x.r)
+		// The caller must not mistake the truncated response for a complete one.
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -178,7 +178,7 @@
 	x.s.Log.Emit(event.PanicRecovered, zap.String("request", x.id), zap.Any("panic", p), zap.Stack("stack"))
 	if x.sink != nil && x.sink.started() {
 		_ = x.sink.end(nil, true)
-		httpabort.Abort(x.r)
+		panic(http.ErrAbortHandler)
 	}
 	x.writeError(result.New(result.InternalError, result.MayHaveRun, "internal fault"))
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -82,7 +82,7 @@
 func New(cfg Config) *Server {
 	s := &Server{Config: cfg, conns: newConnLimiter(connectionLimit(cfg.Bounds))}
 	s.http = &http.Server{
-		Handler:           s.routes(),
+		Handler:           httpabort.Handler(s.routes()),
 		ReadHeaderTimeout: cfg.Bounds.ReadTimeout,
 		IdleTimeout:       cfg.Bounds.IdleTimeout,
 		MaxHeaderBytes:    cfg.Bounds.MaxHeader,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -49,7 +49,7 @@
 	e.HideBanner, e.HidePort = true, true
 	e.RouteNotFound("/*", g.handleRequest)
 	return &http.Server{
-		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeader,
+		Handler: httpabort.Handler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeader,
 		ConnContext: httpabort.ConnContext,
 		// Errors of callers' connections would fill the log.
 		ErrorLog: log.New(io.Discard, "", 0),
@@ -219,7 +219,7 @@
 	g.logFailure(c, result.FromError(err), zap.String("framing", string(d.framing)), zap.String("caller_protocol", r.Proto))
 	// The connection is aborted so that the caller does not take a partial response
 	// for a complete one.
-	httpabort.Abort(r)
+	panic(http.ErrAbortHandler)
 }
 
 // writeErrorResponse logs err and writes it as the complete response.
@@ -227,7 +227,7 @@
 	e := result.FromError(err)
 	g.logFailure(c, e)
 	if r.Context().Err() != nil {
-		httpabort.Abort(r) // the caller closed the connection
+		panic(http.ErrAbortHandler) // the caller closed the connection
 	}
 	platform.SetErrorHeaders(w.Header(), c.ID, e.RetryAfter)
 	w.Header().Set("Content-Type", "text/plain")
--- a/internal/httpabort/httpabort.go
+++ b/internal/httpabort/httpabort.go
@@ -1,5 +1,5 @@
-// Package httpabort breaks off HTTP responses so that the caller cannot take them
-// for complete.
+// Package httpabort keeps callers from taking a response that was broken off for a
+// complete one. A handler breaks a response off with panic(http.ErrAbortHandler).
 package httpabort
 
 import (
@@ -10,16 +10,24 @@
 
 type connKey struct{}
 
-// ConnContext is a hook for http.Server.ConnContext. Abort needs it.
+// ConnContext is a hook for http.Server.ConnContext. Handler needs it.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Abort ends the handler of r and closes the connection. A response to HTTP/1.0
-// without Content-Length ends with its connection, so that connection is reset.
-func Abort(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(sec int) error }); ok && !r.ProtoAtLeast(1, 1) {
-		_ = c.SetLinger(0) // fails only if the connection is closed
-	}
-	panic(http.ErrAbortHandler)
+// Handler wraps next. A response to HTTP/1.0 without Content-Length ends with its
+// connection, so until next has returned, such a connection is reset when it is
+// closed, also by the end of the process.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(sec int) error })
+		if r.ProtoAtLeast(1, 1) || !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		// SetLinger fails only if the connection is closed.
+		_ = c.SetLinger(0)
+		next.ServeHTTP(w, r)
+		_ = c.SetLinger(-1)
+	})
 }
--- a/internal/httpabort/httpabort_test.go
+++ b/internal/httpabort/httpabort_test.go
@@ -19,11 +19,11 @@
 			_, _ = io.WriteString(w, "first half")
 			_ = http.NewResponseController(w).Flush()
 			if r.URL.Path == "/abort" {
-				Abort(r)
+				panic(http.ErrAbortHandler)
 			}
 			_, _ = io.WriteString(w, "other half")
 		}))
-		s.Config.ConnContext = ConnContext
+		s.Config.ConnContext, s.Config.Handler = ConnContext, Handler(s.Config.Handler)
 		s.Start()
 		defer s.Close()
 		for _, version := range []string{"1.0", "1.1"} {
@@ -46,3 +46,35 @@
 		}
 	}
 }
+
+func TestResponseCutByServerEndIsIncompleteForAnyHTTPVersion(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		stop := make(chan struct{})
+		s := httptest.NewUnstartedServer(Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, "first half")
+			_ = http.NewResponseController(w).Flush()
+			<-stop
+		})))
+		s.Config.ConnContext = ConnContext
+		s.Start()
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "GET / HTTP/%s\r\nHost: h\r\n\r\n", version)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(resp.Body, make([]byte, len("first half"))); err != nil {
+			t.Fatal(err)
+		}
+		_ = s.Config.Close()
+		if rest, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("HTTP/%s: the response ended as if it were complete, with %q", version, rest)
+		}
+		close(stop)
+		s.Close()
+	}
+}
