--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -99,8 +99,8 @@
 	return g.deliver(c, resp, d, onFirstByte)
 }
 
-// deliver passes a response on. onFirstByte is called when a first part of it has
-// arrived, for event streams after each event.
+// deliver passes a response on and records how it ended. onFirstByte is called when
+// a first part of it has arrived, for event streams after each event.
 func (g *Gateway) deliver(c *call, resp *targetResponse, d *delivery, onFirstByte func()) *failure {
 	d.framing = resp.framing
 	body := &countingReader{r: resp.body}
@@ -118,20 +118,7 @@
 	return f
 }
 
-// countingReader counts the bytes that are read from r.
-type countingReader struct {
-	r io.ReadCloser
-	n int64
-}
-
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.n += int64(n)
-	return n, err
-}
-
-func (c *countingReader) Close() error { return c.r.Close() }
-
+// passOn passes a response on as the kind of response that it is.
 func (g *Gateway) passOn(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
 	if resp.status >= 200 && resp.status < 300 && sse.IsStream(resp.header) {
 		return deliverEvents(resp, d, onFirstByte)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -41,6 +41,20 @@
 	return closeFraming
 }
 
+// countingReader counts the bytes that are read from r.
+type countingReader struct {
+	r io.ReadCloser
+	n int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += int64(n)
+	return n, err
+}
+
+func (c *countingReader) Close() error { return c.r.Close() }
+
 // failure is the error of an attempt.
 type failure struct {
 	err *result.Error
