--- a/internal/httpabort/httpabort_test.go
+++ b/internal/httpabort/httpabort_test.go
@@ -7,6 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
 	"testing"
 )
 
@@ -47,34 +50,80 @@
 	}
 }
 
+// serverEnv makes the test binary run newEndlessServer instead of the tests.
+const serverEnv = "WIGEONHILL_HTTPABORT_SERVER"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(serverEnv) == "" {
+		os.Exit(m.Run())
+	}
+	fmt.Println(newEndlessServer(nil).Listener.Addr())
+	select {}
+}
+
+// newEndlessServer returns a server whose responses do not end before stop is closed.
+func newEndlessServer(stop chan struct{}) *httptest.Server {
+	s := httptest.NewUnstartedServer(Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "first half")
+		_ = http.NewResponseController(w).Flush()
+		<-stop
+	})))
+	s.Config.ConnContext = ConnContext
+	s.Start()
+	return s
+}
+
+// endAfterFirstHalf reads the first half of a response, calls end and returns the
+// error with which the response ends.
+func endAfterFirstHalf(t *testing.T, address, version string, end func()) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "GET / HTTP/%s\r\nHost: h\r\n\r\n", version)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, len("first half"))); err != nil {
+		t.Fatal(err)
+	}
+	end()
+	_, err = io.ReadAll(resp.Body)
+	return err
+}
+
 func TestResponseCutByServerEndIsIncompleteForAnyHTTPVersion(t *testing.T) {
 	for _, version := range []string{"1.0", "1.1"} {
 		stop := make(chan struct{})
-		s := httptest.NewUnstartedServer(Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.WriteString(w, "first half")
-			_ = http.NewResponseController(w).Flush()
-			<-stop
-		})))
-		s.Config.ConnContext = ConnContext
-		s.Start()
-		conn, err := net.Dial("tcp", s.Listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
+		s := newEndlessServer(stop)
+		if err := endAfterFirstHalf(t, s.Listener.Addr().String(), version, func() { _ = s.Config.Close() }); err == nil {
+			t.Errorf("HTTP/%s: the response ended as if it were complete", version)
+		}
+		close(stop)
+		s.Close()
+	}
+}
+
+func TestResponseOfKilledProcessIsIncompleteForAnyHTTPVersion(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), serverEnv+"=1")
+		out, err := cmd.StdoutPipe()
+		if err == nil {
+			err = cmd.Start()
 		}
-		defer conn.Close()
-		_, _ = fmt.Fprintf(conn, "GET / HTTP/%s\r\nHost: h\r\n\r\n", version)
-		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := io.ReadFull(resp.Body, make([]byte, len("first half"))); err != nil {
+		address, err := bufio.NewReader(out).ReadString('\n')
+		if err != nil {
 			t.Fatal(err)
 		}
-		_ = s.Config.Close()
-		if rest, err := io.ReadAll(resp.Body); err == nil {
-			t.Errorf("HTTP/%s: the response ended as if it were complete, with %q", version, rest)
+		if err := endAfterFirstHalf(t, strings.TrimSpace(address), version, func() { _ = cmd.Process.Kill() }); err == nil {
+			t.Errorf("HTTP/%s: the response ended as if it were complete", version)
 		}
-		close(stop)
-		s.Close()
+		_ = cmd.Wait()
 	}
 }
--- a/internal/instance/truncated_test.go
+++ b/internal/instance/truncated_test.go
@@ -12,7 +12,7 @@
 // rawResponse is a response that a target writes to its connection as it is,
 // before it closes or resets the connection.
 type rawResponse struct {
-	framing string // "length", "chunks" or "close"
+	framing string // "length", "chunks", "close", or "HTTP/1.0" for its own "close"
 	body    string
 	// complete is the body that the framing announces; body if empty.
 	complete    string
@@ -44,7 +44,11 @@
 	if announced == "" {
 		announced = a.body
 	}
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Response-Signature: signed-by-%s\r\nContent-Type: %s\r\n",
+	version := "HTTP/1.1"
+	if a.framing == "HTTP/1.0" {
+		version = a.framing
+	}
+	head := version + fmt.Sprintf(" %d %s\r\nX-Request-Id: %s\r\nX-Response-Signature: signed-by-%s\r\nContent-Type: %s\r\n",
 		status, http.StatusText(status), requestID, target, a.contentType)
 	switch a.framing {
 	case "length":
@@ -59,7 +63,10 @@
 		}
 		return head + "Transfer-Encoding: chunked\r\n\r\n" + body
 	}
-	return head + "Connection: close\r\n\r\n" + a.body
+	if a.framing == "close" {
+		head += "Connection: close\r\n"
+	}
+	return head + "\r\n" + a.body
 }
 
 // startTruncationTest starts an instance with a target in its own region or, with
@@ -97,7 +104,7 @@
 			_, inst, target := startTruncationTest(t, hop, false)
 			for _, lineEnd := range []string{"\n", "\r\n"} {
 				whole, third := streamText(4, lineEnd), streamText(3, lineEnd)
-				for _, framing := range []string{"length", "chunks", "close"} {
+				for _, framing := range []string{"length", "chunks", "close", "HTTP/1.0"} {
 					a := rawResponse{framing: framing, body: whole, contentType: "text/event-stream"}
 					target.setHandler(a.handler(target.id))
 					if got := sendRequest("POST", inst.url("/stream/ask"), nil); got.status != http.StatusOK || got.err != nil || got.body != whole {
