Log a forwarded request that may have run as failed

What operators saw: an answer that broke off at a target behind a hop is logged there with event 830, request refused, whose meaning is that it did not run.

Cause: Forward logged each error with that event.

Change: failureEvent decides in both places; the field framing is added.

Evidence: TestResponseThatBreaksOffBehindHopIsLoggedAsFailed fails on the code before and passes now. No change of behaviour but the log.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -10,7 +10,6 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
-	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
@@ -199,8 +198,8 @@
 	if err := p.Gateway.serveCall(ctx, c, d); err != nil {
 		e := result.FromError(err)
 		tail = &peerv1.Tail{Code: uint32(e.Code), MayHaveRun: e.Ran == result.MayHaveRun, Message: e.Message, RetryAfterMs: uint32(e.RetryAfter.Milliseconds())}
-		p.Gateway.Log.Emit(event.RequestRefused, zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.Stringer("ran", e.Ran),
-			zap.String("from", msg.GetFrom().GetInstance()), zap.String("reason", e.Message))
+		p.Gateway.Log.Emit(failureEvent(e), zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.Stringer("ran", e.Ran),
+			zap.String("from", msg.GetFrom().GetInstance()), zap.String("reason", e.Message), zap.String("framing", string(d.framing)))
 	}
 	return stream.Send(&peerv1.ForwardResponse{RequestId: c.ID, Part: &peerv1.ForwardResponse_Tail{Tail: tail}})
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -252,20 +252,24 @@
 }
 
 func (g *Gateway) logFailure(c *call, e *result.Error, more ...zap.Field) {
-	ev := event.RequestRefused
-	if e.Ran == result.MayHaveRun {
-		ev = event.RequestIncomplete
-	}
 	route := ""
 	if c.route != nil {
 		route = c.route.Name
 	}
-	g.Log.Emit(ev, append(more, zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.String("name", e.Code.String()), zap.Stringer("ran", e.Ran),
+	g.Log.Emit(failureEvent(e), append(more, zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.String("name", e.Code.String()), zap.Stringer("ran", e.Ran),
 		zap.String("reason", e.Message), zap.String("team", c.team), zap.String("route", route), zap.String("service", c.service),
 		zap.Duration("after", time.Since(c.arrived)), zap.Int("sent", c.possibleRuns), zap.Int("sends", c.failedAttempts),
 		zap.Duration("retry_after", e.RetryAfter), zap.Int64("revision", g.Catalog.Revision()))...)
 }
 
+// failureEvent returns the event with which a request that ended with e is logged.
+func failureEvent(e *result.Error) event.Event {
+	if e.Ran == result.MayHaveRun {
+		return event.RequestIncomplete
+	}
+	return event.RequestRefused
+}
+
 // callerSink writes a response to the caller.
 type callerSink struct {
 	w  http.ResponseWriter
--- a/internal/instance/truncated_test.go
+++ b/internal/instance/truncated_test.go
@@ -163,3 +163,28 @@
 		}
 	}
 }
+
+func TestResponseThatBreaksOffBehindHopIsLoggedAsFailed(t *testing.T) {
+	d := newTestDeployment(t)
+	target := newFakeTarget(t, "t-1")
+	d.listTarget(target, "b", "ready", 1)
+	d.publishConfig(func(config map[string]any) { config["routes"].([]any)[2].(map[string]any)["resumable"] = false })
+	inst, remote := d.startInstance("a"), d.startInstance("b")
+	eventually(t, "a request is served", func() bool { return sendRequest("GET", inst.url("/safe/x"), nil).status == http.StatusOK })
+	target.setHandler(rawResponse{framing: "close", body: "id: 1\ndata: a\n\nid: 2\nda", contentType: "text/event-stream"}.handler(target.id))
+	if got := sendRequest("POST", inst.url("/stream/ask"), func(h http.Header) { h.Set("X-Request-Id", "broken-off") }); got.err == nil {
+		t.Errorf("response: %+v", got)
+	}
+	for _, i := range []*testInstance{inst, remote} {
+		i.cancel()
+		<-i.done
+		i.done <- nil
+		found := false
+		for line := range strings.Lines(i.log.String()) {
+			found = found || strings.Contains(line, `"broken-off"`) && strings.Contains(line, `"event":832`) && strings.Contains(line, `"framing":`)
+		}
+		if !found {
+			t.Errorf("%s did not log the request as failed", i.ip)
+		}
+	}
+}
