--- a/internal/instance/truncated_test.go
+++ b/internal/instance/truncated_test.go
@@ -12,7 +12,7 @@
 // rawResponse is a response that a target writes to its connection as it is,
 // before it closes or resets the connection.
 type rawResponse struct {
-	framing string // "length", "chunks", "close", or "HTTP/1.0" for its own "close"
+	framing string // "length", "chunks", "close", or "HTTP/1.0", which ends with the connection too
 	body    string
 	// complete is the body that the framing announces; body if empty.
 	complete    string
@@ -21,14 +21,14 @@
 	reset       bool
 }
 
-func (a rawResponse) handler(target string) func(w http.ResponseWriter, r *http.Request) bool {
+func (raw rawResponse) handler(target string) func(w http.ResponseWriter, r *http.Request) bool {
 	return func(w http.ResponseWriter, r *http.Request) bool {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			panic(err)
 		}
-		_, _ = conn.Write([]byte(a.text(target, r.Header.Get("X-Request-Id"))))
-		if a.reset {
+		_, _ = conn.Write([]byte(raw.text(target, r.Header.Get("X-Request-Id"))))
+		if raw.reset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
 		_ = conn.Close()
@@ -36,42 +36,42 @@
 	}
 }
 
-func (a rawResponse) text(target, requestID string) string {
-	status, announced := a.status, a.complete
+func (raw rawResponse) text(target, requestID string) string {
+	status, announced := raw.status, raw.complete
 	if status == 0 {
 		status = http.StatusOK
 	}
 	if announced == "" {
-		announced = a.body
+		announced = raw.body
 	}
 	version := "HTTP/1.1"
-	if a.framing == "HTTP/1.0" {
-		version = a.framing
+	if raw.framing == "HTTP/1.0" {
+		version = raw.framing
 	}
 	head := version + fmt.Sprintf(" %d %s\r\nX-Request-Id: %s\r\nX-Response-Signature: signed-by-%s\r\nContent-Type: %s\r\n",
-		status, http.StatusText(status), requestID, target, a.contentType)
-	switch a.framing {
+		status, http.StatusText(status), requestID, target, raw.contentType)
+	switch raw.framing {
 	case "length":
-		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(announced)) + a.body
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(announced)) + raw.body
 	case "chunks":
 		body := ""
-		if a.body != "" {
-			body = fmt.Sprintf("%x\r\n%s\r\n", len(a.body), a.body)
+		if raw.body != "" {
+			body = fmt.Sprintf("%x\r\n%s\r\n", len(raw.body), raw.body)
 		}
-		if a.body == announced {
+		if raw.body == announced {
 			body += "0\r\n\r\n"
 		}
 		return head + "Transfer-Encoding: chunked\r\n\r\n" + body
 	}
-	if a.framing == "close" {
+	if raw.framing == "close" {
 		head += "Connection: close\r\n"
 	}
-	return head + "\r\n" + a.body
+	return head + "\r\n" + raw.body
 }
 
 // startTruncationTest starts an instance with a target in its own region or, with
-// a hop, in another one.
-func startTruncationTest(t *testing.T, hop, resumable bool) (*testDeployment, *testInstance, *fakeTarget) {
+// a hop, in another one. Streams cannot be resumed.
+func startTruncationTest(t *testing.T, hop bool) (*testInstance, *fakeTarget) {
 	d := newTestDeployment(t)
 	domain := "a"
 	if hop {
@@ -80,14 +80,14 @@
 	target := newFakeTarget(t, "t-1")
 	d.listTarget(target, domain, "ready", 1)
 	d.publishConfig(func(config map[string]any) {
-		config["routes"].([]any)[2].(map[string]any)["resumable"] = resumable
+		config["routes"].([]any)[2].(map[string]any)["resumable"] = false
 	})
 	inst := d.startInstance("a")
 	if hop {
 		d.startInstance("b")
 	}
 	eventually(t, "a request is served", func() bool { return sendRequest("GET", inst.url("/safe/x"), nil).status == http.StatusOK })
-	return d, inst, target
+	return inst, target
 }
 
 func streamText(n int, lineEnd string) string {
@@ -101,7 +101,7 @@
 func TestStreamCutInsideEventIsNotDeliveredAsComplete(t *testing.T) {
 	for _, hop := range []bool{false, true} {
 		t.Run(fmt.Sprintf("hop=%v", hop), func(t *testing.T) {
-			_, inst, target := startTruncationTest(t, hop, false)
+			inst, target := startTruncationTest(t, hop)
 			for _, lineEnd := range []string{"\n", "\r\n"} {
 				whole, third := streamText(4, lineEnd), streamText(3, lineEnd)
 				for _, framing := range []string{"length", "chunks", "close", "HTTP/1.0"} {
@@ -139,7 +139,7 @@
 }
 
 func TestTruncatedResponseOverHTTP10EndsWithReset(t *testing.T) {
-	_, inst, target := startTruncationTest(t, false, false)
+	inst, target := startTruncationTest(t, false)
 	large := strings.Repeat("0123456789abcdef", 64<<10)
 	for name, whole := range map[string]rawResponse{
 		"stream": {body: streamText(4, "\n"), contentType: "text/event-stream"},
