Move what marks the end of a response into one package

The check whether a response ends with its connection stood in the gateway, in dispatch and in the client of the configuration service.

Measured: the tests of httpframing, gateway, dispatch, confservice, entry and instance pass on arm64.

--- a/internal/confservice/client.go
+++ b/internal/confservice/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 )
 
 // Names of the published values.
@@ -121,7 +123,7 @@
 	if err != nil || v.Revision <= 0 {
 		return Value{}, false, errors.Newf("the configuration service returned invalid revision %q", res.Header.Get("X-Revision"))
 	}
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+	if httpframing.EndsWithConnection(res) {
 		return Value{}, false, errors.New("the response of the configuration service has no length, so it cannot be told from a part of it")
 	}
 	v.Text, err = io.ReadAll(io.LimitReader(res.Body, maxValueBytes+1))
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/auth"
 	"github.com/wigeonhill/wigeonhill/internal/config"
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
@@ -107,14 +108,13 @@
 		return nil, classifyConnectionError(ctx, s, err)
 	}
 	out := &attemptResponse{
-		status: resp.StatusCode, header: resp.Header, target: t.Name, size: resp.ContentLength,
+		status: resp.StatusCode, header: resp.Header, target: t.Name, size: resp.ContentLength, endsWithConnection: httpframing.EndsWithConnection(resp),
 		body: resp.Body, close: func() { cancel(); _ = resp.Body.Close() },
 	}
 	if failed := classifyResponse(t, resp); failed != nil {
 		out.close()
 		return nil, failed
 	}
-	out.endsWithConnection = c.Method != http.MethodHead && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	return out, nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,7 +14,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
-	"github.com/wigeonhill/wigeonhill/internal/httpabort"
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
 )
@@ -82,12 +82,12 @@
 func New(cfg Config) *Server {
 	s := &Server{Config: cfg, conns: newConnLimiter(connectionLimit(cfg.Bounds))}
 	s.http = &http.Server{
-		Handler:           httpabort.Handler(s.routes()),
+		Handler:           httpframing.Handler(s.routes()),
 		ReadHeaderTimeout: cfg.Bounds.ReadTimeout,
 		IdleTimeout:       cfg.Bounds.IdleTimeout,
 		MaxHeaderBytes:    cfg.Bounds.MaxHeader,
 		ConnState:         s.conns.onStateChange,
-		ConnContext:       httpabort.ConnContext,
+		ConnContext:       httpframing.ConnContext,
 		// Errors of single connections are not logged, because their text can
 		// contain anything that the caller has sent.
 		ErrorLog: discardLogger(),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,7 +105,7 @@
 	d.framing = resp.framing
 	body := &countingReader{r: resp.body}
 	resp.body = body
-	f := g.passOn(resp, d, onFirstByte)
+	f := passOn(resp, d, onFirstByte)
 	g.Metrics.recordResponse(resp.framing, f)
 	if resp.framing == closeFraming {
 		reason := "complete"
@@ -119,7 +119,7 @@
 }
 
 // passOn passes a response on as the kind of response that it is.
-func (g *Gateway) passOn(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
+func passOn(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
 	if resp.status >= 200 && resp.status < 300 && sse.IsStream(resp.header) {
 		return deliverEvents(resp, d, onFirstByte)
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
@@ -33,12 +34,12 @@
 // framingOf returns the framing of a response that was received from a target.
 func framingOf(resp *http.Response) framing {
 	switch {
-	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
-		return lengthFraming
-	case len(resp.TransferEncoding) > 0:
+	case httpframing.EndsWithConnection(resp):
+		return closeFraming
+	case resp.Body != http.NoBody && len(resp.TransferEncoding) > 0:
 		return chunkFraming
 	}
-	return closeFraming
+	return lengthFraming
 }
 
 // countingReader counts the bytes that are read from r.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,7 +16,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
-	"github.com/wigeonhill/wigeonhill/internal/httpabort"
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
@@ -49,8 +49,8 @@
 	e.HideBanner, e.HidePort = true, true
 	e.RouteNotFound("/*", g.handleRequest)
 	return &http.Server{
-		Handler: httpabort.Handler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeader,
-		ConnContext: httpabort.ConnContext,
+		Handler: httpframing.Handler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeader,
+		ConnContext: httpframing.ConnContext,
 		// Errors of callers' connections would fill the log.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
--- a/internal/httpabort/httpabort.go
+++ b/internal/httpframing/httpframing.go
@@ -1,6 +1,8 @@
-// Package httpabort keeps callers from taking a response that was broken off for a
-// complete one. A handler breaks a response off with panic(http.ErrAbortHandler).
-package httpabort
+// Package httpframing is about what marks the end of a response: it tells which
+// responses end with their connection, and keeps callers from taking a response that
+// was broken off for a complete one. A handler breaks a response off with
+// panic(http.ErrAbortHandler).
+package httpframing
 
 import (
 	"context"
@@ -8,6 +10,12 @@
 	"net/http"
 )
 
+// EndsWithConnection reports whether only the end of the connection marks the end
+// of a response's body, as it does too if the sender crashes.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 type connKey struct{}
 
 // ConnContext is a hook for http.Server.ConnContext. Handler needs it.
