Resume a stream only with events whose ids are known

Operators of other systems reported error texts, with their heads, in the middle of streams that were resumed. Errors, refusals and bodies of another type never were passed on here: a resumption needs a 2xx event stream. But an event stream whose content is an HTTP head and an error text was: its lines are an event without id, and such events counted as new. Until a resumed response has had an event with an id, anything but comments now counts as interrupted.

Measured: of the 16 cases of TestErrorAfterStreamBrokeOffStaysOutOfStream (eight answers, with and without a hop) the two with a head in the stream failed before; all pass.

--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -22,6 +22,9 @@
 	inEvent, skipping bool
 	// sawEvent is set once the response has had an event, also one that is skipped.
 	sawEvent bool
+	// sawID is set once the response has had an event with an id. What comes before
+	// it in a resumed response may be no part of the stream, such as an error.
+	sawID bool
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -45,9 +48,10 @@
 			return p, err
 		}
 		if !e.inEvent {
-			if p.More && p.ID == "" && e.lastDelivered >= 0 {
+			if p.ID == "" && (p.More || !p.Comment && !e.sawID) && e.lastDelivered >= 0 {
 				return sse.Piece{}, errUnknownPosition
 			}
+			e.sawID = e.sawID || p.ID != ""
 			e.skipping = e.alreadyDelivered(p.ID)
 		}
 		e.inEvent = p.More
