--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -263,3 +263,16 @@
 	s.calls++
 	return nil, 0, nil, errDown
 }
+
+// An entry that the earlier incarnation wrote may arrive after that of a target that
+// has restarted under its old id.
+func TestLateEntryOfEarlierIncarnationDoesNotEndWarmup(t *testing.T) {
+	m, c := newManager()
+	m.applyPublished(published(1), 1, 1)
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 3 * time.Second, Sequence: 1, StartedMS: 2000}), 2, 2, sourceStore)
+	c.add(500 * time.Millisecond)
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", Sequence: 9, StartedMS: 1000}), 3, 3, sourceStore)
+	if e := m.Current().Targets["a"]; !m.Current().WarmingUp(e, c.read().Add(2*time.Second)) {
+		t.Error("the target counts as warm 2.5 s after its restart")
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -93,6 +93,8 @@
 	// Full is set if the target accepts no request now: it is at its capacity, at
 	// its warm-up limit, or busy with a probe request.
 	Full bool
+	// WarmingUp is set if the target may be warming up.
+	WarmingUp bool
 }
 
 // RegionView is the reported state of another region.
@@ -115,6 +117,8 @@
 	FetchFrom string
 	// Cached is set if Target is estimated to have the shared prefix cached.
 	Cached bool
+	// WarmingUp is set if Target may be warming up.
+	WarmingUp bool
 	// Delay is the expected time to the first byte.
 	Delay time.Duration
 	// RetryAfter is only set if Target and Region are empty.
@@ -251,7 +255,7 @@
 			cost += time.Duration(cachedBonus * float64(prefillTime(q, m)))
 		}
 		if best.Target == "" || cost < bestCost {
-			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.PrefixKey != "", Delay: delay}, cost
+			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Delay: delay}, cost
 			if fetch {
 				best.FetchFrom = source
 			}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -220,7 +220,7 @@
 		view.Capacity = min(view.Capacity, int((1-connReserve)*float64(s.MaxConns)))
 	}
 	view.Full = running >= view.Capacity || st.health.probing && st.running > 0
-	if v.WarmingUp(e, now) || now.Before(st.health.warmupUntil) {
+	if view.WarmingUp = v.WarmingUp(e, now) || now.Before(st.health.warmupUntil); view.WarmingUp {
 		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now)
 	}
 	return view
