Keep the rate of a target that warms up over all instances, in touch or not

Cause: the rate was divided by the number of instances that are heard at the moment. Instances that lose or have not yet found each other divide by too few: 24 instances by three, each, at least. Besides, each instance forgot what it had sent when the target restarted under its id, and counted a request when it chose the target, also if a freeze or a slow connection came between the choice and the sending.

Change: package roster. The rate is divided among the failure domains of the region, which the settings name, and in a failure domain among all instances that are not known to have left; silence is no reason to count an instance out. Who has just started gets a share when all that it knows of count it, as their heartbeats say, and either one of them has a share or most seeds are heard. Shares grow only after what the others sent last has left the window. The window counts from the writing of a request and holds requests that are yet to be written; it outlives a restart of the target. Requests to an earlier incarnation no longer occupy its slots for ever.

TestNewInstanceSendsNothingToWarmingTarget and the others keep their assertions; their instances now exchange heartbeats instead of being told the names of the others.

Ruled out: leases on the shares, as a dead instance would stop the sending of all until its lease ends; counting by seeds alone, as they may be dead.

--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -53,17 +53,21 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.Store(true) }})
 }
 
-// traceSendDelay returns a trace that records how long the request takes from now
-// until it is written.
-func (g *Gateway) traceSendDelay() *httptrace.ClientTrace {
+// traceSend returns a trace that records how long the request takes from now until
+// it is written, and calls onSent then.
+func (g *Gateway) traceSend(onSent func()) *httptrace.ClientTrace {
 	chosenAt := time.Now()
-	return &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { g.Metrics.sendDelay.Observe(time.Since(chosenAt).Seconds()) }}
+	return &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
+		g.Metrics.sendDelay.Observe(time.Since(chosenAt).Seconds())
+		onSent()
+	}}
 }
 
-// send sends a call to a target and waits for the head of the response.
-func (g *Gateway) send(ctx context.Context, c *call, entry *catalog.Entry, team *deployment.Team, lastEventID, fetchFrom string) (*targetResponse, *failure) {
+// send sends a call to a target and waits for the head of the response. onSent is
+// called when the request was written.
+func (g *Gateway) send(ctx context.Context, c *call, entry *catalog.Entry, team *deployment.Team, lastEventID, fetchFrom string, onSent func()) (*targetResponse, *failure) {
 	var conn connTracker
-	ctx = httptrace.WithClientTrace(conn.trace(ctx), g.traceSendDelay())
+	ctx = httptrace.WithClientTrace(conn.trace(ctx), g.traceSend(onSent))
 	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+entry.Address, requestBody(c.body))
 	if err != nil {
 		return nil, notRunFailure(placement.Inconclusive, true, "the request cannot be passed on: %v", err)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -25,6 +25,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/quota"
+	"github.com/wigeonhill/wigeonhill/internal/roster"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
@@ -53,6 +54,7 @@
 	catalog       *catalog.Manager
 	heartbeats    *heartbeat.Manager
 	clients       *peerapi.Clients
+	roster        *roster.Roster
 	tracker       *placement.Tracker
 	quota         *quota.Limiter
 	retryBudget   *gateway.RetryBudget
@@ -101,7 +103,8 @@
 	i.heartbeats.SetSeeds(s.Seeds)
 	i.clients = peerapi.NewFastFailClients()
 	i.catalog = catalog.New(platform.NewStore(s.StoreAddress), &catalogPeers{self: i.self, heartbeats: i.heartbeats, clients: i.clients}, i.log, time.Now)
-	i.tracker = placement.NewTracker(s, time.Now())
+	i.roster = roster.New(roster.Config{Self: i.self, Seeds: s.Seeds, RegionByDomain: s.RegionByDomain})
+	i.tracker = placement.NewTracker(s, i.roster, time.Now())
 	domains := make([]string, 0, len(s.RegionByDomain))
 	for d := range s.RegionByDomain {
 		domains = append(domains, d)
@@ -186,6 +189,7 @@
 // requests to end.
 func (i *Instance) drain() {
 	i.log.Emit(event.Stopping, zap.Int("running", i.gateway.RunningRequests()))
+	i.roster.Leave()
 	i.gateway.BeginDrain()
 	i.heartbeats.Announce()
 	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, i.callers, i.control); err != nil {
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -60,15 +60,11 @@
 }
 
 // SetPeerHeartbeats applies the heartbeats of the other instances of the local
-// region, by peer address: their names, the load that they put on targets, and the
-// parts that targets have cached.
+// region, by peer address: the load that they put on targets, and the parts that
+// targets have cached.
 func (t *Tracker) SetPeerHeartbeats(heartbeats map[string]*peerv1.FleetRow, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.mu.regionPeers = t.mu.regionPeers[:0]
-	for _, hb := range heartbeats {
-		t.mu.regionPeers = append(t.mu.regionPeers, hb.GetInstance().GetInstance())
-	}
 	for _, s := range t.mu.targets {
 		clear(s.peerLoads)
 	}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -41,33 +41,21 @@
 	// minPrefixTokens is the prefix length in tokens below which cache locality is not
 	// worth the uneven load.
 	minPrefixTokens = 256
-	// minInstances is the least number of instances among which the rate of a target
-	// that is warming up is divided, even if fewer are known in the region.
-	minInstances = 3
-	// warmupWindow is the window in which requests to a target that is warming up are
-	// counted: one second, plus a reserve for varying network delay.
-	warmupWindow = 1100 * time.Millisecond
-	// startupPeriod is the time after the start during which the other instances of
-	// the region may not all be known. Targets that are warming up get no request then.
-	startupPeriod = 1500 * time.Millisecond
-	// warmupBoundFraction is the fraction of the warm-up bound that is used.
-	warmupBoundFraction = 0.85
 )
 
 // Tracker estimates the state of the targets of the local region. Tracker.mu is a
 // leaf lock: no other lock is taken while it is held.
 type Tracker struct {
-	instance       string
 	regionByDomain map[string]string
 	region         string
 	bounds         deployment.Bounds
 	started        time.Time
+	warmupShares   WarmupShares
 	mu             struct {
 		sync.Mutex
 		targets      map[string]*targetState
 		slowdowns    map[string]*slowdown     // by service
 		holdTimes    map[string]time.Duration // by service; see TargetView.HoldTime
-		regionPeers  []string                 // names of the other instances of the local region
 		partUpdates  []partUpdate             // parts that targets have cached, newest last
 		lastSequence map[string]uint64        // sequence number of the last heartbeat, by peer address
 	}
@@ -84,7 +72,10 @@
 	cacheTokens int
 	slowdown    slowdown
 	health      health
-	recentSends []time.Time // within warmupWindow, oldest first
+	// recentSends are the times of requests written within warmupWindow, oldest first;
+	// unsent counts those that are yet to be written.
+	recentSends []time.Time
+	unsent      int
 	// awaitingFirstByte holds the start times of attempts without a first byte.
 	awaitingFirstByte map[*Attempt]time.Time
 	peerLoads         map[string]peerLoad
@@ -96,9 +87,9 @@
 	avoided          bool
 }
 
-// NewTracker returns the Tracker of an instance.
-func NewTracker(s *deployment.Settings, now time.Time) *Tracker {
-	t := &Tracker{instance: s.Instance, regionByDomain: s.RegionByDomain, region: s.Region, bounds: s.Bounds, started: now}
+// NewTracker returns the Tracker of an instance that starts now.
+func NewTracker(s *deployment.Settings, shares WarmupShares, now time.Time) *Tracker {
+	t := &Tracker{regionByDomain: s.RegionByDomain, region: s.Region, bounds: s.Bounds, started: now, warmupShares: shares}
 	t.mu.targets = map[string]*targetState{}
 	t.mu.slowdowns = map[string]*slowdown{}
 	t.mu.holdTimes = map[string]time.Duration{}
@@ -108,14 +99,19 @@
 
 func (t *Tracker) stateOf(e *catalog.Entry) *targetState {
 	s := t.mu.targets[e.ID]
-	if s == nil || s.startedMS != e.StartedMS {
-		running := 0
-		if s != nil {
-			running = s.running // of the previous incarnation; they end soon
-		}
-		s = &targetState{startedMS: e.StartedMS, service: e.Service, running: running, peerLoads: map[string]peerLoad{}, awaitingFirstByte: map[*Attempt]time.Time{}, slowdown: t.serviceSlowdown(e.Service).initial()}
+	switch {
+	case s == nil:
+		s = &targetState{startedMS: e.StartedMS, service: e.Service, awaitingFirstByte: map[*Attempt]time.Time{}}
 		t.mu.targets[e.ID] = s
-	}
+	case s.startedMS == e.StartedMS:
+		return s
+	}
+	// Attempts at an earlier incarnation go on counting until they end, and what was
+	// sent to it may have reached this one.
+	s.startedMS, s.service = e.StartedMS, e.Service
+	s.prefixCache, s.peerLoads = prefixCache{}, map[string]peerLoad{}
+	s.slowdown = t.serviceSlowdown(e.Service).initial()
+	s.health = health{warmupUntil: s.health.warmupUntil}
 	return s
 }
 
@@ -220,46 +216,12 @@
 		view.Capacity = min(view.Capacity, int((1-connReserve)*float64(s.MaxConns)))
 	}
 	view.Full = running >= view.Capacity || st.health.probing && st.running > 0
-	if view.WarmingUp = v.WarmingUp(e, now) || now.Before(st.health.warmupUntil); view.WarmingUp {
+	if view.WarmingUp = t.warmingUp(v, e, st, now); view.WarmingUp {
 		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now)
 	}
 	return view
 }
 
-// warmupLimit returns the number of requests that this instance may send to a target
-// that is warming up in one window. If the region has more instances than the target
-// tolerates requests, the instances with the highest rendezvous scores for the
-// target send one request each.
-func (t *Tracker) warmupLimit(s *deployment.Service, target string, now time.Time) int {
-	if s.WarmupRate <= 0 {
-		return 1 << 30
-	}
-	if now.Sub(t.started) < startupPeriod {
-		return 0
-	}
-	limit := int(warmupBoundFraction * (s.WarmupRate*t.bounds.WarmupRateFactor + t.bounds.WarmupSlack))
-	if share := limit / max(len(t.mu.regionPeers)+1, minInstances); share > 0 {
-		return share
-	}
-	localScore, ahead := rendezvousScore(target, t.instance), 0
-	for _, name := range t.mu.regionPeers {
-		if rendezvousScore(target, name) > localScore {
-			ahead++
-		}
-	}
-	if ahead < max(limit, 1) {
-		return 1
-	}
-	return 0
-}
-
-func (s *targetState) countRecentSends(now time.Time) int {
-	for len(s.recentSends) > 0 && now.Sub(s.recentSends[0]) > warmupWindow {
-		s.recentSends = s.recentSends[1:]
-	}
-	return len(s.recentSends)
-}
-
 // oldestWait returns the longest time that a current attempt has waited for its first
 // byte. The slowdown is only updated on first bytes, so it reflects a slow target
 // late, by the very delay that matters.
@@ -294,10 +256,12 @@
 	tracker      *Tracker
 	state        *targetState
 	target       string
+	incarnation  int64 // the target's StartedMS
 	pending      int
 	prefix       deployment.PromptPart // shared prefix; without an ID if there is none
 	startedAt    time.Time
 	expected     time.Duration // time to first byte without slowdown
+	sent         bool
 	gotFirstByte bool
 	ended        bool
 }
@@ -310,7 +274,7 @@
 	st := t.stateOf(e)
 	running, pending := st.load()
 	view := TargetView{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Slowdown: 1, Cached: c.Cached}
-	a := &Attempt{tracker: t, state: st, target: e.ID, startedAt: now, expected: LatencyModelOf(s).Delay(q, &view, c.FetchFrom != "")}
+	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, expected: LatencyModelOf(s).Delay(q, &view, c.FetchFrom != "")}
 	if s.Engine != nil {
 		a.pending = q.PromptTokens
 		if c.Cached || c.FetchFrom != "" {
@@ -322,8 +286,7 @@
 	st.running++
 	st.pending += a.pending
 	st.awaitingFirstByte[a] = now
-	st.recentSends = append(st.recentSends, now)
-	st.countRecentSends(now)
+	st.unsent++
 	return a
 }
 
@@ -338,6 +301,9 @@
 	delete(a.state.awaitingFirstByte, a)
 	a.state.pending -= a.pending
 	a.pending = 0
+	if a.incarnation != a.state.startedMS {
+		return
+	}
 	a.tracker.recordCachedPart(a.target, a.prefix, now)
 	a.state.slowdown.observe(float64(now.Sub(a.startedAt))/float64(max(a.expected, time.Millisecond)), now, a.tracker.serviceSlowdown(a.state.service))
 }
@@ -351,9 +317,17 @@
 		return false
 	}
 	a.ended = true
+	if o == Unreachable && !a.sent {
+		a.sent = true
+		a.state.unsent--
+	}
+	a.recordSent(now) // parts of the request may have been written
 	delete(a.state.awaitingFirstByte, a)
 	a.state.running--
 	a.state.pending -= a.pending
+	if a.incarnation != a.state.startedMS {
+		return false // the outcome says nothing about the present incarnation
+	}
 	if !a.gotFirstByte {
 		a.state.prefixCache.remove(a.prefix.ID) // the prefix was probably not prefilled
 	}
--- a/internal/placement/tracker_test.go
+++ b/internal/placement/tracker_test.go
@@ -2,19 +2,26 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/roster"
 )
 
 // cluster is a region with its instances and the targets of one service.
 type cluster struct {
 	view     *catalog.View
 	service  *deployment.Service
+	ids      []*peerv1.Identity
+	rosters  []*roster.Roster
 	trackers []*Tracker
+	members  []map[int]heartbeat.Member // that each instance has heard
 	now      time.Time
 }
 
@@ -28,20 +35,49 @@
 		c.view.Targets[id] = &catalog.Entry{Target: deployment.Target{ID: id, Service: s.Name, Domain: "a", Slots: 16, StartedMS: 1}}
 	}
 	for i := range instances {
-		t := NewTracker(&deployment.Settings{Instance: fmt.Sprint("entry-", i), Region: "east", RegionByDomain: map[string]string{"a": "east"},
-			Bounds: deployment.Bounds{WarmupRateFactor: 1.5, WarmupSlack: 3}}, c.now.Add(-time.Hour))
-		c.trackers = append(c.trackers, t)
-	}
-	for i, t := range c.trackers {
-		heartbeats := map[string]*peerv1.FleetRow{}
-		for j := range c.trackers {
-			if j != i {
-				heartbeats[fmt.Sprint("10.0.0.", j)] = &peerv1.FleetRow{Instance: &peerv1.Identity{Instance: fmt.Sprint("entry-", j)}}
+		c.ids = append(c.ids, &peerv1.Identity{Instance: fmt.Sprint("entry-", i), PeerAddress: fmt.Sprint("10.0.0.", i), Region: "east", Domain: "a"})
+		c.rosters, c.trackers, c.members = append(c.rosters, nil), append(c.trackers, nil), append(c.members, nil)
+		c.restart(i, time.Hour)
+	}
+	for range 30 {
+		c.now = c.now.Add(100 * time.Millisecond)
+		c.exchangeHeartbeats(all)
+	}
+	return c
+}
+
+// restart replaces an instance by one that was started some time ago and has heard
+// no other.
+func (c *cluster) restart(i int, ago time.Duration) {
+	settings := &deployment.Settings{Instance: c.ids[i].Instance, Region: "east", RegionByDomain: map[string]string{"a": "east"},
+		Bounds: deployment.Bounds{WarmupRateFactor: 1.5, WarmupSlack: 3}}
+	c.ids[i] = &peerv1.Identity{Instance: c.ids[i].Instance, PeerAddress: c.ids[i].PeerAddress, Region: "east", Domain: "a", Incarnation: c.ids[i].Incarnation + 1}
+	c.rosters[i] = roster.New(roster.Config{Self: c.ids[i], Seeds: []string{c.ids[0].PeerAddress}, RegionByDomain: settings.RegionByDomain})
+	c.trackers[i] = NewTracker(settings, c.rosters[i], c.now.Add(-ago))
+	c.members[i] = map[int]heartbeat.Member{}
+}
+
+// exchangeHeartbeats lets the instances send each other heartbeats, as often as it
+// takes until nothing changes. hears says whether instance i gets those of j.
+func (c *cluster) exchangeHeartbeats(hears func(i, j int) bool) {
+	for range 4 {
+		rows := make([]*peerv1.FleetRow, len(c.ids))
+		for i, r := range c.rosters {
+			rows[i] = &peerv1.FleetRow{Instance: c.ids[i]}
+			rows[i].DomainMembers, rows[i].HasWarmupShare = r.State()
+		}
+		for i, t := range c.trackers {
+			heard := map[string]*peerv1.FleetRow{}
+			for j, row := range rows {
+				if j != i && hears(i, j) {
+					heard[c.ids[j].PeerAddress] = row
+					c.members[i][j] = heartbeat.Member{Heartbeat: row}
+				}
 			}
+			c.rosters[i].Update(slices.Collect(maps.Values(c.members[i])), c.now)
+			t.SetPeerHeartbeats(heard, c.now)
 		}
-		t.SetPeerHeartbeats(heartbeats, c.now)
 	}
-	return c
 }
 
 // Guards against overloading a target that has just started. All instances of a
@@ -58,7 +94,7 @@
 			c.now = c.now.Add(5 * time.Millisecond)
 			for _, tr := range c.trackers {
 				if views := tr.Targets(c.view, "model", "", nil, c.now); len(views) == 1 && !views[0].Full {
-					tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+					tr.Begin(e, c.service, &Query{}, Choice{}, c.now).Sent(c.now)
 					sent = append(sent, c.now)
 				}
 			}
@@ -85,7 +121,7 @@
 	c := newCluster(1, 1)
 	c.view.Targets["t-0"].WarmupUntil = c.now.Add(time.Minute)
 	tr := NewTracker(&deployment.Settings{Instance: "entry-0", Region: "east", RegionByDomain: map[string]string{"a": "east"},
-		Bounds: deployment.Bounds{WarmupRateFactor: 1.5, WarmupSlack: 3}}, c.now)
+		Bounds: deployment.Bounds{WarmupRateFactor: 1.5, WarmupSlack: 3}}, c.rosters[0], c.now)
 	if got := tr.Targets(c.view, "model", "", nil, c.now.Add(time.Second)); len(got) != 1 || !got[0].Full {
 		t.Errorf("view %+v", got)
 	}
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -1,10 +1,10 @@
 package placement
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
-
-	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
 
 // sendAll lets every instance send as many requests as it may to target t-0, every
@@ -20,7 +20,7 @@
 		e := c.view.Targets["t-0"]
 		for _, tr := range c.trackers {
 			if views := tr.Targets(c.view, "model", "", nil, c.now); len(views) == 1 && !views[0].Full {
-				tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+				tr.Begin(e, c.service, &Query{}, Choice{}, c.now).Sent(c.now)
 				sent = append(sent, c.now)
 			}
 		}
@@ -56,9 +56,7 @@
 	c.warmUp("t-0", time.Minute)
 	sent := c.sendAll(10*time.Second, func(elapsed time.Duration) {
 		if elapsed == 2*time.Second {
-			for _, tr := range c.trackers {
-				tr.SetPeerHeartbeats(map[string]*peerv1.FleetRow{}, c.now)
-			}
+			c.exchangeHeartbeats(none)
 		}
 	})
 	c.checkWarmupBound(t, sent)
@@ -79,3 +77,115 @@
 	})
 	c.checkWarmupBound(t, sent)
 }
+
+func all(int, int) bool  { return true }
+func none(int, int) bool { return false }
+
+func TestWarmupBoundHoldsIfInstancesStartWithoutHearingEachOther(t *testing.T) {
+	c := newCluster(24, 1)
+	c.warmUp("t-0", time.Minute)
+	for i := range c.trackers {
+		c.restart(i, time.Minute)
+	}
+	hears := none
+	sent := c.sendAll(12*time.Second, func(elapsed time.Duration) {
+		if elapsed == 4*time.Second {
+			hears = all
+		}
+		if elapsed%(100*time.Millisecond) == 0 {
+			c.exchangeHeartbeats(hears)
+		}
+	})
+	c.checkWarmupBound(t, sent)
+	if late := len(sent) - slices.IndexFunc(sent, func(at time.Time) bool { return at.After(c.now.Add(-4 * time.Second)) }); late < 8 {
+		t.Errorf("only %d requests in the last 4 s", late)
+	}
+}
+
+// Instances restart, join, leave and lose each other at random; links may work in one
+// direction only.
+func TestWarmupBoundHoldsUnderRandomTrouble(t *testing.T) {
+	for seed := range uint64(8) {
+		random := rand.New(rand.NewPCG(seed, 27))
+		c := newCluster(2+random.IntN(23), 1)
+		c.warmUp("t-0", time.Hour)
+		side := make([]int, len(c.trackers)) // instances hear those of the same side
+		oneWay := false
+		sent := c.sendAll(20*time.Second, func(elapsed time.Duration) {
+			if elapsed%(100*time.Millisecond) == 0 {
+				c.exchangeHeartbeats(func(i, j int) bool { return side[i] == side[j] || oneWay && side[i] < side[j] })
+			}
+			if elapsed%(500*time.Millisecond) != 0 {
+				return
+			}
+			switch i := random.IntN(len(c.trackers)); random.IntN(5) {
+			case 0:
+				oneWay = random.IntN(2) == 0
+				for i := range side {
+					side[i] = random.IntN(3)
+				}
+			case 1:
+				clear(side)
+			case 2:
+				if i > 0 { // see package roster for restarts of the seeds among themselves
+					c.restart(i, time.Minute)
+				}
+			case 3:
+				restarted := *c.view.Targets["t-0"]
+				restarted.StartedMS++
+				c.view.Targets["t-0"] = &restarted
+			}
+		})
+		if c.checkWarmupBound(t, sent); t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// A process that was frozen between the choice of a target and the sending sends
+// what it had chosen together with what it chooses next.
+func TestWarmupBoundHoldsAfterFreeze(t *testing.T) {
+	c := newCluster(3, 1)
+	c.warmUp("t-0", time.Minute)
+	c.sendAll(2*time.Second, nil)
+	c.now = c.now.Add(2 * time.Second)
+	e := c.view.Targets["t-0"]
+	var chosen []*Attempt
+	for _, tr := range c.trackers {
+		for !tr.Targets(c.view, "model", "", nil, c.now)[0].Full {
+			chosen = append(chosen, tr.Begin(e, c.service, &Query{}, Choice{}, c.now))
+		}
+	}
+	c.now = c.now.Add(5 * time.Second)
+	var sent []time.Time
+	sent = c.sendAll(2*time.Second, func(elapsed time.Duration) {
+		if elapsed == 500*time.Millisecond {
+			for _, a := range chosen {
+				a.Sent(c.now)
+				sent = append(sent, c.now)
+			}
+		}
+	})
+	for range chosen {
+		sent = append([]time.Time{c.now.Add(-1500 * time.Millisecond)}, sent...)
+	}
+	c.checkWarmupBound(t, sent)
+	if len(chosen) == 0 || len(sent) == len(chosen) {
+		t.Errorf("%d requests before the freeze, %d in all", len(chosen), len(sent))
+	}
+}
+
+// A request to an earlier incarnation must not occupy a slot of the next one for
+// ever.
+func TestRequestsToEarlierIncarnationEnd(t *testing.T) {
+	c := newCluster(1, 1)
+	a := c.trackers[0].Begin(c.view.Targets["t-0"], c.service, &Query{PromptTokens: 100}, Choice{}, c.now)
+	restarted := *c.view.Targets["t-0"]
+	restarted.StartedMS++
+	c.view.Targets["t-0"] = &restarted
+	c.trackers[0].Targets(c.view, "model", "", nil, c.now)
+	a.End(ConnectionLost, c.now)
+	if got := c.trackers[0].Targets(c.view, "model", "", nil, c.now); len(got) != 1 || got[0].Running != 0 || got[0].PendingTokens != 0 {
+		t.Errorf("view %+v", got)
+	}
+}
