Ignore entries that an earlier incarnation of a target wrote late

A target that restarts under its id may be listed once more by an entry that its earlier incarnation had sent. Instances took it for a change back: the target counted as warm, and callers' requests flooded it (FAILBACK); one that was leaving counted as ready.

Cause: any other start time was taken for a newer incarnation. Now the later start time wins for five seconds after an incarnation was first listed. After that a lower one is accepted, since the clock of the target may have been set back; no change of incarnation shortens a warm-up.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -275,4 +275,9 @@
 	if e := m.Current().Targets["a"]; !m.Current().WarmingUp(e, c.read().Add(2*time.Second)) {
 		t.Error("the target counts as warm 2.5 s after its restart")
 	}
+	c.add(lateEntryPeriod)
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", Sequence: 1, StartedMS: 1500}), 4, 4, sourceStore)
+	if e := m.Current().Targets["a"]; e.StartedMS != 1500 {
+		t.Error("a restart of a target whose clock was set back goes unnoticed")
+	}
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -75,11 +75,15 @@
 	for id, t := range listed {
 		prev := old[id]
 		e := &Entry{Target: *t, ReadAt: now, FirstListed: now, WarmupUntil: now.Add(t.WarmupLeft)}
-		if prev != nil && prev.SameIncarnation(t) {
-			if t.Sequence < prev.Sequence {
-				out[id] = prev // outdated entry that another writer restored
-				continue
+		switch {
+		case prev == nil:
+		case prev.supersedes(t, now):
+			e = prev
+		case !prev.SameIncarnation(t):
+			if prev.WarmupUntil.After(e.WarmupUntil) {
+				e.WarmupUntil = prev.WarmupUntil
 			}
+		default:
 			e.FirstListed = prev.FirstListed
 			if t.Sequence == prev.Sequence {
 				// The listing was read before; its remaining warm-up counts from then.
@@ -103,6 +107,21 @@
 	return out
 }
 
+// lateEntryPeriod is how long after the first entry of an incarnation one of an
+// earlier incarnation may still arrive.
+const lateEntryPeriod = 5 * time.Second
+
+// supersedes reports whether t is an outdated entry of the target: another writer has
+// restored it, or an earlier incarnation wrote it late. Of two incarnations the one
+// that started later is the newer one, but only for lateEntryPeriod, since the clock
+// of the target may have been set back.
+func (e *Entry) supersedes(t *deployment.Target, now time.Time) bool {
+	if e.SameIncarnation(t) {
+		return t.Sequence < e.Sequence
+	}
+	return t.StartedMS < e.StartedMS && now.Sub(e.FirstListed) < lateEntryPeriod
+}
+
 // warmupTolerance is how much later a warm-up may end before it counts as a change.
 const warmupTolerance = 300 * time.Millisecond
 
