Stop using a target that says in its responses that it leaves

Callers' requests reached targets longer than drain_ms after a response had told the instance that the target leaves (DRAIN), and were lost with it.

Cause: the header was not read; only the list of the store counted, which may say it later or not at all. Now every response of the target that was addressed counts: success, event stream, error, rejection, health check. The target gets no new request while the service has another one in the region; without one, another region is preferred, and for half of drain_ms the target itself is the last resort. What the store lists does not undo it, a restart does. It is remembered for ten minutes after the target was last listed. Event 838 names the request that told it.

Ruled out: a response of another target at the address (421) or to another request says nothing.

--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -29,6 +29,7 @@
 	StreamStalled           = define(835, "stream stalled", zapcore.InfoLevel, "the interval between two events of a stream exceeded the objective of its route")
 	CrashReportFailed       = define(836, "crash report failed", zapcore.InfoLevel, "a crash report about a target could not be delivered to another instance")
 	ResponseEndedByClose    = define(837, "response ended with its connection", zapcore.InfoLevel, "a response without length or chunks has ended, with the connection to its target; fields give the bytes that were read and whether the response was complete")
+	TargetSaysLeaving       = define(838, "target says that it leaves", zapcore.InfoLevel, "a response or health check of a target says that it leaves, whatever the store lists; it gets no new requests while another target can serve, and none soon")
 	LinesDropped            = define(840, "log lines dropped", zapcore.WarnLevel, "the output was too slow, or an event exceeded its limit of lines per second; the field counts the lines that were not written")
 	SettingsReloaded        = define(841, "settings reloaded", zapcore.InfoLevel, "the settings file changed; seeds apply now, other fields at the next start")
 	SettingsRejected        = define(842, "settings rejected", zapcore.ErrorLevel, "the settings file has errors; the settings in force stay")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,7 +59,7 @@
 		timer := time.AfterFunc(timeout, func() { cancel(errUnresponsive) })
 		onFirstByte = func() { timer.Stop(); tracked.FirstByte(time.Now()) }
 	}
-	f := g.exchange(ctx, c, entry, v, d, fetchFrom, func() { tracked.Sent(time.Now()) }, onFirstByte)
+	f := g.exchange(ctx, c, entry, v, d, fetchFrom, tracked, onFirstByte)
 	endAttempt()
 	outcome := placement.Success
 	if f != nil {
@@ -89,8 +89,8 @@
 }
 
 // exchange sends a call to a target and passes the response on.
-func (g *Gateway) exchange(ctx context.Context, c *call, entry *catalog.Entry, v *catalog.View, d *delivery, fetchFrom string, onSent, onFirstByte func()) *failure {
-	resp, f := g.send(ctx, c, entry, v.Config.Teams[c.team], d.lastEventID, fetchFrom, onSent)
+func (g *Gateway) exchange(ctx context.Context, c *call, entry *catalog.Entry, v *catalog.View, d *delivery, fetchFrom string, tracked *placement.Attempt, onFirstByte func()) *failure {
+	resp, f := g.send(ctx, c, entry, v.Config.Teams[c.team], d.lastEventID, fetchFrom, tracked)
 	if f != nil {
 		return f
 	}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -12,8 +12,11 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/platform"
@@ -54,20 +57,19 @@
 }
 
 // traceSend returns a trace that records how long the request takes from now until
-// it is written, and calls onSent then.
-func (g *Gateway) traceSend(onSent func()) *httptrace.ClientTrace {
+// it is written, and tells tracked about that.
+func (g *Gateway) traceSend(tracked *placement.Attempt) *httptrace.ClientTrace {
 	chosenAt := time.Now()
 	return &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
 		g.Metrics.sendDelay.Observe(time.Since(chosenAt).Seconds())
-		onSent()
+		tracked.Sent(time.Now())
 	}}
 }
 
-// send sends a call to a target and waits for the head of the response. onSent is
-// called when the request was written.
-func (g *Gateway) send(ctx context.Context, c *call, entry *catalog.Entry, team *deployment.Team, lastEventID, fetchFrom string, onSent func()) (*targetResponse, *failure) {
+// send sends a call to a target and waits for the head of the response.
+func (g *Gateway) send(ctx context.Context, c *call, entry *catalog.Entry, team *deployment.Team, lastEventID, fetchFrom string, tracked *placement.Attempt) (*targetResponse, *failure) {
 	var conn connTracker
-	ctx = httptrace.WithClientTrace(conn.trace(ctx), g.traceSend(onSent))
+	ctx = httptrace.WithClientTrace(conn.trace(ctx), g.traceSend(tracked))
 	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+entry.Address, requestBody(c.body))
 	if err != nil {
 		return nil, notRunFailure(placement.Inconclusive, true, "the request cannot be passed on: %v", err)
@@ -86,6 +88,9 @@
 	if err != nil {
 		return nil, sendFailure(ctx, &conn, err)
 	}
+	if platform.SaysLeaving(resp.StatusCode, resp.Header, c.ID) && tracked.SetLeaving(time.Now()) {
+		g.Log.Emit(event.TargetSaysLeaving, zap.String("target", entry.ID), zap.String("request", c.ID), zap.Int("status", resp.StatusCode), zap.Bool("listed_leaving", entry.Leaving))
+	}
 	if f := responseFailure(resp, c.ID); f != nil {
 		_ = resp.Body.Close()
 		return nil, f
--- a/internal/instance/prober.go
+++ b/internal/instance/prober.go
@@ -81,7 +81,13 @@
 	}
 	_ = res.Body.Close()
 	health := platform.ParseHealth(res.StatusCode, res.Header)
-	if !health.Healthy || health.TargetID != id {
+	if health.TargetID != id {
+		return
+	}
+	if health.Leaving && p.tracker.SetLeaving(id, time.Now()) {
+		p.log.Emit(event.TargetSaysLeaving, zap.String("target", id), zap.Int("status", res.StatusCode), zap.Bool("listed_leaving", entry.Leaving))
+	}
+	if !health.Healthy {
 		return
 	}
 	p.tracker.SetHealthy(id, health.WarmupLeft, time.Now())
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -95,6 +95,8 @@
 	Full bool
 	// WarmingUp is set if the target may be warming up.
 	WarmingUp bool
+	// Leaving is set if the target said that it leaves, and there is no other one.
+	Leaving bool
 }
 
 // RegionView is the reported state of another region.
@@ -117,8 +119,8 @@
 	FetchFrom string
 	// Cached is set if Target is estimated to have the shared prefix cached.
 	Cached bool
-	// WarmingUp is set if Target may be warming up.
-	WarmingUp bool
+	// WarmingUp is set if Target may be warming up, and Leaving if it is leaving.
+	WarmingUp, Leaving bool
 	// Delay is the expected time to the first byte.
 	Delay time.Duration
 	// RetryAfter is only set if Target and Region are empty.
@@ -173,7 +175,7 @@
 		return Choice{Region: r.Name, Delay: r.Delay + r.RoundTrip, Reason: "region of the prefix owner"}
 	}
 	local := bestTarget(q, targets, m)
-	if local.Target != "" && local.Delay <= time.Duration(localDelayFraction*float64(q.Objective)) {
+	if local.Target != "" && !local.Leaving && local.Delay <= time.Duration(localDelayFraction*float64(q.Objective)) {
 		local.Reason = "own region has room"
 		return local
 	}
@@ -181,7 +183,7 @@
 	limit := min(time.Duration(maxDelayFraction*float64(q.Objective)), q.Remaining)
 	if remote != nil {
 		remoteDelay := remote.Delay + remote.RoundTrip
-		if remoteDelay <= limit && (local.Target == "" || remoteDelay+remoteMargin < local.Delay) {
+		if remoteDelay <= limit && (local.Target == "" || local.Leaving || remoteDelay+remoteMargin < local.Delay) {
 			return Choice{Region: remote.Name, Delay: remoteDelay, Reason: "other region is faster"}
 		}
 	}
@@ -255,7 +257,7 @@
 			cost += time.Duration(cachedBonus * float64(prefillTime(q, m)))
 		}
 		if best.Target == "" || cost < bestCost {
-			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Delay: delay}, cost
+			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: delay}, cost
 			if fetch {
 				best.FetchFrom = source
 			}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -41,6 +41,13 @@
 	// minPrefixTokens is the prefix length in tokens below which cache locality is not
 	// worth the uneven load.
 	minPrefixTokens = 256
+	// leavingUseFraction is the fraction of the time in which a leaving target still
+	// takes requests for which it is used after it said that it leaves, if the service
+	// has no other target in the region.
+	leavingUseFraction = 0.5
+	// leavingRetention is how long it is remembered that a target leaves after it was
+	// last listed.
+	leavingRetention = 10 * time.Minute
 )
 
 // Tracker estimates the state of the targets of the local region. Tracker.mu is a
@@ -76,6 +83,9 @@
 	// unsent counts those that are yet to be written.
 	recentSends []time.Time
 	unsent      int
+	// leavingSince is when a response of this incarnation first said that it leaves;
+	// zero if none did. listedAt is when the target was last listed.
+	leavingSince, listedAt time.Time
 	// awaitingFirstByte holds the start times of attempts without a first byte.
 	awaitingFirstByte map[*Attempt]time.Time
 	peerLoads         map[string]peerLoad
@@ -112,6 +122,7 @@
 	s.prefixCache, s.peerLoads = prefixCache{}, map[string]peerLoad{}
 	s.slowdown = t.serviceSlowdown(e.Service).initial()
 	s.health = health{warmupUntil: s.health.warmupUntil}
+	s.leavingSince = time.Time{}
 	return s
 }
 
@@ -158,7 +169,8 @@
 }
 
 // Targets returns views of the usable targets of a service in the local region,
-// without those in exclude.
+// without those in exclude. Targets that said in a response that they leave are only
+// among them if there are no others.
 func (t *Tracker) Targets(v *catalog.View, service, prefixKey string, exclude map[string]bool, now time.Time) []TargetView {
 	s := v.Config.Services[service]
 	if s == nil {
@@ -166,7 +178,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []TargetView
+	var out, leaving []TargetView
 	for _, e := range v.Targets {
 		if e.Service != service || t.regionByDomain[e.Domain] != t.region || v.Evacuated[e.Domain] || exclude[e.ID] || e.Leaving {
 			continue
@@ -175,7 +187,17 @@
 		if !st.health.usable(now) {
 			continue
 		}
-		out = append(out, t.targetView(v, s, e, st, prefixKey, now))
+		view := t.targetView(v, s, e, st, prefixKey, now)
+		switch {
+		case st.leavingSince.IsZero():
+			out = append(out, view)
+		case now.Sub(st.leavingSince) < time.Duration(leavingUseFraction*float64(t.bounds.DrainDelay)):
+			view.Leaving = true
+			leaving = append(leaving, view)
+		}
+	}
+	if len(out) == 0 {
+		return leaving
 	}
 	return out
 }
@@ -348,6 +370,31 @@
 	}
 }
 
+// SetLeaving records that the target said that it leaves, and reports whether that is
+// new.
+func (a *Attempt) SetLeaving(now time.Time) bool {
+	a.tracker.mu.Lock()
+	defer a.tracker.mu.Unlock()
+	return a.incarnation == a.state.startedMS && a.state.setLeaving(now)
+}
+
+// SetLeaving records that a target said in a health check that it leaves, and reports
+// whether that is new.
+func (t *Tracker) SetLeaving(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.mu.targets[id]
+	return s != nil && s.setLeaving(now)
+}
+
+func (s *targetState) setLeaving(now time.Time) bool {
+	if !s.leavingSince.IsZero() {
+		return false
+	}
+	s.leavingSince, s.listedAt = now, now
+	return true
+}
+
 // DownTargets returns the targets that are avoided until a health check succeeds,
 // except those whose backoff has not ended.
 func (t *Tracker) DownTargets(now time.Time) []string {
@@ -363,11 +410,16 @@
 }
 
 // Prune removes the targets that are no longer listed and have no running requests.
-func (t *Tracker) Prune(listed map[string]*catalog.Entry) {
+// Those that said that they leave are kept for leavingRetention, since an entry that
+// lapsed may return.
+func (t *Tracker) Prune(listed map[string]*catalog.Entry, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, s := range t.mu.targets {
-		if listed[id] == nil && s.running <= 0 {
+		switch {
+		case listed[id] != nil:
+			s.listedAt = now
+		case s.running <= 0 && (s.leavingSince.IsZero() || now.Sub(s.listedAt) > leavingRetention):
 			delete(t.mu.targets, id)
 		}
 	}
