Treat a target that others found down as warming up until the list is current

A target that restarts under its id was flooded for a second or more, until the list showed the restart (FAILBACK). In a large region most instances send it nothing while it is down, so they noticed nothing.

Cause: only an instance that had found the target down itself, and the list, told that it may be cold. Heartbeats already say which targets an instance avoids; they now also say whether the target refused a connection, which shows that its process has ended. One such report of an instance that reaches most targets, two of others, or three that a target is unreachable make it count as warming up until 2.5 s after the last report. A connection that breaks and cannot be opened again counts as refused at once.

Ruled out: any report that a target is unreachable, as links that lose packets cause those all the time; faster reads of the list, which are charged for at every instance and only shorten the time.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,7 +69,8 @@
 	}
 	if tracked.End(outcome, time.Now()) {
 		g.Log.Emit(event.TargetAvoided, zap.String("target", entry.ID), zap.String("request", c.ID), zap.String("reason", f.err.Message))
-		if outcome == placement.ConnectionLost || outcome == placement.Unreachable || outcome == placement.AddressReused {
+		switch outcome {
+		case placement.ConnectionLost, placement.Unreachable, placement.Refused, placement.AddressReused:
 			g.OnTargetDown(entry.ID)
 		}
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
@@ -25,6 +27,10 @@
 		_ = conn.Close()
 		return
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) && g.Tracker.SetRefused(target, time.Now()) {
+		g.Log.Emit(event.TargetAvoided, zap.String("target", target), zap.String("request", request), zap.String("reason", err.Error()))
+		g.OnTargetDown(target)
+	}
 	g.CrashSuspects.RecordCrash(target, attempt, f)
 	g.Log.Emit(event.TargetLost, zap.String("request", request), zap.String("target", target), zap.Stringer("fingerprint", f), zap.Error(err))
 	// The caller may send the request again to any instance.
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -10,8 +10,10 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
@@ -111,6 +113,8 @@
 	switch {
 	case !conn.Load() && ctx.Err() != nil:
 		return notRunFailure(placement.Inconclusive, true, "no connection to the target: %v", context.Cause(ctx))
+	case !conn.Load() && errors.Is(err, syscall.ECONNREFUSED):
+		return notRunFailure(placement.Refused, true, "no connection to the target: %v", err)
 	case !conn.Load():
 		return notRunFailure(placement.Unreachable, true, "no connection to the target: %v", err)
 	case ctx.Err() != nil:
--- a/internal/placement/estimates.go
+++ b/internal/placement/estimates.go
@@ -102,6 +102,8 @@
 	Inconclusive
 	// Unreachable means that no connection could be opened.
 	Unreachable
+	// Refused means that the target refused the connection: its process has ended.
+	Refused
 	// ConnectionLost means that the connection broke during the request.
 	ConnectionLost
 	// Failed is a response with status 500 or above from the target itself, or an
@@ -146,8 +148,9 @@
 	outcomes     int
 	backoff      time.Duration
 	backoffUntil time.Time
-	// down is set until a health check succeeds.
-	down bool
+	// down is set until a health check succeeds, and refuses in addition if the target
+	// refused a connection.
+	down, refuses bool
 	// probing is set from the successful health check until a request succeeds.
 	// Meanwhile the target gets one request at a time. failedProbes counts
 	// consecutive failures of these.
@@ -173,6 +176,9 @@
 		return h.markDown(now)
 	case Unreachable, AddressReused:
 		return h.markDown(now)
+	case Refused:
+		h.refuses = true
+		return h.markDown(now)
 	case Rejected:
 		h.backoffUntil = later(h.backoffUntil, now.Add(rejectionBackoff))
 		return false
@@ -225,6 +231,6 @@
 // markUp makes the target usable after a successful health check. The target may
 // have restarted and be warming up.
 func (h *health) markUp(now time.Time, warmup time.Duration) {
-	h.down, h.probing = false, true
+	h.down, h.refuses, h.probing = false, false, true
 	h.warmupUntil = later(h.warmupUntil, now.Add(warmup))
 }
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -68,6 +68,7 @@
 	for _, s := range t.mu.targets {
 		clear(s.peerLoads)
 	}
+	reports := map[*targetState]*downReports{}
 	for peer, hb := range heartbeats {
 		if t.mu.lastSequence[peer] != hb.GetSequence() {
 			t.mu.lastSequence[peer] = hb.GetSequence()
@@ -77,9 +78,43 @@
 		for _, u := range hb.GetTargets() {
 			if s := t.mu.targets[u.GetTarget()]; s != nil {
 				s.peerLoads[peer] = peerLoad{int(u.GetRunning()), int(u.GetPendingTokens()), u.GetAvoided() && !unreliable}
+				if u.GetAvoided() {
+					r := reports[s]
+					if r == nil {
+						r = &downReports{}
+						reports[s] = r
+					}
+					r.add(u.GetRefuses(), unreliable)
+				}
 			}
 		}
 	}
+	for s, r := range reports {
+		if r.suggestRestart() {
+			s.restartSuspectedUntil = now.Add(restartSuspicionPeriod)
+		}
+	}
+}
+
+// downReports counts the instances that found a target down: all, those to which it
+// refused connections, and those of the latter that are reliable.
+type downReports struct{ all, refused, reliablyRefused int }
+
+func (r *downReports) add(refused, unreliable bool) {
+	r.all++
+	if refused {
+		r.refused++
+		if !unreliable {
+			r.reliablyRefused++
+		}
+	}
+}
+
+// suggestRestart reports whether the target has probably ended, so that it may be
+// warming up when it is back. That a few instances do not reach it is no reason:
+// links lose packets.
+func (r *downReports) suggestRestart() bool {
+	return r.reliablyRefused > 0 || r.refused > 1 || r.all >= minDownReports
 }
 
 // avoidsMostTargets reports whether an instance avoids more than half of the
@@ -101,7 +136,7 @@
 	var out []*peerv1.TargetUse
 	for id, s := range t.mu.targets {
 		if s.running > 0 || s.health.down {
-			out = append(out, &peerv1.TargetUse{Target: id, Running: uint32(max(s.running, 0)), PendingTokens: uint32(max(s.pending, 0)), Avoided: s.health.down})
+			out = append(out, &peerv1.TargetUse{Target: id, Running: uint32(max(s.running, 0)), PendingTokens: uint32(max(s.pending, 0)), Avoided: s.health.down, Refuses: s.health.refuses})
 		}
 	}
 	return out
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -79,6 +79,9 @@
 	cacheTokens int
 	slowdown    slowdown
 	health      health
+	// restartSuspectedUntil is when the list will show whether the target has
+	// restarted, after other instances found it down; see noteReports.
+	restartSuspectedUntil time.Time
 	// recentSends are the times of requests written within warmupWindow, oldest first;
 	// unsent counts those that are yet to be written.
 	recentSends []time.Time
@@ -122,7 +125,7 @@
 	s.prefixCache, s.peerLoads = prefixCache{}, map[string]peerLoad{}
 	s.slowdown = t.serviceSlowdown(e.Service).initial()
 	s.health = health{warmupUntil: s.health.warmupUntil}
-	s.leavingSince = time.Time{}
+	s.leavingSince, s.restartSuspectedUntil = time.Time{}, time.Time{}
 	return s
 }
 
@@ -339,7 +342,7 @@
 		return false
 	}
 	a.ended = true
-	if o == Unreachable && !a.sent {
+	if (o == Unreachable || o == Refused) && !a.sent {
 		a.sent = true
 		a.state.unsent--
 	}
@@ -360,6 +363,15 @@
 	return a.state.health.recordOutcome(o, a.state.avoidedByPeer(), now)
 }
 
+// SetRefused records that a target refused a connection, and reports whether it is
+// avoided from now on.
+func (t *Tracker) SetRefused(id string, now time.Time) (avoided bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.mu.targets[id]
+	return s != nil && s.health.recordOutcome(Refused, true, now)
+}
+
 // SetHealthy makes a target that passed a health check usable again. The target
 // counts as warming up for warmup.
 func (t *Tracker) SetHealthy(id string, warmup time.Duration, now time.Time) {
--- a/internal/placement/tracker_test.go
+++ b/internal/placement/tracker_test.go
@@ -63,7 +63,7 @@
 	for range 4 {
 		rows := make([]*peerv1.FleetRow, len(c.ids))
 		for i, r := range c.rosters {
-			rows[i] = &peerv1.FleetRow{Instance: c.ids[i]}
+			rows[i] = &peerv1.FleetRow{Instance: c.ids[i], Targets: c.trackers[i].TargetUses()}
 			rows[i].DomainMembers, rows[i].HasWarmupShare = r.State()
 		}
 		for i, t := range c.trackers {
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -17,6 +17,12 @@
 	startupPeriod = 1500 * time.Millisecond
 	// warmupBoundFraction is the fraction of the warm-up bound that is used.
 	warmupBoundFraction = 0.85
+	// restartSuspicionPeriod is how long after the last report that a target is down
+	// it may have restarted without being listed so.
+	restartSuspicionPeriod = 2500 * time.Millisecond
+	// minDownReports is the number of instances to which a target must be unreachable
+	// for others to suspect a restart.
+	minDownReports = 3
 )
 
 // WarmupShares divides the rate of a target that is warming up among the instances;
@@ -27,7 +33,7 @@
 
 // warmingUp reports whether a target may be warming up.
 func (t *Tracker) warmingUp(v *catalog.View, e *catalog.Entry, st *targetState, now time.Time) bool {
-	return v.WarmingUp(e, now) || now.Before(st.health.warmupUntil)
+	return v.WarmingUp(e, now) || now.Before(st.health.warmupUntil) || now.Before(st.restartSuspectedUntil)
 }
 
 // warmupLimit returns the number of requests that this instance may send to a target
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -12,22 +12,37 @@
 // step; it may be nil.
 func (c *cluster) sendAll(duration time.Duration, at func(elapsed time.Duration)) (sent []time.Time) {
 	start := c.now
+	var running []*Attempt
 	for c.now.Sub(start) < duration {
 		c.now = c.now.Add(5 * time.Millisecond)
 		if at != nil {
 			at(c.now.Sub(start))
 		}
+		for len(running) > 0 && c.now.Sub(running[0].startedAt) > 200*time.Millisecond {
+			running[0].End(Success, c.now)
+			running = running[1:]
+		}
 		e := c.view.Targets["t-0"]
 		for _, tr := range c.trackers {
-			if views := tr.Targets(c.view, "model", "", nil, c.now); len(views) == 1 && !views[0].Full {
-				tr.Begin(e, c.service, &Query{}, Choice{}, c.now).Sent(c.now)
+			if c.accepts(tr) {
+				a := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+				a.Sent(c.now)
+				running = append(running, a)
 				sent = append(sent, c.now)
 			}
 		}
 	}
+	for _, a := range running {
+		a.End(Success, c.now)
+	}
 	return sent
 }
 
+// accepts reports whether an instance may send a request to target t-0.
+func (c *cluster) accepts(tr *Tracker) bool {
+	return slices.ContainsFunc(tr.Targets(c.view, "model", "", nil, c.now), func(v TargetView) bool { return v.ID == "t-0" && !v.Full })
+}
+
 // mostInOneSecond returns the largest number of times within one second.
 func mostInOneSecond(sent []time.Time) int {
 	most, first := 0, 0
@@ -152,7 +167,7 @@
 	e := c.view.Targets["t-0"]
 	var chosen []*Attempt
 	for _, tr := range c.trackers {
-		for !tr.Targets(c.view, "model", "", nil, c.now)[0].Full {
+		for c.accepts(tr) {
 			chosen = append(chosen, tr.Begin(e, c.service, &Query{}, Choice{}, c.now))
 		}
 	}
@@ -189,3 +204,30 @@
 		t.Errorf("view %+v", got)
 	}
 }
+
+// A target restarts under its id. Most instances send it nothing while it is down, and
+// the list shows the restart a second after it.
+func TestWarmupBoundHoldsWhileRestartIsNotListed(t *testing.T) {
+	for name, outcomes := range map[string][]Outcome{"refuses": {Refused}, "does not answer": {Unreachable, Unreachable, Unreachable}} {
+		c := newCluster(24, 4)
+		c.sendAll(time.Second, nil)
+		for i, o := range outcomes {
+			c.trackers[i].Begin(c.view.Targets["t-0"], c.service, &Query{}, Choice{}, c.now).End(o, c.now)
+		}
+		c.exchangeHeartbeats(all)
+		restarted := *c.view.Targets["t-0"]
+		restarted.StartedMS++
+		restarted.WarmupUntil = c.now.Add(5 * time.Second)
+		c.now = c.now.Add(1500 * time.Millisecond) // it is back
+		for i := range outcomes {
+			c.trackers[i].SetHealthy("t-0", 3*time.Second, c.now)
+		}
+		c.exchangeHeartbeats(all)
+		sent := c.sendAll(3*time.Second, func(elapsed time.Duration) {
+			if elapsed == time.Second {
+				c.view.Targets["t-0"] = &restarted
+			}
+		})
+		t.Run(name, func(t *testing.T) { c.checkWarmupBound(t, sent) })
+	}
+}
