Read the list of targets again before using it after a freeze

A process that was frozen, or whose machine was suspended, sent what it had to targets that had restarted meanwhile and were cold (FAILBACK): with the others that woke at the same time, far more than they bear.

Cause: nothing noticed that the list was old. The monotonic clock stands still while a machine is suspended, and instances that take the list from others hear only of changes. Now the tracker compares its calls with CLOCK_BOOTTIME; after a gap of a second all targets count as warming up until a list has been read whose reading began after the gap, for one warm-up at most. Every instance then reads the store at once, also one that takes the list from others: one call for each freeze. TargetsReadAt, and with it targets_age in event 834, is now the time at which the reading began. Event 843 gives the length of the freeze.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -82,7 +82,9 @@
 	log   *event.Logger
 	now   func() time.Time
 	view  atomic.Pointer[View]
-	mu    struct {
+	// refresh receives a value if the list of targets is to be read at once.
+	refresh chan struct{}
+	mu      struct {
 		sync.Mutex
 		published, targets storeHealth
 		// lastSupplied is when the store last answered this instance or another that
@@ -93,7 +95,7 @@
 
 // New returns a Manager with an empty catalog; Run fills it.
 func New(store Store, peers Peers, log *event.Logger, now func() time.Time) *Manager {
-	m := &Manager{store: store, peers: peers, log: log, now: now}
+	m := &Manager{store: store, peers: peers, log: log, now: now, refresh: make(chan struct{}, 1)}
 	m.view.Store(&View{Targets: map[string]*Entry{}})
 	return m
 }
@@ -101,6 +103,15 @@
 // Current returns the latest view, which is never nil.
 func (m *Manager) Current() *View { return m.view.Load() }
 
+// Refresh makes this instance read the list of targets at once, also if it takes the
+// list from others.
+func (m *Manager) Refresh() {
+	select {
+	case m.refresh <- struct{}{}:
+	default:
+	}
+}
+
 // Revision returns the highest revision of the store that this instance has seen.
 func (m *Manager) Revision() int64 {
 	v := m.Current()
@@ -176,20 +187,37 @@
 // pollTargets reads the targets once, unless enough other instances read the
 // store, and waits for the next read.
 func (m *Manager) pollTargets(ctx context.Context) error {
-	if m.peers.EnoughReaders() {
-		sleep(ctx, readerCheckInterval)
+	if m.peers.EnoughReaders() && !m.waitRefresh(ctx, readerCheckInterval) {
 		return nil
 	}
+	begun := m.now()
 	listed, revision, faults, err := m.store.ReadTargets(ctx)
 	if m.recordResult(&m.mu.targets, "targets", err); err != nil {
 		return err
 	}
 	m.logFaults(event.TargetEntryInvalid, faults)
-	m.applyTargets(listed, revision, revision, sourceStore)
-	sleep(ctx, listInterval)
+	m.applyTargetsReadAt(begun, listed, revision, revision, sourceStore)
+	if m.waitRefresh(ctx, listInterval) {
+		m.Refresh() // for the next call
+	}
 	return nil
 }
 
+// waitRefresh waits for a call of Refresh or until d has passed, and reports whether
+// there was one.
+func (m *Manager) waitRefresh(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return false
+	case <-m.refresh:
+		return true
+	}
+}
+
 func (m *Manager) logFaults(e event.Event, faults error) {
 	if faults != nil {
 		m.log.Emit(e, zap.Error(faults))
@@ -256,9 +284,14 @@
 	}
 }
 
-// applyTargets merges the list of targets at revision, read from source; see
+// applyTargets merges the list of targets at revision, read from source just now; see
 // applyPublished.
 func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
+	m.applyTargetsReadAt(m.now(), listed, revision, change, source)
+}
+
+// applyTargetsReadAt is applyTargets for a list whose reading began at readAt.
+func (m *Manager) applyTargetsReadAt(readAt time.Time, listed map[string]*deployment.Target, revision, change int64, source string) {
 	now := m.now()
 	before, after := m.update(func(v *View) {
 		if revision < v.TargetsRevision {
@@ -269,7 +302,7 @@
 			v.TargetsChange = change
 		}
 		v.Targets, v.TargetsRevision = merged, revision
-		v.TargetsSource, v.TargetsReadAt = source, now
+		v.TargetsSource, v.TargetsReadAt = source, readAt
 	})
 	m.logTargets(before, after)
 	if before.TargetsChange != after.TargetsChange {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -47,6 +48,7 @@
 		if !m.stale() && !m.peers.EnoughReaders() {
 			continue
 		}
+		begun := m.now()
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
 		v := m.Current()
 		snapshot, from, err := m.peers.FetchSnapshot(call, ChangeRevisions{v.PublishedChange, v.TargetsChange})
@@ -55,7 +57,7 @@
 		case err != nil: // the next check retries, possibly at another peer
 			m.log.Emit(event.SnapshotFetchFailed, zap.String("from", from), zap.Error(err))
 		case snapshot != nil:
-			m.applySnapshot(snapshot, from)
+			m.applySnapshotReadAt(begun, snapshot, from)
 		}
 	}
 }
@@ -63,6 +65,11 @@
 // applySnapshot takes those parts of a snapshot that changed later than the
 // current view.
 func (m *Manager) applySnapshot(snapshot []byte, from string) {
+	m.applySnapshotReadAt(m.now(), snapshot, from)
+}
+
+// applySnapshotReadAt is applySnapshot for a snapshot whose fetching began at readAt.
+func (m *Manager) applySnapshotReadAt(readAt time.Time, snapshot []byte, from string) {
 	var s Snapshot
 	if err := json.Unmarshal(snapshot, &s); err != nil {
 		m.log.Emit(event.PeerMessageInvalid, zap.String("part", "snapshot"), zap.String("from", from), zap.Error(err))
@@ -84,7 +91,7 @@
 		m.mu.Lock()
 		m.recordSupply(m.now())
 		m.mu.Unlock()
-		m.applyTargets(s.Targets, s.TargetsRevision, s.Changes.Targets, from)
+		m.applyTargetsReadAt(readAt, s.Targets, s.TargetsRevision, s.Changes.Targets, from)
 		m.update(func(v *View) { v.TargetsChange = max(v.TargetsChange, s.Changes.Targets) })
 	}
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -32,7 +32,7 @@
 	PublishedRevision, TargetsRevision int64
 	Targets                            map[string]*Entry
 	// TargetsSource says where the list of targets was read, and TargetsReadAt when
-	// (monotonic clock); see sourceStore.
+	// the reading began (monotonic clock); see sourceStore.
 	TargetsSource string
 	TargetsReadAt time.Time
 	// PublishedChange and TargetsChange are the store revisions of the last
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -33,4 +33,5 @@
 	LinesDropped            = define(840, "log lines dropped", zapcore.WarnLevel, "the output was too slow, or an event exceeded its limit of lines per second; the field counts the lines that were not written")
 	SettingsReloaded        = define(841, "settings reloaded", zapcore.InfoLevel, "the settings file changed; seeds apply now, other fields at the next start")
 	SettingsRejected        = define(842, "settings rejected", zapcore.ErrorLevel, "the settings file has errors; the settings in force stay")
+	ProcessResumed          = define(843, "process resumed", zapcore.WarnLevel, "the process was frozen or its machine suspended; targets count as warming up until their list has been read")
 )
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -104,7 +104,8 @@
 	i.clients = peerapi.NewFastFailClients()
 	i.catalog = catalog.New(platform.NewStore(s.StoreAddress), &catalogPeers{self: i.self, heartbeats: i.heartbeats, clients: i.clients}, i.log, time.Now)
 	i.roster = roster.New(roster.Config{Self: i.self, Seeds: s.Seeds, RegionByDomain: s.RegionByDomain})
-	i.tracker = placement.NewTracker(s, i.roster, time.Now())
+	systemClock := clock.NewSystem()
+	i.tracker = placement.NewTracker(s, i.roster, time.Now(), func() time.Duration { return systemClock.Now().Upper }, i.onWake)
 	domains := make([]string, 0, len(s.RegionByDomain))
 	for d := range s.RegionByDomain {
 		domains = append(domains, d)
@@ -124,6 +125,13 @@
 	return nil
 }
 
+// onWake is called after the process was frozen. What happened meanwhile is not known
+// before the list of targets is read again.
+func (i *Instance) onWake(frozen time.Duration) {
+	i.log.Emit(event.ProcessResumed, zap.Duration("frozen", frozen))
+	i.catalog.Refresh()
+}
+
 func (i *Instance) listen() error {
 	addresses := i.settings.Listen
 	i.callers = i.gateway.NewServer()
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -65,6 +65,7 @@
 func (t *Tracker) SetPeerHeartbeats(heartbeats map[string]*peerv1.FleetRow, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.noteTime(now)
 	for _, s := range t.mu.targets {
 		clear(s.peerLoads)
 	}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -58,6 +58,8 @@
 	bounds         deployment.Bounds
 	started        time.Time
 	warmupShares   WarmupShares
+	elapsed        func() time.Duration
+	onWake         func(frozen time.Duration)
 	mu             struct {
 		sync.Mutex
 		targets      map[string]*targetState
@@ -65,6 +67,8 @@
 		holdTimes    map[string]time.Duration // by service; see TargetView.HoldTime
 		partUpdates  []partUpdate             // parts that targets have cached, newest last
 		lastSequence map[string]uint64        // sequence number of the last heartbeat, by peer address
+		lastElapsed  time.Duration            // at the last call of noteTime
+		awakeSince   time.Time                // end of the last freeze
 	}
 }
 
@@ -100,9 +104,12 @@
 	avoided          bool
 }
 
-// NewTracker returns the Tracker of an instance that starts now.
-func NewTracker(s *deployment.Settings, shares WarmupShares, now time.Time) *Tracker {
-	t := &Tracker{regionByDomain: s.RegionByDomain, region: s.Region, bounds: s.Bounds, started: now, warmupShares: shares}
+// NewTracker returns the Tracker of an instance that starts now. elapsed returns the
+// time since some start, including that in which the process was frozen or its machine
+// suspended. onWake is called after a freeze; it must not block.
+func NewTracker(s *deployment.Settings, shares WarmupShares, now time.Time, elapsed func() time.Duration, onWake func(frozen time.Duration)) *Tracker {
+	t := &Tracker{regionByDomain: s.RegionByDomain, region: s.Region, bounds: s.Bounds, started: now, warmupShares: shares, elapsed: elapsed, onWake: onWake}
+	t.mu.lastElapsed = elapsed()
 	t.mu.targets = map[string]*targetState{}
 	t.mu.slowdowns = map[string]*slowdown{}
 	t.mu.holdTimes = map[string]time.Duration{}
@@ -181,6 +188,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.noteTime(now)
 	var out, leaving []TargetView
 	for _, e := range v.Targets {
 		if e.Service != service || t.regionByDomain[e.Domain] != t.region || v.Evacuated[e.Domain] || exclude[e.ID] || e.Leaving {
--- a/internal/placement/tracker_test.go
+++ b/internal/placement/tracker_test.go
@@ -53,10 +53,12 @@
 		Bounds: deployment.Bounds{WarmupRateFactor: 1.5, WarmupSlack: 3}}
 	c.ids[i] = &peerv1.Identity{Instance: c.ids[i].Instance, PeerAddress: c.ids[i].PeerAddress, Region: "east", Domain: "a", Incarnation: c.ids[i].Incarnation + 1}
 	c.rosters[i] = roster.New(roster.Config{Self: c.ids[i], Seeds: []string{c.ids[0].PeerAddress}, RegionByDomain: settings.RegionByDomain})
-	c.trackers[i] = NewTracker(settings, c.rosters[i], c.now.Add(-ago))
+	c.trackers[i] = NewTracker(settings, c.rosters[i], c.now.Add(-ago), c.elapsed, func(time.Duration) {})
 	c.members[i] = map[int]heartbeat.Member{}
 }
 
+func (c *cluster) elapsed() time.Duration { return c.now.Sub(time.Unix(0, 0)) }
+
 // exchangeHeartbeats lets the instances send each other heartbeats, as often as it
 // takes until nothing changes. hears says whether instance i gets those of j.
 func (c *cluster) exchangeHeartbeats(hears func(i, j int) bool) {
@@ -121,7 +123,7 @@
 	c := newCluster(1, 1)
 	c.view.Targets["t-0"].WarmupUntil = c.now.Add(time.Minute)
 	tr := NewTracker(&deployment.Settings{Instance: "entry-0", Region: "east", RegionByDomain: map[string]string{"a": "east"},
-		Bounds: deployment.Bounds{WarmupRateFactor: 1.5, WarmupSlack: 3}}, c.rosters[0], c.now)
+		Bounds: deployment.Bounds{WarmupRateFactor: 1.5, WarmupSlack: 3}}, c.rosters[0], c.now, c.elapsed, func(time.Duration) {})
 	if got := tr.Targets(c.view, "model", "", nil, c.now.Add(time.Second)); len(got) != 1 || !got[0].Full {
 		t.Errorf("view %+v", got)
 	}
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -23,6 +23,9 @@
 	// minDownReports is the number of instances to which a target must be unreachable
 	// for others to suspect a restart.
 	minDownReports = 3
+	// freezeGap is the time without a call of SetPeerHeartbeats, which is called every
+	// 100 ms, after which the process counts as having been frozen.
+	freezeGap = time.Second
 )
 
 // WarmupShares divides the rate of a target that is warming up among the instances;
@@ -33,7 +36,26 @@
 
 // warmingUp reports whether a target may be warming up.
 func (t *Tracker) warmingUp(v *catalog.View, e *catalog.Entry, st *targetState, now time.Time) bool {
-	return v.WarmingUp(e, now) || now.Before(st.health.warmupUntil) || now.Before(st.restartSuspectedUntil)
+	return t.missedRestarts(v, e, now) || v.WarmingUp(e, now) || now.Before(st.health.warmupUntil) || now.Before(st.restartSuspectedUntil)
+}
+
+// missedRestarts reports whether the target may have restarted while this process was
+// frozen: the list has not been read since. After a whole warm-up it no longer
+// matters.
+func (t *Tracker) missedRestarts(v *catalog.View, e *catalog.Entry, now time.Time) bool {
+	s := v.Config.Services[e.Service]
+	return s != nil && v.TargetsReadAt.Before(t.mu.awakeSince) && now.Sub(t.mu.awakeSince) < s.Warmup
+}
+
+// noteTime notices that the process was frozen, or its machine suspended, since the
+// last call. The caller holds t.mu.
+func (t *Tracker) noteTime(now time.Time) {
+	elapsed := t.elapsed()
+	if elapsed-t.mu.lastElapsed > freezeGap {
+		t.mu.awakeSince = now
+		t.onWake(elapsed - t.mu.lastElapsed)
+	}
+	t.mu.lastElapsed = elapsed
 }
 
 // warmupLimit returns the number of requests that this instance may send to a target
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
 )
 
 // sendAll lets every instance send as many requests as it may to target t-0, every
@@ -231,3 +233,26 @@
 		t.Run(name, func(t *testing.T) { c.checkWarmupBound(t, sent) })
 	}
 }
+
+// A target that was warm when all instances were frozen has restarted when they wake.
+func TestWarmupBoundHoldsAfterFreezeWhileListIsOld(t *testing.T) {
+	c := newCluster(24, 1)
+	c.view.TargetsReadAt = c.now
+	if len(c.sendAll(500*time.Millisecond, nil)) < 100 {
+		t.Fatal("the target gets few requests while it is warm")
+	}
+	c.now = c.now.Add(4 * time.Second)
+	sent := c.sendAll(1500*time.Millisecond, func(elapsed time.Duration) {
+		if elapsed == time.Second {
+			current := *c.view
+			current.TargetsReadAt = c.now
+			current.Targets = map[string]*catalog.Entry{"t-0": {Target: c.view.Targets["t-0"].Target, WarmupUntil: c.now.Add(2 * time.Second)}}
+			c.view = &current
+		}
+	})
+	c.checkWarmupBound(t, sent)
+	sent = c.sendAll(5*time.Second, nil)
+	if mostInOneSecond(sent) < 100 {
+		t.Errorf("at most %d requests in a second after the warm-up", mostInOneSecond(sent))
+	}
+}
