Open a connection for each request that serve sends to a target

Idempotent requests to plain services reused connections. A target that writes an earlier response once more when the next request arrives answered that with it: the caller got the response to another request (reports of other operators). Plain services of serve need not echo request ids, so that nothing else shows it. No connection to a target is kept any more, as on the platform's path.

Ruled out: comparing ids, since the interface does not ask for them.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -10,17 +10,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/wigeonhill/wigeonhill/internal/auth"
-	"github.com/wigeonhill/wigeonhill/internal/settings"
 )
 
 const (
-	targetDialTimeout  = 2 * time.Second
-	maxIdlePerTarget   = 64
-	maxResponseHeader  = 64 << 10
-	targetReadBuffer   = 4 << 10
-	defaultIdleTimeout = 90 * time.Second
+	targetDialTimeout = 2 * time.Second
+	maxResponseHeader = 64 << 10
+	targetReadBuffer  = 4 << 10
 )
 
 // countingConn counts writes, to tell whether any byte may have been sent.
@@ -78,15 +73,11 @@
 	conn       atomic.Pointer[countingConn]
 	baseWrites atomic.Int64
 	untracked  atomic.Bool // a connection of another type was used
-	// reused is set for a reused idle connection, which the target may have
-	// closed after its idle timeout.
-	reused atomic.Bool
 }
 
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			s.reused.Store(info.Reused)
 			c, ok := info.Conn.(*countingConn)
 			// A second connection for the same request means that net/http has
 			// retried it; the state of the first one is then unknown.
@@ -110,49 +101,26 @@
 	return c != nil && !c.seal(s.baseWrites.Load())
 }
 
-// transports are the HTTP transports for connections to targets.
-type transports struct {
-	// keepAlive reuses connections; it serves idempotent requests to plain
-	// services.
-	keepAlive *http.Transport
-	// noKeepAlive opens a new connection for each request. net/http retries a
-	// request with an Idempotency-Key header, even a booking, when a reused
-	// connection breaks. A reused connection that the target has just closed
-	// would needlessly leave the outcome of a booking unknown, and on an engine
-	// it would look like a crash.
-	noKeepAlive *http.Transport
-}
-
-func newTransports(b settings.Bounds) *transports {
+// newTransport returns a transport that opens a connection for each request.
+//
+// On a connection that is kept, a target that writes an earlier response once more
+// would answer the next request with it. One that the target has just closed would
+// leave the outcome of a booking unknown for no reason, and on an engine it would
+// look like a crash; and net/http would send a booking that has an Idempotency-Key
+// header again by itself.
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &countingConn{Conn: c}, nil
-	}
-	idle := b.IdleTimeout
-	if idle == 0 {
-		idle = defaultIdleTimeout
-	}
-	newTransport := func(disableKeepAlives bool) *http.Transport {
-		return &http.Transport{
-			DialContext:            dial,
-			DisableKeepAlives:      disableKeepAlives,
-			DisableCompression:     true, // the response is passed on unchanged
-			MaxIdleConnsPerHost:    maxIdlePerTarget,
-			IdleConnTimeout:        idle,
-			MaxResponseHeaderBytes: maxResponseHeader,
-			ReadBufferSize:         targetReadBuffer,
-		}
-	}
-	return &transports{keepAlive: newTransport(false), noKeepAlive: newTransport(true)}
-}
-
-func (t *transports) forPermit(p auth.Permit) *http.Transport {
-	if p.Idempotent && p.Model == "" {
-		return t.keepAlive
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: c}, nil
+		},
+		MaxIdleConnsPerHost:    -1,   // no connection is kept
+		DisableCompression:     true, // the response is passed on unchanged
+		MaxResponseHeaderBytes: maxResponseHeader,
+		ReadBufferSize:         targetReadBuffer,
 	}
-	return t.noKeepAlive
 }
--- a/internal/dispatch/local.go
+++ b/internal/dispatch/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -27,8 +28,8 @@
 // LocalDispatcher runs requests on targets of the local region.
 type LocalDispatcher struct {
 	LocalConfig
-	transports *transports
-	mu         struct {
+	transport *http.Transport
+	mu        struct {
 		sync.Mutex
 		running       map[*run]struct{}
 		checkedConfig *config.Config
@@ -38,7 +39,7 @@
 // NewLocalDispatcher returns a LocalDispatcher. Run RunRechecks in a goroutine
 // beside it.
 func NewLocalDispatcher(cfg LocalConfig) *LocalDispatcher {
-	l := &LocalDispatcher{LocalConfig: cfg, transports: newTransports(cfg.Bounds)}
+	l := &LocalDispatcher{LocalConfig: cfg, transport: newTransport()}
 	l.mu.running = map[*run]struct{}{}
 	return l
 }
@@ -50,7 +51,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			l.transports.keepAlive.CloseIdleConnections()
 			return nil
 		case <-t.C:
 			l.RecheckRunning()
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -102,7 +102,7 @@
 		cancel()
 		return nil, &attemptError{err: result.FromError(err), final: true}
 	}
-	resp, err := l.transports.forPermit(c.Permit).RoundTrip(req)
+	resp, err := l.transport.RoundTrip(req)
 	if err != nil {
 		defer cancel()
 		return nil, classifyConnectionError(ctx, s, err)
@@ -128,7 +128,7 @@
 		return newAttemptError(result.TargetFailed, false, "the target could not be reached", err)
 	}
 	attemptErr := newAttemptError(result.TargetFailed, true, "the target closed the connection without an answer", err)
-	attemptErr.crash = !s.reused.Load()
+	attemptErr.crash = true
 	return attemptErr
 }
 
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -1,9 +1,11 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -215,3 +217,43 @@
 	cancel()
 	recv(t, ended)
 }
+
+// A target that writes the response to the request before once more, when the next
+// one arrives on a connection that it keeps.
+func TestRepeatedResponseIsNotTakenForThatToAnotherRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				in, earlier := bufio.NewReader(conn), ""
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					response := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: true\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+					_, _ = io.WriteString(conn, earlier+response)
+					earlier = response
+				}
+			}()
+		}
+	}()
+	cluster := newTestCluster(t)
+	cluster.addTarget("t1", "north", config.PlainService, l.Addr().String())
+	n := cluster.startInstance("n", "north")
+	for i := range 20 {
+		if path := fmt.Sprintf("/orders/stock/%d", i); n.do("GET", path, "").body != path {
+			t.Errorf("request for %s got another response", path)
+		}
+	}
+}
