Let new instances get a share of cold targets five minutes after another died

An instance that died without a word kept all that started later in its failure domain from getting a share for two hours, until the heartbeat table forgot it; after a restart of all instances none would have had one. Now an instance that has been silent for five minutes is no longer waited for. It goes on counting in the division, as it may be cut off and use its share.

Ruled out: forgetting it, as those that are cut off together would then use the whole rate on each side.

Measured: TestDeadInstanceDelaysShareOfNewOneForLimitedTime, with the other tests of packages roster and placement.

--- a/internal/placement/tracker_test.go
+++ b/internal/placement/tracker_test.go
@@ -73,7 +73,7 @@
 			for j, row := range rows {
 				if j != i && hears(i, j) {
 					heard[c.ids[j].PeerAddress] = row
-					c.members[i][j] = heartbeat.Member{Heartbeat: row}
+					c.members[i][j] = heartbeat.Member{Heartbeat: row, LastSeen: c.now}
 				}
 			}
 			c.rosters[i].Update(slices.Collect(maps.Values(c.members[i])), c.now)
--- a/internal/roster/doc.go
+++ b/internal/roster/doc.go
@@ -6,9 +6,10 @@
 // The rate is first divided among the failure domains of the region, which the
 // settings name. Within a failure domain an instance has a share once every
 // instance that it knows of there counts it: each heartbeat names the incarnations
-// that its sender counts. An instance that has stopped sending heartbeats still
-// counts until the heartbeat table forgets it, unless it announced that it leaves.
-// So for any two instances with a share, each counts the other, and the sum holds.
+// that its sender counts. So for any two instances with a share, each counts the
+// other, and the sum holds. An instance that has stopped sending heartbeats still
+// counts until the heartbeat table forgets it, unless it announced that it leaves;
+// but after five minutes others no longer wait for it before they get a share.
 //
 // An instance that has just started knows nothing of what came before. It gets a
 // first share only if it hears an instance of its failure domain that has one, or
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,6 +18,11 @@
 // last, including requests that it had chosen but not written yet, still counts.
 const settlePeriod = 2 * time.Second
 
+// silencePeriod is the time without a heartbeat after which an instance of the same
+// failure domain no longer keeps others from getting a share; it goes on counting.
+// One that is cut off for longer than that does not know those that started meanwhile.
+const silencePeriod = 5 * time.Minute
+
 // Config describes the local instance.
 type Config struct {
 	Self *peerv1.Identity
@@ -37,7 +42,7 @@
 	domains []string // of the local region
 	mu      struct {
 		sync.Mutex
-		// heard are the incarnations that sent heartbeats themselves.
+		// heard are the incarnations that sent heartbeats themselves within silencePeriod.
 		heard []uint64
 		// counted are in addition those that these count, and the local one, with the
 		// time when they were last to be counted.
@@ -73,19 +78,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	left := map[uint64]bool{}
+	present := map[uint64]bool{r.self: true}
 	var domain []*peerv1.FleetRow
 	for _, m := range members {
 		switch id := m.Heartbeat.GetInstance(); {
 		case id.GetDomain() != r.domain:
 		case m.Heartbeat.GetLeaving():
 			left[key(id)] = true
+		case now.Sub(m.LastSeen) > silencePeriod:
+			present[key(id)] = true
 		default:
 			domain = append(domain, m.Heartbeat)
 		}
 	}
+	silent := len(present) - 1
 	r.mu.heard = make([]uint64, 0, len(domain))
 	acknowledged, shareHeard := true, false
-	present := map[uint64]bool{r.self: true}
 	for _, hb := range domain {
 		k := key(hb.GetInstance())
 		r.mu.heard = append(r.mu.heard, k)
@@ -102,7 +110,7 @@
 	}
 	maps.DeleteFunc(r.mu.counted, func(_ uint64, at time.Time) bool { return now.Sub(at) > settlePeriod })
 	// Those that are known only from others have not been heard.
-	r.grant(acknowledged && len(present) == len(r.mu.heard)+1 && (shareHeard || r.hearsMostSeeds(members)), now)
+	r.grant(acknowledged && len(present) == len(r.mu.heard)+silent+1 && (shareHeard || r.hearsMostSeeds(members)), now)
 }
 
 // grant gives this instance a share once the conditions for it have held for
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -32,7 +32,7 @@
 	for _, other := range counts {
 		hb.DomainMembers = append(hb.DomainMembers, key(other))
 	}
-	return heartbeat.Member{Heartbeat: hb}
+	return heartbeat.Member{Heartbeat: hb, LastSeen: start}
 }
 
 func TestInstanceWithoutProofOfOthersHasNoShare(t *testing.T) {
@@ -107,3 +107,20 @@
 		t.Error("its heartbeats say that it has a share")
 	}
 }
+
+func TestDeadInstanceDelaysShareOfNewOneForLimitedTime(t *testing.T) {
+	self, peer, dead := identity("x", "a"), identity("y", "a"), identity("z", "a")
+	r := New(Config{Self: self, Seeds: []string{"s:9"}, RegionByDomain: map[string]string{"a": "east"}})
+	alive, silent := member(peer, true, self, dead), member(dead, true)
+	now := updateFor(r, start, alive, silent)
+	if r.Share(6, "target") != 0 {
+		t.Error("a share although an instance does not count this one")
+	}
+	now = now.Add(silencePeriod)
+	alive = member(peer, true, self)
+	alive.LastSeen = now
+	updateFor(r, now, alive, silent)
+	if got := r.Share(6, "target"); got != 2 {
+		t.Errorf("share %d, want 2: the silent instance may still use its own", got)
+	}
+}
