Check the share of a cold target again when a request is sent

Cause: the check was made when the target was chosen, the count raised later, under another hold of the lock. Now Begin checks again and refuses; the request then goes to another target, nothing having been sent.

Begin counted any number before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -48,12 +48,15 @@
 	entry := v.Targets[choice.Target]
 	team := v.Config.Teams[c.team]
 	q := c.placementQuery(g.Settings.Region, team, time.Now())
-	attemptID, endAttempt, _ := g.CrashSuspects.BeginAttempt(entry.ID, c.fingerprint(), true)
 	fetchFrom := ""
 	if cacheHolder := v.Targets[choice.FetchFrom]; cacheHolder != nil {
 		fetchFrom = cacheHolder.Address
 	}
-	tracked := g.Tracker.Begin(entry, v.Config.Services[c.service], q, choice, time.Now())
+	tracked := g.Tracker.Begin(v, entry, v.Config.Services[c.service], q, choice, time.Now())
+	if tracked == nil {
+		return notRunFailure(placement.Inconclusive, true, "the target is warming up and has got its requests")
+	}
+	attemptID, endAttempt, _ := g.CrashSuspects.BeginAttempt(entry.ID, c.fingerprint(), true)
 	onFirstByte := func() { tracked.FirstByte(time.Now()) }
 	if timeout := g.unresponsiveTimeout(c); timeout > 0 {
 		timer := time.AfterFunc(timeout, func() { cancel(errUnresponsive) })
--- a/internal/placement/leaving_test.go
+++ b/internal/placement/leaving_test.go
@@ -18,7 +18,7 @@
 func TestTargetThatSaidItLeavesStaysOutWhateverIsListed(t *testing.T) {
 	c := newCluster(1, 2)
 	e, tr := c.view.Targets["t-0"], c.trackers[0]
-	a := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+	a := tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 	if !a.SetLeaving(c.now) || a.SetLeaving(c.now) {
 		t.Error("only the first response that says so is news")
 	}
@@ -46,7 +46,7 @@
 	c := newCluster(1, 1)
 	tr := c.trackers[0]
 	tr.bounds.DrainDelay = 3 * time.Second
-	tr.Begin(c.view.Targets["t-0"], c.service, &Query{}, Choice{}, c.now)
+	tr.Begin(c.view, c.view.Targets["t-0"], c.service, &Query{}, Choice{}, c.now)
 	tr.SetLeaving("t-0", c.now)
 	remote := []RegionView{{Name: "west", FreeSlots: 5, RoundTrip: 110 * time.Millisecond}}
 	q := &Query{Objective: time.Second, Remaining: 4 * time.Second, LocalAllowed: true}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -84,7 +84,7 @@
 	slowdown    slowdown
 	health      health
 	// restartSuspectedUntil is when the list will show whether the target has
-	// restarted, after other instances found it down; see noteReports.
+	// restarted, after other instances found it down; see downReports.
 	restartSuspectedUntil time.Time
 	// recentSends are the times of requests written within warmupWindow, oldest first;
 	// unsent counts those that are yet to be written.
@@ -299,12 +299,16 @@
 	ended        bool
 }
 
-// Begin records that a request is sent to the target e as chosen by c. The caller
-// must call End on the Attempt.
-func (t *Tracker) Begin(e *catalog.Entry, s *deployment.Service, q *Query, c Choice, now time.Time) *Attempt {
+// Begin records that a request is sent to the target e as chosen by c, unless the
+// target is warming up and requests that were chosen at the same time have used this
+// instance's share; it returns nil then. The caller must call End on the Attempt.
+func (t *Tracker) Begin(v *catalog.View, e *catalog.Entry, s *deployment.Service, q *Query, c Choice, now time.Time) *Attempt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.stateOf(e)
+	if t.warmingUp(v, e, st, now) && st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now) {
+		return nil
+	}
 	running, pending := st.load()
 	view := TargetView{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Slowdown: 1, Cached: c.Cached}
 	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, expected: LatencyModelOf(s).Delay(q, &view, c.FetchFrom != "")}
--- a/internal/placement/tracker_test.go
+++ b/internal/placement/tracker_test.go
@@ -96,7 +96,7 @@
 			c.now = c.now.Add(5 * time.Millisecond)
 			for _, tr := range c.trackers {
 				if views := tr.Targets(c.view, "model", "", nil, c.now); len(views) == 1 && !views[0].Full {
-					tr.Begin(e, c.service, &Query{}, Choice{}, c.now).Sent(c.now)
+					tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now).Sent(c.now)
 					sent = append(sent, c.now)
 				}
 			}
@@ -183,7 +183,7 @@
 func TestUnreachableTargetNeedsHealthCheck(t *testing.T) {
 	c := newCluster(1, 1)
 	tr, e := c.trackers[0], c.view.Targets["t-0"]
-	run := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+	run := tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 	if !run.End(Unreachable, c.now) || len(tr.DownTargets(c.now)) != 1 {
 		t.Fatal("unreachable target is not marked down")
 	}
@@ -194,7 +194,7 @@
 	taken := 0
 	for range 20 {
 		if got := tr.Targets(c.view, "model", "", nil, c.now); len(got) == 1 && !got[0].Full {
-			tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+			tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 			taken++
 		}
 	}
@@ -257,18 +257,18 @@
 func TestFullBatchQueuesFewRequests(t *testing.T) {
 	c := newCluster(1, 1)
 	tr, e := c.trackers[0], c.view.Targets["t-0"]
-	run := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+	run := tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 	run.FirstByte(c.now.Add(100 * time.Millisecond))
 	run.End(Success, c.now.Add(400*time.Millisecond))
 	for range 16 {
-		tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+		tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 	}
 	v := tr.Targets(c.view, "model", "", nil, c.now)[0]
 	if v.Full || v.HoldTime <= 0 || v.HoldTime > time.Second {
 		t.Errorf("full batch: %+v", v)
 	}
 	for range 16 {
-		tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+		tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 	}
 	if v := tr.Targets(c.view, "model", "", nil, c.now)[0]; !v.Full {
 		t.Errorf("twice the batch: %+v", v)
@@ -293,7 +293,7 @@
 		if got := tr.Targets(c.view, "model", "", nil, c.now); len(got) != 1 || got[0].Full {
 			continue
 		}
-		run := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+		run := tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 		if c.now.Sub(start) < faultTime {
 			run.End(ConnectionLost, c.now)
 			lost++
@@ -324,10 +324,10 @@
 			hb.Targets = append(hb.Targets, &peerv1.TargetUse{Target: id, Avoided: true})
 		}
 		tr.SetPeerHeartbeats(map[string]*peerv1.FleetRow{"10.0.0.1": hb}, c.now)
-		for n = 1; !tr.Begin(e, c.service, &Query{}, Choice{}, c.now).End(ConnectionLost, c.now); n++ {
+		for n = 1; !tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now).End(ConnectionLost, c.now); n++ {
 		}
 		tr.SetHealthy("t-0", 0, c.now)
-		run := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+		run := tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 		run.End(Success, c.now)
 		return n
 	}
@@ -347,9 +347,9 @@
 		tr.Targets(c.view, "model", q.PrefixKey, nil, c.now)
 	}
 	read, unread := c.view.Targets["t-2"], c.view.Targets["t-3"]
-	run := c.trackers[0].Begin(read, c.service, q, Choice{}, c.now)
+	run := c.trackers[0].Begin(c.view, read, c.service, q, Choice{}, c.now)
 	run.FirstByte(c.now)
-	c.trackers[0].Begin(unread, c.service, q, Choice{}, c.now).End(Unreachable, c.now)
+	c.trackers[0].Begin(c.view, unread, c.service, q, Choice{}, c.now).End(Unreachable, c.now)
 	hb := &peerv1.FleetRow{Sequence: 7, Parts: c.trackers[0].CachedParts(c.now.Add(time.Second))}
 	c.trackers[1].SetPeerHeartbeats(map[string]*peerv1.FleetRow{"10.0.0.0": hb}, c.now)
 	for i, tr := range c.trackers {
--- a/internal/placement/warmup_test.go
+++ b/internal/placement/warmup_test.go
@@ -27,7 +27,7 @@
 		e := c.view.Targets["t-0"]
 		for _, tr := range c.trackers {
 			if c.accepts(tr) {
-				a := tr.Begin(e, c.service, &Query{}, Choice{}, c.now)
+				a := tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now)
 				a.Sent(c.now)
 				running = append(running, a)
 				sent = append(sent, c.now)
@@ -170,7 +170,7 @@
 	var chosen []*Attempt
 	for _, tr := range c.trackers {
 		for c.accepts(tr) {
-			chosen = append(chosen, tr.Begin(e, c.service, &Query{}, Choice{}, c.now))
+			chosen = append(chosen, tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now))
 		}
 	}
 	c.now = c.now.Add(5 * time.Second)
@@ -196,7 +196,7 @@
 // ever.
 func TestRequestsToEarlierIncarnationEnd(t *testing.T) {
 	c := newCluster(1, 1)
-	a := c.trackers[0].Begin(c.view.Targets["t-0"], c.service, &Query{PromptTokens: 100}, Choice{}, c.now)
+	a := c.trackers[0].Begin(c.view, c.view.Targets["t-0"], c.service, &Query{PromptTokens: 100}, Choice{}, c.now)
 	restarted := *c.view.Targets["t-0"]
 	restarted.StartedMS++
 	c.view.Targets["t-0"] = &restarted
@@ -214,7 +214,7 @@
 		c := newCluster(24, 4)
 		c.sendAll(time.Second, nil)
 		for i, o := range outcomes {
-			c.trackers[i].Begin(c.view.Targets["t-0"], c.service, &Query{}, Choice{}, c.now).End(o, c.now)
+			c.trackers[i].Begin(c.view, c.view.Targets["t-0"], c.service, &Query{}, Choice{}, c.now).End(o, c.now)
 		}
 		c.exchangeHeartbeats(all)
 		restarted := *c.view.Targets["t-0"]
@@ -256,3 +256,24 @@
 		t.Errorf("at most %d requests in a second after the warm-up", mostInOneSecond(sent))
 	}
 }
+
+// Requests that are placed at the same time all see a target that accepts one more.
+func TestWarmupBoundHoldsForRequestsPlacedAtTheSameTime(t *testing.T) {
+	c := newCluster(24, 1)
+	c.warmUp("t-0", time.Minute)
+	e := c.view.Targets["t-0"]
+	var sent []time.Time
+	for _, tr := range c.trackers {
+		if !c.accepts(tr) {
+			continue
+		}
+		for range 50 {
+			if a := tr.Begin(c.view, e, c.service, &Query{}, Choice{}, c.now); a != nil {
+				sent = append(sent, c.now)
+			}
+		}
+	}
+	if c.checkWarmupBound(t, sent); len(sent) == 0 {
+		t.Error("no request was sent")
+	}
+}
