--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -41,13 +41,6 @@
 	// minPrefixTokens is the prefix length in tokens below which cache locality is not
 	// worth the uneven load.
 	minPrefixTokens = 256
-	// leavingUseFraction is the fraction of the time in which a leaving target still
-	// takes requests for which it is used after it said that it leaves, if the service
-	// has no other target in the region.
-	leavingUseFraction = 0.5
-	// leavingRetention is how long it is remembered that a target leaves after it was
-	// last listed.
-	leavingRetention = 10 * time.Minute
 )
 
 // Tracker estimates the state of the targets of the local region. Tracker.mu is a
@@ -199,10 +192,9 @@
 			continue
 		}
 		view := t.targetView(v, s, e, st, prefixKey, now)
-		switch {
-		case st.leavingSince.IsZero():
+		if st.leavingSince.IsZero() {
 			out = append(out, view)
-		case now.Sub(st.leavingSince) < time.Duration(leavingUseFraction*float64(t.bounds.DrainDelay)):
+		} else if t.lastResort(st, now) {
 			view.Leaving = true
 			leaving = append(leaving, view)
 		}
@@ -394,31 +386,6 @@
 	}
 }
 
-// SetLeaving records that the target said that it leaves, and reports whether that is
-// new.
-func (a *Attempt) SetLeaving(now time.Time) bool {
-	a.tracker.mu.Lock()
-	defer a.tracker.mu.Unlock()
-	return a.incarnation == a.state.startedMS && a.state.setLeaving(now)
-}
-
-// SetLeaving records that a target said in a health check that it leaves, and reports
-// whether that is new.
-func (t *Tracker) SetLeaving(id string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.mu.targets[id]
-	return s != nil && s.setLeaving(now)
-}
-
-func (s *targetState) setLeaving(now time.Time) bool {
-	if !s.leavingSince.IsZero() {
-		return false
-	}
-	s.leavingSince, s.listedAt = now, now
-	return true
-}
-
 // DownTargets returns the targets that are avoided until a health check succeeds,
 // except those whose backoff has not ended.
 func (t *Tracker) DownTargets(now time.Time) []string {
@@ -432,19 +399,3 @@
 	}
 	return out
 }
-
-// Prune removes the targets that are no longer listed and have no running requests.
-// Those that said that they leave are kept for leavingRetention, since an entry that
-// lapsed may return.
-func (t *Tracker) Prune(listed map[string]*catalog.Entry, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id, s := range t.mu.targets {
-		switch {
-		case listed[id] != nil:
-			s.listedAt = now
-		case s.running <= 0 && (s.leavingSince.IsZero() || now.Sub(s.listedAt) > leavingRetention):
-			delete(t.mu.targets, id)
-		}
-	}
-}
