--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -43,8 +43,8 @@
 	minPrefixTokens = 256
 )
 
-// Tracker estimates the state of the targets of the local region. Tracker.mu is a
-// leaf lock: no other lock is taken while it is held.
+// Tracker estimates the state of the targets of the local region. Lock order: Tracker.mu,
+// then those behind warmupShares, elapsed and onWake, which are leaf locks.
 type Tracker struct {
 	regionByDomain map[string]string
 	region         string
