--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -148,15 +149,23 @@
 func newPorts() *ports {
 	pid := os.Getpid()
 	host := fmt.Sprintf("127.%d.%d.%d", 1+time.Now().UnixNano()/1000%250, pid>>8&0xff, 1+pid%250)
-	if l, err := net.Listen("tcp", host+":0"); err == nil {
+	if l, err := listenPlain(host); err == nil {
 		_ = l.Close()
 		return &ports{host: host}
 	}
 	return &ports{host: "127.0.0.1"}
 }
 
+// listenPlain listens without Multipath TCP, whose listeners the kernel may release
+// only some time after they were closed.
+func listenPlain(host string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	cfg.SetMultipathTCP(false)
+	return cfg.Listen(context.Background(), "tcp", host+":0")
+}
+
 func (p *ports) allocate() (string, error) {
-	l, err := net.Listen("tcp", p.host+":0")
+	l, err := listenPlain(p.host)
 	if err != nil {
 		return "", err
 	}
