Read the list of targets once for each call of Refresh

An instance that reads the store for its failure domain and had been frozen read the list of targets without a pause from then on.

pollTargets now repeats the read itself and puts nothing back.

TestRefreshCausesOneRead failed before for readers and passes.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -184,12 +184,23 @@
 	}
 }
 
-// pollTargets reads the targets once, unless enough other instances read the
-// store, and waits for the next read.
+// pollTargets reads the targets, unless enough other instances read the store, and
+// waits for the next read. After a call of Refresh it reads them at once.
 func (m *Manager) pollTargets(ctx context.Context) error {
 	if m.peers.EnoughReaders() && !m.waitRefresh(ctx, readerCheckInterval) {
 		return nil
 	}
+	for {
+		if err := m.readTargets(ctx); err != nil {
+			return err
+		}
+		if !m.waitRefresh(ctx, listInterval) {
+			return nil
+		}
+	}
+}
+
+func (m *Manager) readTargets(ctx context.Context) error {
 	begun := m.now()
 	listed, revision, faults, err := m.store.ReadTargets(ctx)
 	if m.recordResult(&m.mu.targets, "targets", err); err != nil {
@@ -197,9 +208,6 @@
 	}
 	m.logFaults(event.TargetEntryInvalid, faults)
 	m.applyTargetsReadAt(begun, listed, revision, revision, sourceStore)
-	if m.waitRefresh(ctx, listInterval) {
-		m.Refresh() // for the next call
-	}
 	return nil
 }
 
--- a/internal/catalog/refresh_test.go
+++ b/internal/catalog/refresh_test.go
@@ -48,3 +48,24 @@
 		t.Errorf("%d reads, want 3", n)
 	}
 }
+
+// A call of Refresh must not make an instance read the store again and again.
+func TestRefreshCausesOneRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		peers Peers
+		want  int64
+	}{"reader": {noPeers{}, 2}, "takes snapshots": {enoughReaders{}, 1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := &readCounter{}
+			m := New(store, c.peers, event.Nop(), time.Now)
+			m.Refresh()
+			if err := m.pollTargets(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if n := store.reads.Load(); n != c.want || len(m.refresh) != 0 {
+				t.Errorf("%d reads, want %d; %d refreshes are left", n, c.want, len(m.refresh))
+			}
+		})
+	}
+}
