--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -37,6 +37,16 @@
 
 var errDown = errors.New("the store is down")
 
+// applyTargets applies a list that was read just now.
+func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
+	m.applyTargetsReadAt(m.now(), listed, revision, change, source)
+}
+
+// applySnapshot applies a snapshot that was fetched just now.
+func (m *Manager) applySnapshot(snapshot []byte, from string) {
+	m.applySnapshotReadAt(m.now(), snapshot, from)
+}
+
 func newManager() (*Manager, *fakeClock) {
 	c := &fakeClock{now: time.Unix(1000, 0)}
 	return New(nil, noPeers{}, event.Nop(), c.read), c
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -292,13 +292,8 @@
 	}
 }
 
-// applyTargets merges the list of targets at revision, read from source just now; see
-// applyPublished.
-func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
-	m.applyTargetsReadAt(m.now(), listed, revision, change, source)
-}
-
-// applyTargetsReadAt is applyTargets for a list whose reading began at readAt.
+// applyTargetsReadAt merges the list of targets at revision, whose reading from source
+// began at readAt; see applyPublished.
 func (m *Manager) applyTargetsReadAt(readAt time.Time, listed map[string]*deployment.Target, revision, change int64, source string) {
 	now := m.now()
 	before, after := m.update(func(v *View) {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -62,13 +62,8 @@
 	}
 }
 
-// applySnapshot takes those parts of a snapshot that changed later than the
-// current view.
-func (m *Manager) applySnapshot(snapshot []byte, from string) {
-	m.applySnapshotReadAt(m.now(), snapshot, from)
-}
-
-// applySnapshotReadAt is applySnapshot for a snapshot whose fetching began at readAt.
+// applySnapshotReadAt takes those parts of a snapshot that changed later than the
+// current view. The fetching began at readAt.
 func (m *Manager) applySnapshotReadAt(readAt time.Time, snapshot []byte, from string) {
 	var s Snapshot
 	if err := json.Unmarshal(snapshot, &s); err != nil {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/wigeonhill/wigeonhill/internal/rendezvous"
 )
 
 const (
@@ -295,15 +295,13 @@
 	}
 	owner, highest := "", uint64(0)
 	for i := range targets {
-		if score := rendezvousScore(key, targets[i].ID); owner == "" || score > highest {
+		if score := rendezvous.Score(key, targets[i].ID); owner == "" || score > highest {
 			owner, highest = targets[i].ID, score
 		}
 	}
 	return owner
 }
 
-func rendezvousScore(key, id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
-
 func bestRegion(regions []RegionView) *RegionView {
 	var best *RegionView
 	for i := range regions {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/rendezvous"
 )
 
 const (
@@ -218,7 +219,7 @@
 		if e.Service != service || e.Leaving || v.Evacuated[e.Domain] || !allowed(region) {
 			continue
 		}
-		if score := rendezvousScore(key, e.ID); ownerRegion == "" || score > highest {
+		if score := rendezvous.Score(key, e.ID); ownerRegion == "" || score > highest {
 			ownerRegion, highest = region, score
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/rendezvous"
 )
 
 // settlePeriod is the time after which an instance may use more than before, because
@@ -163,22 +164,24 @@
 	if !r.mu.hasShare || r.mu.leaving {
 		return 0
 	}
-	ahead := 0
+	ahead, own := 0, rendezvous.Score(name, r.domain)
 	for _, d := range r.domains {
-		if score(name, d) > score(name, r.domain) {
+		if rendezvous.Score(name, d) > own {
 			ahead++
 		}
 	}
 	limit = divide(limit, max(len(r.domains), 1), ahead)
-	ahead = 0
+	ahead, own = 0, rendezvous.Score(name, keyText(r.self))
 	for k := range r.mu.counted {
-		if score(name, string(binary.LittleEndian.AppendUint64(nil, k))) > score(name, string(binary.LittleEndian.AppendUint64(nil, r.self))) {
+		if rendezvous.Score(name, keyText(k)) > own {
 			ahead++
 		}
 	}
 	return divide(limit, len(r.mu.counted), ahead)
 }
 
+func keyText(k uint64) string { return string(binary.LittleEndian.AppendUint64(nil, k)) }
+
 // divide returns the part of limit for one of n, of whom ahead come before it if the
 // units do not suffice for all.
 func divide(limit, n, ahead int) int {
@@ -187,5 +190,3 @@
 	}
 	return 1
 }
-
-func score(name, candidate string) uint64 { return xxhash.Sum64String(name + "\x00" + candidate) }
