--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -79,6 +79,13 @@
 	}, true
 }
 
+// Running returns the number of attempts of this instance that run on the target.
+func (s *CrashSuspects) Running(target string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.mu.running[target])
+}
+
 // TargetsToAvoid returns the targets on which BeginAttempt would refuse f.
 func (s *CrashSuspects) TargetsToAvoid(f Fingerprint) []string {
 	s.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,7 +78,7 @@
 		}
 	}
 	if outcome == placement.ConnectionLost {
-		go g.confirmCrash(entry.ID, entry.Address, attemptID, c.fingerprint(), c.ID)
+		go g.confirmCrash(entry.ID, entry.Address, attemptID, c.fingerprint(), c.ID, c.PromptParts)
 	}
 	return f
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
@@ -21,7 +22,7 @@
 // confirmCrash reports that a target crashed while it ran a request, if the target
 // accepts no new connection. A target that does accept one has only lost the
 // response, and the request must not be suspected of crashing targets.
-func (g *Gateway) confirmCrash(target, address string, attempt uint64, f dispatch.Fingerprint, request string) {
+func (g *Gateway) confirmCrash(target, address string, attempt uint64, f dispatch.Fingerprint, request string, parts []deployment.PromptPart) {
 	conn, err := net.DialTimeout("tcp", address, targetDialTimeout)
 	if err == nil {
 		_ = conn.Close()
@@ -32,7 +33,8 @@
 		g.OnTargetDown(target)
 	}
 	g.CrashSuspects.RecordCrash(target, attempt, f)
-	g.Log.Emit(event.TargetLost, zap.String("request", request), zap.String("target", target), zap.Stringer("fingerprint", f), zap.Error(err))
+	g.Log.Emit(event.TargetLost, zap.String("request", request), zap.String("target", target), zap.Stringer("fingerprint", f),
+		zap.Strings("parts", partIDs(parts)), zap.Int("running", g.CrashSuspects.Running(target)), zap.Error(err))
 	// The caller may send the request again to any instance.
 	report := &peerv1.ProbeRequest{From: g.Self, Crashes: g.CrashSuspects.ReportsFor(f)}
 	for _, m := range g.Members.Members() {
@@ -49,3 +51,12 @@
 		g.Log.Emit(event.CrashReportFailed, zap.String("peer", peer), zap.Error(err))
 	}
 }
+
+// partIDs returns the ids of the parts of a prompt in their order.
+func partIDs(parts []deployment.PromptPart) []string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
