--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -201,8 +201,12 @@
 
 // storeEntry returns the target's entry in the store.
 func (target *fakeTarget) storeEntry(service, domain, state string, sequence int) map[string]any {
+	return storeEntryAt(target.address(), service, domain, state, sequence)
+}
+
+func storeEntryAt(address, service, domain, state string, sequence int) map[string]any {
 	return map[string]any{
-		"service": service, "address": target.address(), "zone": domain, "version": "v1", "slots": 8, "state": state,
+		"service": service, "address": address, "zone": domain, "version": "v1", "slots": 8, "state": state,
 		"warmup_left_ms": 0, "sequence": sequence, "born": 1000,
 	}
 }
