Block the parts of prompts that crash targets, and spare those beside them

Callers saw: requests with one common part, no two alike, ended target after target; sound requests failed with them (BUDGET, LOST).

Cause: a suspect was a whole request (team, host, path, body). Requests that differ in anything were different suspects, so that no two crashes had one in common.

Change: package crash replaces dispatch.CrashSuspects. Suspects are the request and each part of its prompt but the last. A part is acquitted by two events or a whole response, a request by a whole response. A request is blocked if it has everything that the crashes of one of its suspects have in common; how many crashes that takes follows from how often other requests are lost meanwhile. Instances answer a crash report with their own attempts at the target and with what they have acquitted; blocks travel with a digest in the heartbeats, so that an instance that was cut off or has just started learns of them. Only a refused connection of a target that was not leaving counts as a crash on the platform.

Ruled out: that the suspect was known and not blocked for rivals, or not known everywhere: it was known nowhere.

--- /dev/null
+++ b/internal/crash/decide.go
@@ -0,0 +1,228 @@
+package crash
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minRequestCrashes and minPartCrashes are the least crashes after which a
+	// request, or a part of prompts, is blocked.
+	minRequestCrashes = 2
+	minPartCrashes    = 3
+	// minAnswered is the least number of other attempts that were answered since
+	// the first crash before a part is blocked: without them the crashes may have a
+	// cause outside the prompts.
+	minAnswered = 3
+	// falseBlockProbability bounds the probability that a suspect is lost in as
+	// many crashes as it takes to block it if it is lost only as often as others.
+	falseBlockProbability = 0.001
+	// maxOutcomes is the number of attempts whose outcomes are remembered.
+	maxOutcomes = 1024
+)
+
+// outcome is how an attempt ended, or that it got so far that the parts of its
+// prompt are acquitted.
+type outcome struct {
+	at   time.Duration
+	pool string
+	lost *crash // nil if the attempt was answered
+}
+
+// outcomes is a ring of the last maxOutcomes outcomes.
+type outcomes struct {
+	ring []outcome
+	next int
+}
+
+func (o *outcomes) add(x outcome) {
+	if len(o.ring) < maxOutcomes {
+		o.ring = append(o.ring, x)
+		return
+	}
+	o.ring[o.next] = x
+	o.next = (o.next + 1) % maxOutcomes
+}
+
+// count returns how many attempts were lost in crashes that do not name s, and how
+// many were answered, since the given time.
+func (o *outcomes) count(pool string, s Suspect, since time.Duration) (lost, answered int) {
+	for _, x := range o.ring {
+		switch {
+		case x.pool != pool || x.at < since:
+		case x.lost == nil:
+			answered++
+		case !x.lost.suspects[s]:
+			lost++
+		}
+	}
+	return lost, answered
+}
+
+// crashesNeeded returns the number of crashes since the given time after which s is
+// blocked.
+func (t *Tracker) crashesNeeded(pool string, s Suspect, since time.Duration) int {
+	lost, answered := t.mu.outcomes.count(pool, s, since)
+	least := minRequestCrashes
+	if s.Part {
+		if answered < minAnswered {
+			return math.MaxInt
+		}
+		least = minPartCrashes
+	}
+	lossRate := 0.0
+	if _, sound := t.mu.sound.get(s); s.Part || sound {
+		lossRate = float64(lost+1) / float64(lost+answered+2)
+	} else if lost > 0 {
+		lossRate = float64(lost) / float64(lost+answered)
+	}
+	switch lossRate {
+	case 0:
+		return least
+	case 1:
+		return math.MaxInt
+	}
+	return max(least, int(math.Ceil(math.Log(falseBlockProbability)/math.Log(lossRate))))
+}
+
+// cause returns what the crashes that name s have in common, and their number, if
+// that is enough to block the request with the given suspects; otherwise nil.
+func (t *Tracker) cause(s Suspect, request []Suspect) (common []Suspect, crashes int) {
+	if t.mu.named[s] < minRequestCrashes || s.Part && t.mu.named[s] < minPartCrashes {
+		return nil, 0
+	}
+	naming := t.crashesNaming([]Suspect{s})
+	if len(naming) == 0 || len(naming) < t.crashesNeeded(naming[len(naming)-1].pool, s, naming[0].at) {
+		return nil, 0
+	}
+	if common = commonSuspects(naming); !includes(request, common) {
+		return nil, 0
+	}
+	return common, len(naming)
+}
+
+// crashesNaming returns the crashes that name all suspects, without those that a
+// block of others explains.
+func (t *Tracker) crashesNaming(suspects []Suspect) []*crash {
+	var out []*crash
+	for _, c := range t.mu.crashes {
+		if c.names(suspects) && !t.explained(c, suspects, 0) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (c *crash) names(suspects []Suspect) bool {
+	for _, s := range suspects {
+		if !c.suspects[s] {
+			return false
+		}
+	}
+	return true
+}
+
+// explained reports whether a block in force that rests on more than the given
+// number of crashes, and has none of the suspects, explains the crash.
+func (t *Tracker) explained(c *crash, suspects []Suspect, crashes int) bool {
+	now := t.now()
+	for _, b := range t.mu.blocks {
+		if b.inForce(now) && b.crashes > crashes && !b.hasAny(suspects) && c.names(b.suspects) {
+			return true
+		}
+	}
+	return false
+}
+
+// commonSuspects returns the suspects that all crashes name, sorted.
+func commonSuspects(crashes []*crash) []Suspect {
+	var out []Suspect
+	for s := range crashes[0].suspects {
+		inAll := true
+		for _, c := range crashes[1:] {
+			inAll = inAll && c.suspects[s]
+		}
+		if inAll {
+			out = append(out, s)
+		}
+	}
+	sortSuspects(out)
+	return out
+}
+
+// Blocked returns the suspects for which a request must not be sent to any target,
+// or nil if it may be sent.
+func (t *Tracker) Blocked(request []Suspect) []Suspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire()
+	for _, s := range request {
+		for _, b := range t.mu.byFirst[s] {
+			if b.inForce(t.now()) && includes(request, b.suspects) && !t.hasRival(b, request) {
+				return b.suspects
+			}
+		}
+		if common, _ := t.cause(s, request); common != nil {
+			return common
+		}
+	}
+	return nil
+}
+
+// hasRival reports whether this instance knows as many crashes as a block rests on
+// and they have something else in common that the request does not have: whoever
+// issued the block did not know that it was there.
+func (t *Tracker) hasRival(b *block, request []Suspect) bool {
+	var naming []*crash
+	for _, c := range t.mu.crashes {
+		if c.names(b.suspects) {
+			naming = append(naming, c)
+		}
+	}
+	return len(naming) >= b.crashes && !includes(request, commonSuspects(naming))
+}
+
+// Decide issues the blocks that follow from crashes in which this instance lost
+// attempts, and revokes blocks whose crashes other blocks explain. It is called
+// when other instances had time to name their attempts and to acquit suspects.
+func (t *Tracker) Decide() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decide()
+}
+
+func (t *Tracker) decide() {
+	if !t.mu.undecided {
+		return
+	}
+	t.mu.undecided = false
+	for _, c := range t.mu.crashes {
+		for _, a := range c.attempts[:c.own] {
+			for _, s := range a.suspects {
+				if common, crashes := t.cause(s, a.suspects); common != nil {
+					t.issue(common, crashes)
+				}
+			}
+		}
+	}
+	for _, b := range t.mu.blocks {
+		if b.own && b.inForce(t.now()) && t.explainedByOthers(b) {
+			t.revoke(b)
+		}
+	}
+}
+
+// explainedByOthers reports whether all crashes that name the suspects of a block
+// are explained by blocks that rest on more crashes.
+func (t *Tracker) explainedByOthers(b *block) bool {
+	named := false
+	for _, c := range t.mu.crashes {
+		if !c.names(b.suspects) {
+			continue
+		}
+		if named = true; !t.explained(c, b.suspects, b.crashes) {
+			return false
+		}
+	}
+	return named
+}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/auth"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/idempotency"
 )
 
@@ -30,6 +31,9 @@
 	// not a single token count.
 	Resumable    bool
 	PrefixHashes []uint64
+	// PromptParts are the messages of the prompt without the last, which belongs to
+	// this request.
+	PromptParts  []string
 	PromptTokens int
 	OutputTokens int
 
@@ -68,19 +72,17 @@
 	return "whole"
 }
 
-// Fingerprint identifies a request that is sent again, also under another ID.
-type Fingerprint [16]byte
-
-// Fingerprint returns the hash of team, route, model and body.
-func (c *Call) Fingerprint() Fingerprint {
-	return FingerprintOf(c.Body, c.Permit.Team, c.Permit.Route, c.Permit.Model)
+// Suspects returns what may crash a target: the request, identified by team, route,
+// model and body, and the parts of its prompt.
+func (c *Call) Suspects() []crash.Suspect {
+	return crash.Suspects(FingerprintOf(c.Body, c.Permit.Team, c.Permit.Route, c.Permit.Model), c.PromptParts)
 }
 
 // FingerprintOf hashes a body together with parts that distinguish requests
 // with the same body.
-func FingerprintOf(body []byte, parts ...string) Fingerprint {
+func FingerprintOf(body []byte, parts ...string) crash.Fingerprint {
 	d := hashParts(body, parts...)
-	return Fingerprint(d[:len(Fingerprint{})])
+	return crash.Fingerprint(d[:len(crash.Fingerprint{})])
 }
 
 // Digest identifies the content of a call under its idempotency key.
--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -23,7 +23,8 @@
 	Stream       bool
 	SingleChoice bool // exactly one choice
 	Prompt       string
-	MaxTokens    int // max_tokens of the caller; 0 if not given
+	PromptParts  []string // messages or prompts without the last
+	MaxTokens    int      // max_tokens of the caller; 0 if not given
 	fields       map[string]json.RawMessage
 }
 
@@ -62,7 +63,8 @@
 		return nil, badRequest("n is below 1")
 	}
 	c.Model, c.Stream, c.SingleChoice = f.Model, f.Stream, f.N == nil || *f.N == 1
-	c.Prompt = promptText(f.Messages, f.Prompt)
+	texts := promptTexts(f.Messages, f.Prompt)
+	c.Prompt, c.PromptParts = strings.Join(texts, "\n"), texts[:max(len(texts)-1, 0)]
 	return c, nil
 }
 
@@ -75,9 +77,8 @@
 	return max(n, 1)
 }
 
-// promptText joins the texts that make up the prompt with newlines.
-func promptText(messages, prompt json.RawMessage) string {
-	var texts []string
+// promptTexts returns the texts that make up the prompt.
+func promptTexts(messages, prompt json.RawMessage) (texts []string) {
 	var chat []struct {
 		Content json.RawMessage `json:"content"`
 	}
@@ -94,7 +95,7 @@
 			texts = append(texts, contentText(prompt))
 		}
 	}
-	return strings.Join(texts, "\n")
+	return texts
 }
 
 func contentText(raw json.RawMessage) string {
@@ -169,6 +170,7 @@
 		return result.New(result.BadRequest, result.NotRun, "the body is not valid JSON").WithCause(err)
 	}
 	c.Body, c.Stream, c.Resumable = body, p.Stream, p.SingleChoice
+	c.PromptParts = p.PromptParts
 	c.PrefixHashes, c.PromptTokens, c.OutputTokens = PrefixHashes(p.Prompt), CountTokens(p.Prompt), limit*p.choices()
 	return nil
 }
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -5,6 +5,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
 	"github.com/wigeonhill/wigeonhill/internal/config"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/idempotency"
 	"github.com/wigeonhill/wigeonhill/internal/lease"
@@ -67,7 +68,7 @@
 	Admitter        admission.Admitter
 	Slots           Slots
 	Gate            *Gate
-	CrashSuspects   *CrashSuspects
+	Crashes         *crash.Tracker
 	Memory          *MemoryBudget
 	RetryBudget     *RetryBudget
 	Requests        audit.RequestRecorder
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -61,7 +61,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r := &run{local: d.local, call: c, sink: sink, ctx: ctx, cancel: cancel, exclude: map[string]bool{}, fingerprint: c.Fingerprint()}
+	r := &run{local: d.local, call: c, sink: sink, ctx: ctx, cancel: cancel, exclude: map[string]bool{}, suspects: c.Suspects()}
 	r.region.Store(&m.Region)
 	defer d.local.track(r)()
 	err := d.resendTo(ctx, r, m)
@@ -80,7 +80,7 @@
 // record of its idempotency key. A refusal on this side is never "not run",
 // because an earlier attempt may have run.
 func (d *Dispatcher) resendTo(ctx context.Context, r *run, m Member) error {
-	cfg, p, err := d.local.currentPermit(r.call, r.fingerprint)
+	cfg, p, err := d.local.currentPermit(r.call, r.suspects)
 	if err == nil {
 		err = r.admit(ctx, cfg, p, nil)
 	}
--- a/internal/dispatch/hop.go
+++ b/internal/dispatch/hop.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/result"
@@ -140,7 +141,7 @@
 		defer cancel()
 		return nil, d.classifyHopError(ctx, m, s, err)
 	}
-	f := &frameReader{stream: stream, id: c.ID, log: d.local.Log, suspects: d.local.CrashSuspects}
+	f := &frameReader{stream: stream, id: c.ID, log: d.local.Log, crashes: d.local.Crashes}
 	head, err := f.readHead()
 	if err != nil {
 		defer func() { cancel(); _ = stream.Close() }()
@@ -193,13 +194,13 @@
 	data       []byte
 	err        error
 	tokensUsed float64 // tokens charged, from the tail
-	// suspects receives the crash reports of the tail; nil to ignore them.
-	suspects *CrashSuspects
+	// crashes receives the crash reports of the tail; nil to ignore them.
+	crashes *crash.Tracker
 }
 
-func (f *frameReader) mergeCrashes(reports []*peerv1.Crash) {
-	if f.suspects != nil {
-		f.suspects.MergeReports(reports)
+func (f *frameReader) mergeCrashes(news *peerv1.CrashNews) {
+	if f.crashes != nil {
+		f.crashes.Merge(news)
 	}
 }
 
@@ -229,7 +230,7 @@
 		return nil, err
 	}
 	if t := m.GetTail(); t != nil {
-		f.mergeCrashes(t.GetCrashes())
+		f.mergeCrashes(t.GetCrashNews())
 		return nil, tailError(t)
 	}
 	h := m.GetHead()
@@ -263,7 +264,7 @@
 		f.data = part.Data
 	case *peerv1.ForwardResponse_Tail:
 		f.tokensUsed = part.Tail.GetTokensUsed()
-		f.mergeCrashes(part.Tail.GetCrashes())
+		f.mergeCrashes(part.Tail.GetCrashNews())
 		if f.err = io.EOF; part.Tail.GetCode() != 0 {
 			f.err = tailError(part.Tail)
 		}
--- a/internal/dispatch/local.go
+++ b/internal/dispatch/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/auth"
 	"github.com/wigeonhill/wigeonhill/internal/config"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
@@ -103,7 +105,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r := &run{local: l, forwarder: fwd, call: c, sink: sink, ctx: ctx, cancel: cancel, exclude: map[string]bool{}, fingerprint: c.Fingerprint(),
+	r := &run{local: l, forwarder: fwd, call: c, sink: sink, ctx: ctx, cancel: cancel, exclude: map[string]bool{}, suspects: c.Suspects(),
 		attempts: c.Attempts, deliveredTokens: c.ResumeTokens}
 	defer l.track(r)()
 	err := r.runAttempts(ctx)
@@ -139,7 +141,7 @@
 // currentPermit returns the configuration in force and the permit under it, or an
 // error that says why the instance or the configuration does not allow the
 // request now.
-func (l *LocalDispatcher) currentPermit(c *Call, f Fingerprint) (*config.Config, auth.Permit, error) {
+func (l *LocalDispatcher) currentPermit(c *Call, suspects []crash.Suspect) (*config.Config, auth.Permit, error) {
 	if err := l.Gate.Check(); err != nil {
 		return nil, c.Permit, err
 	}
@@ -147,10 +149,10 @@
 	if cfg == nil {
 		return nil, c.Permit, result.New(result.NotReady, result.NotRun, "the instance has no edition yet")
 	}
-	if l.CrashSuspects.Blocked(f) {
+	if cause := l.Crashes.Blocked(suspects); cause != nil {
 		l.Trail.Add(audit.Change{At: time.Now(), Kind: audit.RequestBlocked, Subject: c.ID, Team: c.Permit.Team,
-			Reason: "fingerprint " + f.String(), Revision: cfg.Revision})
-		return nil, c.Permit, result.New(result.RequestBlocked, result.NotRun, "this request crashed targets")
+			Reason: fmt.Sprint("crashed targets: ", cause), Revision: cfg.Revision})
+		return nil, c.Permit, result.New(result.RequestBlocked, result.NotRun, "this request or a part of its prompt crashed targets")
 	}
 	p, err := auth.Recheck(cfg, c.Permit)
 	if err == nil && c.Prepaid && !p.AllowedRegions[l.Instance.Region] {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/admission"
 	"github.com/wigeonhill/wigeonhill/internal/auth"
 	"github.com/wigeonhill/wigeonhill/internal/config"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/routing"
 )
@@ -30,9 +31,8 @@
 	maxRun time.Duration
 	// permit is the permit under the configuration that confirmed the placement.
 	permit auth.Permit
-	// attempt and end are the results of CrashSuspects.BeginAttempt.
-	attempt uint64
-	end     func()
+	// attempt is that of Crashes; nil for another region.
+	attempt *crash.Attempt
 }
 
 func (p placement) name() string {
@@ -42,11 +42,19 @@
 	return p.region
 }
 
+// poolOf names the targets that a request may run on.
+func poolOf(p auth.Permit) string {
+	if p.Model != "" {
+		return "model " + p.Model
+	}
+	return "service " + p.Service
+}
+
 // place chooses a placement and obtains admission for it. If it returns no error,
 // the request may be sent at once.
 func (r *run) place(ctx context.Context) (placement, error) {
 	for round := range maxPlacementRounds {
-		cfg, p, err := r.local.currentPermit(r.call, r.fingerprint)
+		cfg, p, err := r.local.currentPermit(r.call, r.suspects)
 		if err != nil {
 			return placement{}, err
 		}
@@ -66,7 +74,7 @@
 		}
 		pl, ok, err := r.confirmPlacement(choice.Region)
 		if ok && pl.target != nil {
-			pl.attempt, pl.end, ok = r.local.CrashSuspects.BeginAttempt(pl.target.Name, r.fingerprint, round >= maxAvoidRounds)
+			pl.attempt, ok = r.local.Crashes.Begin(pl.target.Name, poolOf(p), r.suspects, round >= maxAvoidRounds)
 		}
 		if err != nil || ok {
 			return pl, err
@@ -84,7 +92,7 @@
 		PromptTokens: r.call.PromptTokens, OutputTokens: r.call.OutputTokens,
 		AllowedRegions: r.allowedRegions(p), Exclude: maps.Clone(r.exclude), LocalOnly: r.forwarder == nil,
 	}
-	for _, target := range r.local.CrashSuspects.TargetsToAvoid(r.fingerprint) {
+	for _, target := range r.local.Crashes.TargetsToAvoid(r.suspects[0]) {
 		q.Exclude[target] = true
 	}
 	for target := range r.fullTargets {
@@ -203,7 +211,7 @@
 		placedRegion = r.local.Instance.Region
 	}
 	r.region.Store(&placedRegion)
-	cfg, p, err := r.local.currentPermit(r.call, r.fingerprint)
+	cfg, p, err := r.local.currentPermit(r.call, r.suspects)
 	if err != nil {
 		return placement{}, false, err
 	}
--- a/internal/dispatch/receiver.go
+++ b/internal/dispatch/receiver.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		e := result.FromError(err)
 		if e.Code == result.TargetFailed {
-			out.crashes = l.CrashSuspects.ReportsFor(c.Fingerprint())
+			out.crashes = l.Crashes.ReportsFor(c.Suspects()[0])
 		}
 		return out.tail(outcome, e)
 	}
@@ -201,7 +201,7 @@
 	id  string
 	seq uint64
 	// crashes are the crash reports to send with the tail.
-	crashes []*peerv1.Crash
+	crashes *peerv1.CrashNews
 }
 
 func (f *frameSink) send(m *peerv1.ForwardResponse) error {
@@ -235,7 +235,7 @@
 }
 
 func (f *frameSink) tail(o Outcome, e *result.Error) error {
-	t := &peerv1.Tail{TokensUsed: o.Tokens, Crashes: f.crashes}
+	t := &peerv1.Tail{TokensUsed: o.Tokens, CrashNews: f.crashes}
 	if e != nil {
 		t.Code, t.MayHaveRun, t.Message = uint32(e.Code), e.Ran == result.MayHaveRun, e.Message
 		t.RetryAfterMs = uint32(e.RetryAfter.Milliseconds())
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/auth"
 	"github.com/wigeonhill/wigeonhill/internal/config"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/routing"
@@ -32,11 +33,12 @@
 	sink        Sink
 	ctx         context.Context // of the whole call
 	cancel      context.CancelCauseFunc
-	fingerprint Fingerprint
+	suspects    []crash.Suspect
 	exclude     map[string]bool
 	fullTargets map[string]bool        // targets of the local region that had no free slot
 	region      atomic.Pointer[string] // region where the request runs now; nil between attempts
 	query       routing.Query          // of the last choice
+	running     *crash.Attempt         // the attempt at a target of this region; nil between attempts
 
 	ticket   admission.Ticket
 	admitted bool
@@ -147,7 +149,9 @@
 		}
 		return err
 	}
-	defer pl.end()
+	defer pl.attempt.End()
+	r.running = pl.attempt
+	defer func() { r.running = nil }()
 	resp, err := r.local.sendAttempt(ctx, r.call, pl.target, pl.weight, r.attempts, r.deliveredTokens)
 	if err == nil {
 		r.mayHaveRun = true
@@ -156,9 +160,12 @@
 	}
 	var attemptErr *attemptError
 	if errors.As(err, &attemptErr) && attemptErr.crash {
-		r.local.CrashSuspects.RecordCrash(pl.target.Name, pl.attempt, r.fingerprint)
+		r.local.Crashes.RecordLoss(pl.attempt)
 		r.local.Log.Emit(event.TargetLost, zap.String("request", r.call.ID), zap.String("target", pl.target.Name),
-			zap.Stringer("fingerprint", r.fingerprint), zap.Error(attemptErr.err))
+			zap.Stringers("suspects", r.suspects), zap.Error(attemptErr.err))
+	}
+	if err == nil && resp.status >= 200 && resp.status < 300 {
+		pl.attempt.Completed()
 	}
 	return err
 }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/sse"
 )
@@ -63,6 +64,9 @@
 		}
 		pending = nil
 		r.deliveredTokens++
+		if r.running != nil && r.deliveredTokens == resumedAt+crash.RespondingEvents {
+			r.running.Responding()
+		}
 		r.finished = r.finished || c.finished
 		r.attemptsWithoutProgress = 0
 	}
--- a/internal/event/requests.go
+++ b/internal/event/requests.go
@@ -11,5 +11,7 @@
 	HopRefused            = define(404, "forwarded request refused", zapcore.WarnLevel, "a forwarded request was refused because of its hop count, residency, team or format")
 	CallerTooSlow         = define(405, "caller too slow", zapcore.InfoLevel, "a caller made no progress within the timeout and its request was cancelled")
 	CallerListenerStarted = define(406, "caller listener started", zapcore.InfoLevel, "the listener for callers accepts requests")
+	SuspectBlocked        = define(408, "suspect blocked", zapcore.WarnLevel, "requests with all of the suspects are refused, as each crash of a target that names one of them names all; own is false if another instance found that")
+	SuspectUnblocked      = define(409, "suspect no longer blocked", zapcore.InfoLevel, "a block was revoked, as a target has answered a request with one of its suspects or other suspects explain its crashes")
 	PanicRecovered        = define(407, "panic in request", zapcore.ErrorLevel, "the handler of a request panicked; the request ended with internal_fault")
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
@@ -36,7 +37,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if choice.Region != "" {
-		d.remoteRegion, d.expectedDelay = choice.Region, choice.Delay
+		d.remoteRegion, d.expectedDelay, d.onResponding = choice.Region, choice.Delay, nil
 		resp, f := g.forward(ctx, c, choice.Region, d.lastEventID)
 		if f != nil {
 			return f
@@ -56,15 +57,19 @@
 	if tracked == nil {
 		return notRunFailure(placement.Inconclusive, true, "the target is warming up and has got its requests")
 	}
-	attemptID, endAttempt, _ := g.CrashSuspects.BeginAttempt(entry.ID, c.fingerprint(), true)
+	running, _ := g.Crashes.Begin(entry.ID, c.service, c.suspects(), true)
+	d.onResponding = running.Responding
 	onFirstByte := func() { tracked.FirstByte(time.Now()) }
 	if timeout := g.unresponsiveTimeout(c); timeout > 0 {
 		timer := time.AfterFunc(timeout, func() { cancel(errUnresponsive) })
 		onFirstByte = func() { timer.Stop(); tracked.FirstByte(time.Now()) }
 	}
 	f := g.exchange(ctx, c, entry, v, d, fetchFrom, tracked, onFirstByte)
-	endAttempt()
+	running.End()
 	outcome := placement.Success
+	if f == nil && d.succeeded {
+		running.Completed()
+	}
 	if f != nil {
 		if outcome = f.outcome; context.Cause(ctx) == errUnresponsive {
 			outcome = placement.Unresponsive
@@ -78,7 +83,7 @@
 		}
 	}
 	if outcome == placement.ConnectionLost {
-		go g.confirmCrash(entry.ID, entry.Address, attemptID, c.fingerprint(), c.ID, c.PromptParts)
+		go g.confirmCrash(entry.ID, entry.Address, running, c.ID, partIDs(c.PromptParts))
 	}
 	return f
 }
@@ -106,7 +111,7 @@
 // deliver passes a response on and records how it ended. onFirstByte is called when
 // a first part of it has arrived, for event streams after each event.
 func (g *Gateway) deliver(c *call, resp *targetResponse, d *delivery, onFirstByte func()) *failure {
-	d.framing = resp.framing
+	d.framing, d.succeeded = resp.framing, resp.status >= 200 && resp.status < 300
 	body := &countingReader{r: resp.body}
 	resp.body = body
 	f := passOn(resp, d, onFirstByte)
@@ -190,7 +195,7 @@
 // deliverEvents passes on a stream of server-sent events, whole events at a time as
 // far as they are not too long, so that it can be resumed after the last one.
 func deliverEvents(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
-	events := newEventReader(resp.body)
+	events, whole := newEventReader(resp.body), 0
 	if d.started {
 		events.skipThrough(d.lastEventID)
 	}
@@ -216,6 +221,11 @@
 				return callerWriteFailure(err)
 			}
 		}
+		if !piece.More && !piece.Comment && len(piece.Raw) > 0 {
+			if whole++; whole == crash.RespondingEvents && d.onResponding != nil {
+				d.onResponding()
+			}
+		}
 		switch {
 		case piece.More || piece.ID == "" && !piece.Comment:
 			d.resumable = false
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
@@ -40,19 +41,21 @@
 	// forwarded again.
 	forwarded bool
 
-	// cachedFingerprint is the fingerprint for fingerprintTeam; see fingerprint.
-	cachedFingerprint *dispatch.Fingerprint
-	fingerprintTeam   string
+	// cachedSuspects are the suspects for suspectsTeam; see suspects.
+	cachedSuspects []crash.Suspect
+	suspectsTeam   string
 }
 
-// fingerprint identifies a request that is sent again, by its body, team, host and
-// path. It hashes the whole body, so the result is cached across attempts.
-func (c *call) fingerprint() dispatch.Fingerprint {
-	if c.cachedFingerprint == nil || c.fingerprintTeam != c.team {
-		f := dispatch.FingerprintOf(c.body, c.team, c.host, c.path)
-		c.cachedFingerprint, c.fingerprintTeam = &f, c.team
+// suspects returns what may crash a target: the request, identified by its body,
+// team, host and path, and the parts of its prompt without the last. It hashes the
+// whole body, so the result is cached across attempts.
+func (c *call) suspects() []crash.Suspect {
+	if c.cachedSuspects == nil || c.suspectsTeam != c.team {
+		parts := partIDs(c.PromptParts)
+		c.cachedSuspects = crash.Suspects(dispatch.FingerprintOf(c.body, c.team, c.host, c.path), parts[:max(len(parts)-1, 0)])
+		c.suspectsTeam = c.team
 	}
-	return *c.cachedFingerprint
+	return c.cachedSuspects
 }
 
 // resolve sets the route, service and team of a call according to v. It is called
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -10,53 +12,147 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
-	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
 
-// crashReportTimeout bounds the sending of a crash report to one other instance.
-const crashReportTimeout = 2 * time.Second
+const (
+	// crashReportTimeout bounds the exchange of crash news with one other instance.
+	crashReportTimeout = time.Second
+	// crashReportPause is the time between two rounds of crash reports, which
+	// gathers the losses of one crash.
+	crashReportPause = 50 * time.Millisecond
+	// blockSyncInterval is the least time between two exchanges of blocks with
+	// instances that know others.
+	blockSyncInterval = time.Second
+)
 
-// confirmCrash reports that a target crashed while it ran a request, if the target
-// accepts no new connection. A target that does accept one has only lost the
-// response, and the request must not be suspected of crashing targets.
-func (g *Gateway) confirmCrash(target, address string, attempt uint64, f dispatch.Fingerprint, request string, parts []deployment.PromptPart) {
+// crashReporter is the state of the exchange of crash news.
+type crashReporter struct {
+	mu struct {
+		sync.Mutex
+		reporting bool      // rounds of reports are in progress
+		lastSync  time.Time // last exchange because of a digest
+	}
+}
+
+// confirmCrash records that a target crashed while it ran a request, if its address
+// refuses connections. A target that accepts one has only lost the response, one
+// that does not answer may be cut off, and one that was about to leave has left:
+// none of that says anything about the request.
+func (g *Gateway) confirmCrash(target, address string, a *crash.Attempt, request string, parts []string) {
 	conn, err := net.DialTimeout("tcp", address, targetDialTimeout)
 	if err == nil {
 		_ = conn.Close()
 		return
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) && g.Tracker.SetRefused(target, time.Now()) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	if g.Tracker.SetRefused(target, time.Now()) {
 		g.Log.Emit(event.TargetAvoided, zap.String("target", target), zap.String("request", request), zap.String("reason", err.Error()))
 		g.OnTargetDown(target)
 	}
-	g.CrashSuspects.RecordCrash(target, attempt, f)
-	g.Log.Emit(event.TargetLost, zap.String("request", request), zap.String("target", target), zap.Stringer("fingerprint", f),
-		zap.Strings("parts", partIDs(parts)), zap.Int("running", g.CrashSuspects.Running(target)), zap.Error(err))
-	// The caller may send the request again to any instance.
-	report := &peerv1.ProbeRequest{From: g.Self, Crashes: g.CrashSuspects.ReportsFor(f)}
+	if e := g.Catalog.Current().Targets[target]; e == nil || e.Leaving || g.Tracker.SaidLeaving(target) {
+		return
+	}
+	g.Crashes.RecordLoss(a)
+	g.Log.Emit(event.TargetLost, zap.String("request", request), zap.String("target", target), zap.Stringers("suspects", a.Suspects()),
+		zap.Strings("parts", parts), zap.Int("running", g.Crashes.Running(target)), zap.Error(err))
+	g.reportCrashes()
+}
+
+// partIDs returns the ids of the parts of a prompt in their order.
+func partIDs(parts []deployment.PromptPart) []string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
+// reportCrashes tells all reachable instances what this one has lost, hears what
+// they know about it, and then decides what to block: the caller may send the
+// request again to any instance. It returns at once if that is in progress.
+func (g *Gateway) reportCrashes() {
+	r := &g.crashReporter
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mu.reporting {
+		return
+	}
+	r.mu.reporting = true
+	go func() {
+		for {
+			if news := g.Crashes.Outgoing(); news != nil {
+				g.exchangeWithAll(news)
+				g.Crashes.Decide()
+			}
+			r.mu.Lock()
+			if !g.Crashes.HasOutgoing() {
+				r.mu.reporting = false
+				r.mu.Unlock()
+				return
+			}
+			r.mu.Unlock()
+			time.Sleep(crashReportPause)
+		}
+	}()
+}
+
+// exchangeWithAll exchanges news with all reachable instances.
+func (g *Gateway) exchangeWithAll(news *peerv1.CrashNews) {
+	var wg sync.WaitGroup
 	for _, m := range g.Members.Members() {
 		if m.Reachable {
-			go g.reportCrash(m.Heartbeat.GetInstance().GetPeerAddress(), report)
+			wg.Go(func() { g.exchangeCrashNews(m.Heartbeat.GetInstance().GetPeerAddress(), news) })
 		}
 	}
+	wg.Wait()
 }
 
-func (g *Gateway) reportCrash(peer string, report *peerv1.ProbeRequest) {
+func (g *Gateway) exchangeCrashNews(peer string, news *peerv1.CrashNews) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 	defer cancel()
-	if _, err := g.Clients.Client(peer).Probe(ctx, connect.NewRequest(report)); err != nil {
+	res, err := g.Clients.Client(peer).Probe(ctx, connect.NewRequest(&peerv1.ProbeRequest{From: g.Self, CrashNews: news}))
+	if err != nil {
 		g.Log.Emit(event.CrashReportFailed, zap.String("peer", peer), zap.Error(err))
+		return
 	}
+	g.mergeCrashNews(res.Msg.GetCrashNews())
 }
 
-// partIDs returns the ids of the parts of a prompt in their order.
-func partIDs(parts []deployment.PromptPart) []string {
-	ids := make([]string, len(parts))
-	for i, p := range parts {
-		ids[i] = p.ID
+// mergeCrashNews merges the news of another instance and returns the response to
+// it. To one that sends blocks, all blocks known here are returned.
+func (g *Gateway) mergeCrashNews(news *peerv1.CrashNews) *peerv1.CrashNews {
+	reply := g.Crashes.Merge(news)
+	if len(news.GetBlocks()) > 0 {
+		reply.Blocks = g.Crashes.BlockNews().GetBlocks()
+	}
+	return reply
+}
+
+// SyncBlocks exchanges blocks with one of the members that know others than this
+// instance, as one does that was cut off or has just started.
+func (g *Gateway) SyncBlocks(members []heartbeat.Member, now time.Time) {
+	r := &g.crashReporter
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.mu.lastSync) < blockSyncInterval {
+		return
+	}
+	digest := g.Crashes.Digest()
+	var others []string
+	for _, m := range members {
+		if m.Reachable && m.Heartbeat.GetCrashBlocks() != digest {
+			others = append(others, m.Heartbeat.GetInstance().GetPeerAddress())
+		}
+	}
+	if len(others) > 0 {
+		r.mu.lastSync = now
+		go g.exchangeCrashNews(others[rand.IntN(len(others))], g.Crashes.BlockNews())
 	}
-	return ids
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -214,11 +214,10 @@
 	return connect.NewResponse(&peerv1.FetchEditionResponse{Text: text}), nil
 }
 
-// Probe implements peerv1connect.PeerHandler. It receives crash reports of other
-// instances.
+// Probe implements peerv1connect.PeerHandler. It exchanges what is known of crashes
+// of targets.
 func (p *PeerServer) Probe(_ context.Context, req *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error) {
-	p.Gateway.CrashSuspects.MergeReports(req.Msg.GetCrashes())
-	return connect.NewResponse(&peerv1.ProbeResponse{From: p.Gateway.Self}), nil
+	return connect.NewResponse(&peerv1.ProbeResponse{From: p.Gateway.Self, CrashNews: p.Gateway.mergeCrashNews(req.Msg.GetCrashNews())}), nil
 }
 
 // forwardSink sends a response back to the instance that forwarded the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
-	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
@@ -43,15 +43,15 @@
 
 // Config holds the settings and dependencies of a Gateway.
 type Config struct {
-	Self          *peerv1.Identity
-	Settings      *deployment.Settings
-	Catalog       *catalog.Manager
-	Members       Members
-	Clients       *peerapi.Clients
-	Tracker       *placement.Tracker
-	Quota         *quota.Limiter
-	RetryBudget   *RetryBudget
-	CrashSuspects *dispatch.CrashSuspects
+	Self        *peerv1.Identity
+	Settings    *deployment.Settings
+	Catalog     *catalog.Manager
+	Members     Members
+	Clients     *peerapi.Clients
+	Tracker     *placement.Tracker
+	Quota       *quota.Limiter
+	RetryBudget *RetryBudget
+	Crashes     *crash.Tracker
 	// OnTargetDown is called when a target starts to be avoided because it is
 	// unreachable, its connection broke, or another target has its address.
 	OnTargetDown func(target string)
@@ -66,6 +66,7 @@
 	bufferedBodies  atomic.Int64 // capacity of the buffers for callers' request bodies, in bytes
 	draining        atomic.Bool
 	runningRequests atomic.Int64
+	crashReporter   crashReporter
 }
 
 // New returns a Gateway that uses the settings and dependencies in cfg.
@@ -93,6 +94,11 @@
 	remoteRegion string
 	// framing is that of the last response; empty before the first one.
 	framing framing
+	// succeeded is set if the last response has a status of success.
+	succeeded bool
+	// onResponding is called when the target of the current attempt has written
+	// crash.RespondingEvents events; nil for another region.
+	onResponding func()
 	// expectedDelay is the delay predicted for the last placement.
 	expectedDelay time.Duration
 	firstByteAt   time.Time
@@ -155,8 +161,8 @@
 	if err := c.resolve(v); err != nil {
 		return placement.Choice{}, v, err
 	}
-	if g.CrashSuspects.Blocked(c.fingerprint()) {
-		return placement.Choice{}, v, result.New(result.RequestBlocked, result.NotRun, "this request crashed targets")
+	if cause := g.Crashes.Blocked(c.suspects()); cause != nil {
+		return placement.Choice{}, v, result.New(result.RequestBlocked, result.NotRun, "this request or a part of its prompt crashed targets: %v", cause)
 	}
 	now := time.Now()
 	team := v.Config.Teams[c.team]
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -26,6 +26,7 @@
 		hb.Teams = append(hb.Teams, &peerv1.TeamUse{Team: team, Spent: usage.Spent, Demand: float32(usage.Demand)})
 	}
 	hb.Targets, hb.Parts = i.tracker.TargetUses(), i.tracker.CachedParts(now)
+	hb.CrashBlocks = i.crashes.Digest()
 	hb.DomainMembers, hb.HasWarmupShare = i.roster.State()
 	if view.Config != nil {
 		for service := range view.Config.Services {
@@ -62,6 +63,7 @@
 			peers = append(peers, quota.Peer{Address: id.GetPeerAddress(), Domain: id.GetDomain(), Incarnation: id.GetIncarnation(), Reachable: m.Reachable && !m.Late, LastSeen: m.LastSeen, Usage: usage})
 		}
 		i.roster.Update(members, time.Now())
+		i.gateway.SyncBlocks(members, time.Now())
 		i.tracker.SetPeerHeartbeats(sameRegion, time.Now())
 		i.tracker.Prune(i.catalog.Current().Targets, time.Now())
 		i.retryBudget.SetInstances(max(len(members)+1, 3*len(i.settings.RegionByDomain)))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,8 +16,8 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
-	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/gateway"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
@@ -51,16 +51,16 @@
 	log          *event.Logger
 	asyncLog     *event.AsyncWriter
 
-	catalog       *catalog.Manager
-	heartbeats    *heartbeat.Manager
-	clients       *peerapi.Clients
-	roster        *roster.Roster
-	tracker       *placement.Tracker
-	quota         *quota.Limiter
-	retryBudget   *gateway.RetryBudget
-	crashSuspects *dispatch.CrashSuspects
-	gateway       *gateway.Gateway
-	prober        *prober
+	catalog     *catalog.Manager
+	heartbeats  *heartbeat.Manager
+	clients     *peerapi.Clients
+	roster      *roster.Roster
+	tracker     *placement.Tracker
+	quota       *quota.Limiter
+	retryBudget *gateway.RetryBudget
+	crashes     *crash.Tracker
+	gateway     *gateway.Gateway
+	prober      *prober
 
 	callers, ready, directory, control, metrics *http.Server
 	listeners                                   map[*http.Server]net.Listener
@@ -112,14 +112,14 @@
 	}
 	i.quota = quota.New(s.Domain, domains)
 	i.retryBudget = gateway.NewRetryBudget(s.Bounds, time.Now)
-	i.crashSuspects = dispatch.NewCrashSuspects(clock.NewSystem())
+	i.crashes = crash.New(crash.Config{Clock: systemClock, OnBlock: crash.LogChanges(i.log)})
 	i.prober = newProber(i.catalog, i.tracker, i.log)
 	registry, metrics := i.newMetrics()
 	i.metrics = i.metricsServer(registry)
 	i.gateway = gateway.New(gateway.Config{
 		Metrics: metrics,
 		Self:    i.self, Settings: s, Catalog: i.catalog, Members: i.heartbeats, Clients: i.clients, Tracker: i.tracker,
-		Quota: i.quota, RetryBudget: i.retryBudget, CrashSuspects: i.crashSuspects, OnTargetDown: i.prober.wake, Log: i.log,
+		Quota: i.quota, RetryBudget: i.retryBudget, Crashes: i.crashes, OnTargetDown: i.prober.wake, Log: i.log,
 	})
 	i.registerGauges(registry)
 	return nil
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -34,10 +34,11 @@
 	HandleOffer(from *peerv1.Identity, config, instances *peerv1.EditionID)
 }
 
-// CrashExchange exchanges reports of requests that crashed targets with members.
+// CrashExchange exchanges what is known of crashes of targets with members. It
+// bounds the size of its messages.
 type CrashExchange interface {
-	OutgoingReports() []*peerv1.Crash
-	HandleReports([]*peerv1.Crash)
+	OutgoingNews() *peerv1.CrashNews
+	HandleNews(*peerv1.CrashNews)
 }
 
 // Config of a Manager. CrashExchange, Load and AuditTrail may be nil.
@@ -208,7 +209,7 @@
 			req.RelayTo = address
 			res, err := m.cfg.PeerClient.Probe(ctx, relay, req)
 			if err == nil {
-				m.handleMessage(res.From, res.Edition, res.Instances, res.News, res.Crashes)
+				m.handleMessage(res.From, res.Edition, res.Instances, res.News, res.CrashNews)
 			}
 			results <- err == nil && res.RelayedOk
 		}()
@@ -232,13 +233,13 @@
 		return false
 	}
 	m.withDetector(func(d *Detector, now time.Duration) { d.ProbeSucceeded(address, res.From, now) })
-	m.handleMessage(res.From, res.Edition, res.Instances, res.News, res.Crashes)
+	m.handleMessage(res.From, res.Edition, res.Instances, res.News, res.CrashNews)
 	return true
 }
 
 func (m *Manager) newRequest(address string) *peerv1.ProbeRequest {
 	config, instances := m.cfg.VersionExchange.VersionIDs()
-	req := &peerv1.ProbeRequest{Edition: config, Instances: instances, Crashes: m.crashReports()}
+	req := &peerv1.ProbeRequest{Edition: config, Instances: instances, CrashNews: m.crashNews()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	self := m.mu.detector.Self()
@@ -247,23 +248,22 @@
 	return req
 }
 
-func (m *Manager) crashReports() []*peerv1.Crash {
+func (m *Manager) crashNews() *peerv1.CrashNews {
 	if m.cfg.CrashExchange == nil {
 		return nil
 	}
-	out := m.cfg.CrashExchange.OutgoingReports()
-	return out[:min(len(out), maxCrashReports)]
+	return m.cfg.CrashExchange.OutgoingNews()
 }
 
 // handleMessage passes on what a probe or its response carried.
-func (m *Manager) handleMessage(from *peerv1.Identity, config, instances *peerv1.EditionID, updates []*peerv1.MemberNews, crashes []*peerv1.Crash) {
+func (m *Manager) handleMessage(from *peerv1.Identity, config, instances *peerv1.EditionID, updates []*peerv1.MemberNews, crashes *peerv1.CrashNews) {
 	m.withDetector(func(d *Detector, now time.Duration) { d.Merge(from, updates, now) })
 	if from.GetInstance() == m.cfg.Self.Name {
 		return
 	}
 	m.cfg.VersionExchange.HandleOffer(from, config, instances)
-	if m.cfg.CrashExchange != nil && len(crashes) > 0 {
-		m.cfg.CrashExchange.HandleReports(crashes[:min(len(crashes), maxCrashReports)])
+	if m.cfg.CrashExchange != nil && crashes != nil {
+		m.cfg.CrashExchange.HandleNews(crashes)
 	}
 }
 
@@ -273,10 +273,10 @@
 	if req.GetFrom().GetInstance() == "" {
 		return nil, errors.New("probe request has no sender identity")
 	}
-	m.handleMessage(req.From, req.Edition, req.Instances, req.News, req.Crashes)
+	m.handleMessage(req.From, req.Edition, req.Instances, req.News, req.CrashNews)
 	relayedOK := req.RelayTo != "" && m.relayProbe(ctx, req.RelayTo)
 	config, instances := m.cfg.VersionExchange.VersionIDs()
-	res := &peerv1.ProbeResponse{Edition: config, Instances: instances, Crashes: m.crashReports(), RelayedOk: relayedOK}
+	res := &peerv1.ProbeResponse{Edition: config, Instances: instances, CrashNews: m.crashNews(), RelayedOk: relayedOK}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	self := m.mu.detector.Self()
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -110,8 +110,6 @@
 	// announceFanout is the number of members, chosen at random, that a leaving
 	// instance notifies at once in addition to those of its region.
 	announceFanout = 5
-	// maxCrashReports bounds the crash reports in one message.
-	maxCrashReports = 16
 	// maxGeneration is the highest generation accepted from others; it leaves
 	// room for refutations before the counter overflows.
 	maxGeneration = 1<<32 - 1<<16
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -62,3 +62,12 @@
 		}
 	}
 }
+
+// SaidLeaving reports whether a response or health check of this incarnation of the
+// target said that it leaves.
+func (t *Tracker) SaidLeaving(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.mu.targets[id]
+	return s != nil && !s.leavingSince.IsZero()
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/config"
 	"github.com/wigeonhill/wigeonhill/internal/configversion"
 	"github.com/wigeonhill/wigeonhill/internal/confservice"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/enginecmd"
 	"github.com/wigeonhill/wigeonhill/internal/entry"
@@ -124,7 +125,7 @@
 		Service: srv.configClient, PeerClient: peers, Bootstrap: s.Peers.Bootstrap, Clock: srv.clock,
 		Log: srv.log, AuditTrail: srv.auditTrail, MaxAge: s.Bounds.MaxConfigAge,
 	})
-	suspects := dispatch.NewCrashSuspects(srv.clock)
+	crashes := crash.New(crash.Config{Clock: srv.clock, OnBlock: crash.LogChanges(srv.log)})
 	srv.gate = dispatch.NewGate(configConfirmer{srv.configs})
 	srv.members = membership.NewManager(membership.Config{
 		Self: membership.Member{
@@ -132,7 +133,7 @@
 			CallersAddress: s.Listen.Callers, Region: s.Instance.Region, Domain: s.Instance.Domain,
 		},
 		Bootstrap: s.Peers.Bootstrap, Clock: srv.clock, PeerClient: peers, VersionExchange: srv.configs,
-		CrashExchange: crashExchange{suspects}, Load: func() uint32 { return uint32(srv.gate.Running()) },
+		CrashExchange: crashExchange{crashes}, Load: func() uint32 { return uint32(srv.gate.Running()) },
 		Log: srv.log, AuditTrail: srv.auditTrail, Seed: srv.self.Incarnation, Generation: uint32(time.Now().Unix()),
 	})
 	srv.configs.SetMembers(srv.members)
@@ -151,7 +152,7 @@
 		Self: srv.self, Clock: srv.clock, ConfigSource: srv.configs, Leadership: srv.leadership, PeerClient: peers,
 		LoadClient: lease.NewLoadClient(&http.Client{Timeout: targetCallTimeout}), Log: srv.log, AuditTrail: srv.auditTrail,
 	})
-	srv.buildLocalDispatcher(suspects)
+	srv.buildLocalDispatcher(crashes)
 }
 
 // targetCallTimeout bounds one load poll of a target and one engine command.
@@ -159,7 +160,7 @@
 
 // buildLocalDispatcher builds admission, routing and the dispatcher of requests to
 // targets of the local region.
-func (srv *Server) buildLocalDispatcher(suspects *dispatch.CrashSuspects) {
+func (srv *Server) buildLocalDispatcher(crashes *crash.Tracker) {
 	s := srv.settings
 	metrics := metricsObserver{region: s.Instance.Region, metrics: srv.metrics, configs: srv.configs}
 	srv.admitter = admission.New(admission.Config{
@@ -184,7 +185,7 @@
 	})
 	srv.localDispatcher = dispatch.NewLocalDispatcher(dispatch.LocalConfig{
 		Instance: s.Instance, Bounds: s.Bounds, ConfigSource: srv.configs, Chooser: srv.router,
-		Admitter: srv.admitter, Slots: srv.leases, Gate: srv.gate, CrashSuspects: suspects, Memory: srv.memoryBudget,
+		Admitter: srv.admitter, Slots: srv.leases, Gate: srv.gate, Crashes: crashes, Memory: srv.memoryBudget,
 		RetryBudget: dispatch.NewRetryBudget(), Requests: srv.requestRecords, Trail: srv.auditTrail, Clock: srv.clock,
 		Log: srv.log, AttemptObserver: srv.router,
 	})
@@ -362,13 +363,13 @@
 }
 
 // crashExchange implements membership.CrashExchange.
-type crashExchange struct{ *dispatch.CrashSuspects }
+type crashExchange struct{ *crash.Tracker }
 
-// OutgoingReports implements membership.CrashExchange.
-func (c crashExchange) OutgoingReports() []*peerv1.Crash { return c.NextReports() }
+// OutgoingNews implements membership.CrashExchange.
+func (c crashExchange) OutgoingNews() *peerv1.CrashNews { return c.Next() }
 
-// HandleReports implements membership.CrashExchange.
-func (c crashExchange) HandleReports(reports []*peerv1.Crash) { c.MergeReports(reports) }
+// HandleNews implements membership.CrashExchange.
+func (c crashExchange) HandleNews(news *peerv1.CrashNews) { c.Merge(news) }
 
 // localShards returns the shards of the local region.
 func (srv *Server) localShards(cfg *config.Config) []leadership.Shard {
