Answer requests that still run when the grace period ends

Here: a request that comes late is not taken, as net/http closes its connection unread once Shutdown was called, and a peer stops forwarding as soon as it hears of the stop. But a request that was taken before and still ran at the end was cut off without an answer.

Change: such requests end 200 ms before the process does, with an error that says that they may have run. The gateway also refuses requests, with not run, from the moment at which it stops to listen, and no longer relies on what the HTTP server does then.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
+var errCutOff = errors.New("the instance stopped before the request ended")
+
 const (
 	// drainAcceptTime is how long new requests are served after BeginDrain: longer
 	// than directory responses may be cached.
@@ -15,6 +19,9 @@
 	// drainMargin is the part of the grace period that is left for the process to
 	// exit before it is killed.
 	drainMargin = 300 * time.Millisecond
+	// cutoffMargin is the time before the end of Drain at which requests that still
+	// run are ended, so that their callers get an answer.
+	cutoffMargin = 200 * time.Millisecond
 	// drainPollInterval is the interval at which the number of requests in progress
 	// is checked, and drainIdlePolls the number of checks in a row that must find
 	// none: a request that was just read is not counted yet.
@@ -32,17 +39,38 @@
 // other instances forwarded.
 func (g *Gateway) RunningRequests() int { return int(g.runningRequests.Load()) }
 
+// untilCutoff returns a context that also ends when Drain ends the requests that
+// still run.
+func (g *Gateway) untilCutoff(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.cutoff, func() { cancel(errCutOff) })
+	return ctx, func() { stop(); cancel(nil) }
+}
+
+// refusal returns the error for requests that come when the instance stops too soon
+// for them, nil otherwise.
+func (g *Gateway) refusal() error {
+	if !g.refusing.Load() {
+		return nil
+	}
+	return result.New(result.ShuttingDown, result.NotRun, "the instance is stopping").WithRetryAfter(notReadyRetryAfter)
+}
+
 // BeginDrain makes the instance not ready; from then on responses close their
 // connections.
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
 // Drain keeps serving requests that still arrive for drainAcceptTime, at most half
-// of grace. Then it stops accepting connections and waits until no request is in
-// progress. It returns an error if some are still running drainMargin before the
-// end of grace. It does not wait for connections without a request.
+// of grace. Then it refuses requests, stops accepting connections and waits until no
+// request is in progress. Those that still run cutoffMargin before the end of Drain
+// end with an error. Drain returns an error if some are running drainMargin before
+// the end of grace. It does not wait for connections without a request.
 func (g *Gateway) Drain(grace time.Duration, servers ...*http.Server) error {
 	start := time.Now()
 	time.Sleep(min(drainAcceptTime, grace/2))
+	g.refusing.Store(true)
+	cutoff := time.AfterFunc(time.Until(start.Add(grace-drainMargin-cutoffMargin)), g.cutOff)
+	defer cutoff.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-drainMargin))
 	defer cancel()
 	for _, s := range servers {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -167,7 +167,7 @@
 		e.Ran = result.MayHaveRun
 	}
 	e.RetryAfter = time.Duration(t.GetRetryAfterMs()) * time.Millisecond
-	return &failure{err: e, outcome: placement.Inconclusive, uncounted: e.Ran == result.NotRun && e.Code == result.NoSlot}
+	return &failure{err: e, outcome: placement.Inconclusive, uncounted: e.Ran == result.NotRun && (e.Code == result.NoSlot || e.Code == result.ShuttingDown)}
 }
 
 // PeerServer serves the protocol between instances.
@@ -193,9 +193,15 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	ctx, stop := p.Gateway.untilCutoff(ctx)
+	defer stop()
 	d := &delivery{sink: &forwardSink{stream: stream, id: c.ID}, lastEventID: msg.GetResumeAfter()}
 	tail := &peerv1.Tail{}
-	if err := p.Gateway.serveCall(ctx, c, d); err != nil {
+	err := p.Gateway.refusal()
+	if err == nil {
+		err = p.Gateway.serveCall(ctx, c, d)
+	}
+	if err != nil {
 		e := result.FromError(err)
 		tail = &peerv1.Tail{Code: uint32(e.Code), MayHaveRun: e.Ran == result.MayHaveRun, Message: e.Message, RetryAfterMs: uint32(e.RetryAfter.Milliseconds())}
 		p.Gateway.Log.Emit(failureEvent(e), zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.Stringer("ran", e.Ran),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,12 +65,20 @@
 	targetTransport http.RoundTripper
 	bufferedBodies  atomic.Int64 // capacity of the buffers for callers' request bodies, in bytes
 	draining        atomic.Bool
+	refusing        atomic.Bool // the last part of the drain, without new requests
+	// cutoff ends shortly before the drain does.
+	cutoff          context.Context
+	cutOff          context.CancelFunc
 	runningRequests atomic.Int64
 	crashReporter   crashReporter
 }
 
 // New returns a Gateway that uses the settings and dependencies in cfg.
-func New(cfg Config) *Gateway { return &Gateway{Config: cfg, targetTransport: newTargetTransport()} }
+func New(cfg Config) *Gateway {
+	g := &Gateway{Config: cfg, targetTransport: newTargetTransport()}
+	g.cutoff, g.cutOff = context.WithCancel(context.Background())
+	return g
+}
 
 // BufferedBodyBytes returns the memory in use for the bodies of callers' requests,
 // in bytes. Bodies of forwarded requests are not included.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -72,6 +72,9 @@
 	}
 	c, err := g.readRequest(w, r)
 	defer func() { g.bufferedBodies.Add(-int64(cap(c.body))) }()
+	if err == nil {
+		err = g.refusal()
+	}
 	var team *deployment.Team
 	var units float64
 	if err == nil {
@@ -84,6 +87,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	ctx, stop := g.untilCutoff(ctx)
+	defer stop()
 	g.RetryBudget.RecordRequest(c.service)
 	s := &callerSink{w: w, rc: http.NewResponseController(w)}
 	_ = s.rc.SetWriteDeadline(c.deadline.Add(writeMargin)) // some writers do not support it; then only the context applies
