--- a/internal/crash/tracker_test.go
+++ b/internal/crash/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -239,3 +240,37 @@
 		t.Errorf("%d suspects in a message", newsSize(news))
 	}
 }
+
+// BenchmarkBlocked measures what each request pays, without crashes and with full
+// tables, and the memory that full tables take.
+func BenchmarkBlocked(b *testing.B) {
+	for name, crashes := range map[string]int{"quiet": 0, "full": maxCrashes} {
+		b.Run(name, func(b *testing.B) {
+			clk := &clock.Virtual{}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			s := newTracker(clk)
+			for i := range crashes {
+				var attempts [][]Suspect
+				for j := range 8 {
+					attempts = append(attempts, Suspects(Fingerprint{byte(i), byte(i >> 8), byte(j)}, []string{fmt.Sprint("system", i%40), fmt.Sprint(i, j), fmt.Sprint(i, j, "x")}))
+				}
+				loseTarget(s, fmt.Sprint(i), attempts...)
+				clk.Advance(time.Second)
+				if i < maxBlocks {
+					s.issue([]Suspect{{Part: true, Fingerprint: Fingerprint{1, byte(i)}}}, 3)
+				}
+			}
+			s.Outgoing()
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			request := Suspects(Fingerprint{255}, []string{"system1", "mine"})
+			b.ResetTimer()
+			for b.Loop() {
+				s.Blocked(request)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		})
+	}
+}
--- a/internal/instance/crashing_test.go
+++ b/internal/instance/crashing_test.go
@@ -11,6 +11,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/crash"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
 
 // crashingTarget is a target that ends when it begins to answer a request with one
@@ -245,3 +248,30 @@
 		})
 	}
 }
+
+// A block reaches instances in other regions and those that start later, also when
+// no target crashes any more.
+func TestBlockReachesEveryInstance(t *testing.T) {
+	d := newTestDeployment(t)
+	d.publishConfig(nil)
+	target := newFakeTarget(t, "t-1")
+	d.listTarget(target, "a", "ready", 1)
+	first, remote := d.startInstance("a"), d.startInstance("b")
+	part := crash.Suspects(crash.Fingerprint{}, []string{"bad"})[1].Fingerprint
+	first.crashes.Merge(&peerv1.CrashNews{Blocks: []*peerv1.CrashBlock{{Parts: [][]byte{part[:]}, Version: 1, RemainingMs: 60_000, Crashes: 5}}})
+	for name, inst := range map[string]*testInstance{"remote": remote, "late": d.startInstance("c")} {
+		eventually(t, name+" blocks the part and serves others", func() bool {
+			ask := func(parts string) int {
+				return sendRequest("GET", inst.url("/safe/x"), func(h http.Header) { h.Set("X-Prompt-Prefix", parts) }).status
+			}
+			return inst.crashes.Blocks() == 1 && ask("system:10,own:1") == http.StatusOK && ask("system:10,bad:5,own:1") == http.StatusServiceUnavailable
+		})
+	}
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	for _, h := range target.headers {
+		if strings.Contains(h.Get("X-Prompt-Prefix"), "bad") {
+			t.Error("a blocked request reached the target after the block")
+		}
+	}
+}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -65,6 +65,7 @@
 	})
 	gauge("allowance_part_least", "Least part of a team's rate that this side of a cut may spend; 1 if all instances are heard.", func() float64 { return i.quota.MinShare(time.Now()) })
 	gauge("warmup_share", "1 if the instance may send requests to targets that are warming up.", func() float64 { _, hasShare := i.roster.State(); return boolToFloat(hasShare) })
+	gauge("crash_blocks", "Blocks in force of requests and prompt parts that crash targets.", func() float64 { return float64(i.crashes.Blocks()) })
 	gauge("teams_over_allowance", "Teams whose allowance is used up now.", func() float64 { return float64(i.quota.ExhaustedTeams(time.Now())) })
 }
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -90,7 +90,7 @@
 	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, "the request body exceeds the bound", "send less", "see `max_body` in the settings"},
 	{BadIdempotencyKey, "bad_idempotency_key", http.StatusBadRequest, "the idempotency key was not built with a prefix from the directory, or has expired", "fetch /v1/directory and build a new key", "none"},
 	{IdempotencyKeyInUse, "idempotency_key_in_use", http.StatusConflict, "a request with this idempotency key is still running, or had another body", "wait for the first request", "none"},
-	{RequestBlocked, "request_blocked", http.StatusUnprocessableEntity, "this request crashed targets twice and is blocked", "change the request", "see the audit trail for the targets"},
+	{RequestBlocked, "request_blocked", http.StatusUnprocessableEntity, "this request or a part of its prompt crashed targets and is blocked", "change the request", "see the audit trail for the targets"},
 
 	{OverRate, "over_rate", http.StatusTooManyRequests, "the team's rate and burst are used up", "retry after the given time", "compare the team's rate with its demand"},
 	{QueueFull, "queue_full", http.StatusTooManyRequests, "the queue for this team or target is full", "retry after the given time", "add capacity"},
