--- a/internal/crash/block.go
+++ b/internal/crash/block.go
@@ -12,6 +12,9 @@
 const (
 	// blockTTL is how long a block is in force.
 	blockTTL = time.Hour
+	// minRemaining is the least time left of a block that is taken from a peer:
+	// otherwise instances would give back blocks that have just ended.
+	minRemaining = 5 * time.Second
 	// maxBlocks bounds the blocks that are remembered.
 	maxBlocks = 256
 )
--- a/internal/crash/decide.go
+++ b/internal/crash/decide.go
@@ -25,8 +25,8 @@
 	// newFalseBlock and knownFalseBlock bound the probability that a suspect is lost
 	// in as many crashes as it takes to block it if it is lost only as often as
 	// others. The latter is for suspects that a target has ever answered.
-	newFalseBlock   = 1e-3
-	knownFalseBlock = 1e-6
+	newFalseBlock   = 1e-4
+	knownFalseBlock = 1e-8
 	// outcomeWindow is the time before the first crash from which outcomes count, too.
 	outcomeWindow = 30 * time.Second
 	// maxOutcomes is the number of attempts whose outcomes are remembered.
--- a/internal/crash/exchange.go
+++ b/internal/crash/exchange.go
@@ -259,7 +259,7 @@
 func (t *Tracker) mergeBlock(m *peerv1.CrashBlock, now time.Duration) {
 	suspects, ok := parseBlockSuspects(m)
 	remaining := min(milliseconds(m.GetRemainingMs()), blockTTL)
-	if !ok || remaining <= 0 || m.GetVersion() == 0 {
+	if !ok || remaining < minRemaining || m.GetVersion() == 0 {
 		return
 	}
 	b := &block{id: idOf(suspects), suspects: suspects, version: m.GetVersion(), expires: now + remaining, crashes: int(m.GetCrashes())}
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -25,7 +25,7 @@
 	maxAttempts = 256
 	// RespondingEvents is the number of events of a stream with which a target has
 	// written more than the beginning of a response.
-	RespondingEvents = 2
+	RespondingEvents = 3
 	// soundCapacity is the number of acquitted suspects that are remembered.
 	soundCapacity = 8 << 10
 )
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -130,7 +130,8 @@
 func (g *Gateway) mergeCrashNews(news *peerv1.CrashNews) *peerv1.CrashNews {
 	reply := g.Crashes.Merge(news)
 	if len(news.GetBlocks()) > 0 {
-		reply.Blocks = g.Crashes.BlockNews().GetBlocks()
+		known := g.Crashes.BlockNews()
+		reply.Blocks, reply.Sound = known.GetBlocks(), append(reply.GetSound(), known.GetSound()...)
 	}
 	return reply
 }
