--- a/internal/crash/exchange.go
+++ b/internal/crash/exchange.go
@@ -147,11 +147,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	for _, s := range news.GetSound()[:min(len(news.GetSound()), maxNewsSound)] {
-		if f, ok := parseFingerprint(s.GetFingerprint()); ok {
-			t.acquit(Suspect{Part: s.GetPart(), Fingerprint: f}, now-milliseconds(s.GetAgeMs()))
-		}
-	}
 	reply = &peerv1.CrashNews{}
 	size := 0
 	for _, report := range news.GetCrashes() {
@@ -163,6 +158,11 @@
 	for _, b := range news.GetBlocks()[:min(len(news.GetBlocks()), maxBlocks)] {
 		t.mergeBlock(b, now)
 	}
+	for _, s := range news.GetSound()[:min(len(news.GetSound()), maxNewsSound)] {
+		if f, ok := parseFingerprint(s.GetFingerprint()); ok {
+			t.acquit(Suspect{Part: s.GetPart(), Fingerprint: f}, now-milliseconds(s.GetAgeMs()))
+		}
+	}
 	return reply
 }
 
