--- a/internal/crash/suspect.go
+++ b/internal/crash/suspect.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -85,16 +85,16 @@
 
 // recentTimes holds the last times of at least the capacity most recently set
 // suspects, and of at most twice as many.
-type recentTimes[T cmp.Ordered] struct {
+type recentTimes struct {
 	capacity   int
-	newer, old map[Suspect]T
+	newer, old map[Suspect]time.Duration
 }
 
-func newRecentTimes[T cmp.Ordered](capacity int) *recentTimes[T] {
-	return &recentTimes[T]{capacity: capacity, newer: map[Suspect]T{}}
+func newRecentTimes(capacity int) *recentTimes {
+	return &recentTimes{capacity: capacity, newer: map[Suspect]time.Duration{}}
 }
 
-func (r *recentTimes[T]) get(s Suspect) (at T, ok bool) {
+func (r *recentTimes) get(s Suspect) (at time.Duration, ok bool) {
 	if at, ok = r.newer[s]; !ok {
 		at, ok = r.old[s]
 	}
@@ -102,12 +102,12 @@
 }
 
 // set records a time unless a later one is known.
-func (r *recentTimes[T]) set(s Suspect, at T) {
+func (r *recentTimes) set(s Suspect, at time.Duration) {
 	if known, ok := r.get(s); ok {
 		at = max(at, known)
 	}
 	if _, ok := r.newer[s]; !ok && len(r.newer) >= r.capacity {
-		r.old, r.newer = r.newer, map[Suspect]T{}
+		r.old, r.newer = r.newer, map[Suspect]time.Duration{}
 	}
 	r.newer[s] = at
 }
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -49,7 +49,7 @@
 		named   map[Suspect]int                // number of crashes that name it
 		size    int                            // suspects in all crashes
 		// sound holds when a suspect was last acquitted.
-		sound    *recentTimes[time.Duration]
+		sound    *recentTimes
 		outcomes outcomes
 		blocks   map[blockID]*block
 		// byFirst holds the blocks in force by their first suspect.
@@ -66,7 +66,7 @@
 	t := &Tracker{cfg: cfg}
 	t.mu.running = map[string]map[uint64]*Attempt{}
 	t.mu.named = map[Suspect]int{}
-	t.mu.sound = newRecentTimes[time.Duration](soundCapacity)
+	t.mu.sound = newRecentTimes(soundCapacity)
 	t.mu.blocks = map[blockID]*block{}
 	t.mu.byFirst = map[Suspect][]*block{}
 	return t
