Read the manager of a test instance under its lock

The fault is the test's: the field was set under the lock and read without it. The checks are unchanged.

--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -158,7 +158,15 @@
 	return i.reads
 }
 
-func (i *testInstance) lists(id string) bool { return i.manager.Current().Targets[id] != nil }
+// currentManager returns the manager of the running process; another instance may
+// be asking for it while this one starts again.
+func (i *testInstance) currentManager() *Manager {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.manager
+}
+
+func (i *testInstance) lists(id string) bool { return i.currentManager().Current().Targets[id] != nil }
 
 // reachable reports whether the instance runs and is not isolated.
 func (i *testInstance) reachable() bool {
@@ -215,7 +223,7 @@
 func (i *testInstance) EnoughReaders() bool {
 	n := 0
 	for _, p := range i.reachablePeers() {
-		if p.index < i.index && p.manager.StoreAnswers() {
+		if p.index < i.index && p.currentManager().StoreAnswers() {
 			n++
 		}
 	}
@@ -224,7 +232,7 @@
 
 // StoreAnswers implements Peers.
 func (i *testInstance) StoreAnswers() bool {
-	return slices.ContainsFunc(i.reachablePeers(), func(p *testInstance) bool { return p.manager.StoreAnswers() })
+	return slices.ContainsFunc(i.reachablePeers(), func(p *testInstance) bool { return p.currentManager().StoreAnswers() })
 }
 
 // FetchSnapshot implements Peers.
@@ -232,8 +240,9 @@
 	peers := i.reachablePeers()
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	for _, p := range peers {
-		if v := p.manager.Current(); v.PublishedChange > have.Published || v.TargetsChange > have.Targets {
-			snapshot, err := p.manager.MarshalSnapshot()
+		m := p.currentManager()
+		if v := m.Current(); v.PublishedChange > have.Published || v.TargetsChange > have.Targets {
+			snapshot, err := m.MarshalSnapshot()
 			return snapshot, fmt.Sprint(p.index), err
 		}
 	}
--- a/internal/catalog/random_test.go
+++ b/internal/catalog/random_test.go
@@ -137,7 +137,7 @@
 		if !r.calm(i, now) {
 			continue
 		}
-		targets := instance.manager.Current().Targets
+		targets := instance.currentManager().Current().Targets
 		for id, at := range r.removed {
 			if e := targets[id]; e != nil && !e.Leaving && now.After(at.Add(testDropDelay)) {
 				r.t.Fatalf("instance %d would send requests to %s %s after it left", i, id, now.Sub(at))
