--- a/internal/crash/block.go
+++ b/internal/crash/block.go
@@ -131,6 +131,9 @@
 }
 
 func (t *Tracker) expireBlocks() {
+	if len(t.mu.blocks) == 0 {
+		return
+	}
 	now := t.now()
 	for _, b := range t.mu.blocks {
 		if now >= b.expires {
--- a/internal/crash/exchange.go
+++ b/internal/crash/exchange.go
@@ -18,15 +18,15 @@
 
 // outbox holds what this instance has not yet told the others.
 type outbox struct {
-	attempts map[*crash][]uint64 // ids
+	attempts map[*crash][]attempt
 	blocks   []*block
 }
 
-func (o *outbox) addCrash(c *crash, attempt uint64) {
+func (o *outbox) addCrash(c *crash, a attempt) {
 	if o.attempts == nil {
-		o.attempts = map[*crash][]uint64{}
+		o.attempts = map[*crash][]attempt{}
 	}
-	o.attempts[c] = append(o.attempts[c], attempt)
+	o.attempts[c] = append(o.attempts[c], a)
 }
 
 // Outgoing returns what this instance has lost and decided since the last call, at
@@ -36,11 +36,11 @@
 	defer t.mu.Unlock()
 	news := &peerv1.CrashNews{}
 	size := 0
-	for c, ids := range t.mu.outbox.attempts {
+	for c, attempts := range t.mu.outbox.attempts {
 		if size > maxNewsSuspects {
 			break
 		}
-		report := t.report(c, func(a *attempt) bool { return slices.Contains(ids, a.id) })
+		report := t.report(c, attempts)
 		news.Crashes = append(news.Crashes, report)
 		size += suspectCount(report)
 		delete(t.mu.outbox.attempts, c)
@@ -83,7 +83,7 @@
 			break
 		}
 		t.mu.nextReport++
-		report := t.report(c, nil)
+		report := t.report(c, c.attempts)
 		size += suspectCount(report)
 		news.Crashes = append(news.Crashes, report)
 		news.Sound = t.appendSound(news.Sound, report)
@@ -102,7 +102,7 @@
 	size := 0
 	for _, c := range t.mu.crashes {
 		if c.suspects[s] && size+len(c.suspects) <= maxNewsSuspects {
-			report := t.report(c, nil)
+			report := t.report(c, c.attempts)
 			size += suspectCount(report)
 			news.Crashes = append(news.Crashes, report)
 		}
@@ -190,25 +190,18 @@
 			t.addOwn(c, own)
 		}
 	}
-	mine := t.report(c, func(a *attempt) bool {
-		return slices.ContainsFunc(c.attempts[:c.own], func(o attempt) bool { return o.id == a.id })
-	})
-	if len(mine.GetAttempts()) > 0 {
-		reply.Crashes = append(reply.Crashes, mine)
+	if c.own > 0 {
+		reply.Crashes = append(reply.Crashes, t.report(c, c.attempts[:c.own]))
 	}
 	reply.Sound = t.appendSound(reply.Sound, report)
 }
 
-// report returns the report of a crash with the attempts that include selects, or
-// all if it is nil.
-func (t *Tracker) report(c *crash, include func(a *attempt) bool) *peerv1.Crash {
+// report returns the report of a crash with some of its attempts, without what was
+// acquitted since.
+func (t *Tracker) report(c *crash, attempts []attempt) *peerv1.Crash {
 	now := t.now()
 	out := &peerv1.Crash{Target: c.target, Pool: c.pool, AgeMs: ageMs(now, c.at)}
-	for i := range c.attempts {
-		a := &c.attempts[i]
-		if include != nil && !include(a) {
-			continue
-		}
+	for _, a := range attempts {
 		m := &peerv1.CrashAttempt{Id: a.id, AgeMs: ageMs(now, a.started)}
 		for _, s := range a.suspects {
 			switch {
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -246,6 +246,9 @@
 }
 
 func (t *Tracker) expire() {
+	if len(t.mu.crashes) == 0 {
+		return // spares each request a reading of the clock
+	}
 	now := t.now()
 	for len(t.mu.crashes) > 0 && now-t.mu.crashes[0].at > crashTTL {
 		t.dropOldest()
@@ -271,11 +274,11 @@
 
 // addOwn adds an attempt of this instance to a crash.
 func (t *Tracker) addOwn(c *crash, a *Attempt) {
-	if t.add(c, a.accused()) {
+	if accused := a.accused(); t.add(c, accused) {
 		last := len(c.attempts) - 1
 		c.attempts[c.own], c.attempts[last] = c.attempts[last], c.attempts[c.own]
 		c.own++
-		t.mu.outbox.addCrash(c, a.id)
+		t.mu.outbox.addCrash(c, accused)
 	}
 }
 
--- a/internal/instance/cut_head_test.go
+++ b/internal/instance/cut_head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -80,17 +79,8 @@
 
 func (c *rawText) handler(target string) func(w http.ResponseWriter, r *http.Request) bool {
 	return func(w http.ResponseWriter, r *http.Request) bool {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
 		text := c.raw.text(target, r.Header.Get("X-Request-Id"))
-		_, _ = conn.Write([]byte(text[:min(c.cut, len(text))]))
-		if c.reset {
-			time.Sleep(time.Millisecond) // the bytes arrive before the reset
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-		_ = conn.Close()
+		writeAndClose(w, text[:min(c.cut, len(text))], c.reset, time.Millisecond) // the bytes arrive before the reset
 		return true
 	}
 }
--- a/internal/instance/truncated_test.go
+++ b/internal/instance/truncated_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // rawResponse is a response that a target writes to its connection as it is,
@@ -22,19 +23,26 @@
 
 func (raw rawResponse) handler(target string) func(w http.ResponseWriter, r *http.Request) bool {
 	return func(w http.ResponseWriter, r *http.Request) bool {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		_, _ = conn.Write([]byte(raw.text(target, r.Header.Get("X-Request-Id"))))
-		if raw.reset {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-		_ = conn.Close()
+		writeAndClose(w, raw.text(target, r.Header.Get("X-Request-Id")), raw.reset, 0)
 		return true
 	}
 }
 
+// writeAndClose writes text to the connection of a request and closes it, or resets
+// it after a delay.
+func writeAndClose(w http.ResponseWriter, text string, reset bool, delay time.Duration) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = conn.Write([]byte(text))
+	if reset {
+		time.Sleep(delay)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (raw rawResponse) text(target, requestID string) string {
 	announced := raw.complete
 	if announced == "" {
