Add failing fleets whose crashes come within a second

It is not the machine: the crashes of both parts came within 1.2 s, the requests that came after the pause were sent again, and only their crashes led to a block.

The same in virtual time: simulated fleets whose crashing requests pause between the fifth crash of a part and the time from which the bound counts.

--- a/internal/crash/fleet_test.go
+++ b/internal/crash/fleet_test.go
@@ -249,6 +249,15 @@
 	}
 }
 
+// fifthCrashIsRecent reports whether a part of the prompt has had its fifth crash
+// and the bound on arrivals does not count yet.
+func (s *simulation) fifthCrashIsRecent(prompt []string) bool {
+	return slices.ContainsFunc(prompt, func(name string) bool {
+		p := s.poisoned[name]
+		return p != nil && p.fifthAt > 0 && s.now <= p.fifthAt+contactTime
+	})
+}
+
 // begun returns the share of sound requests sent in [from, to) that began.
 func (s *simulation) begun(from, to time.Duration) float64 {
 	sent, begun := 0, 0
@@ -270,20 +279,29 @@
 		prompts            [][]string
 		cutOff             int
 		rareParts          bool
+		// pause is set if no bad requests come between the fifth crash of a part and
+		// the time from which the bound on arrivals counts.
+		pause bool
 	}{
-		"middle":              {8, 12, 160, 3, [][]string{{"system0", "bad1", "document1"}}, 0, false},
-		"first":               {8, 12, 160, 3, [][]string{{"bad1", "system0", "document1"}}, 0, false},
-		"rare":                {8, 12, 160, 0.5, [][]string{{"system0", "bad1"}}, 0, false},
-		"little traffic":      {8, 12, 12, 1, [][]string{{"system0", "bad1", "document2"}}, 0, false},
-		"several":             {8, 12, 160, 4, [][]string{{"system0", "bad1"}, {"bad2", "document1"}, {"system0", "document0", "bad3"}}, 0, false},
-		"some cut off":        {9, 12, 160, 3, [][]string{{"system0", "bad1", "document1"}}, 4, false},
-		"many":                {66, 110, 900, 8, [][]string{{"system0", "bad1", "document1"}}, 0, false},
-		"many, cut off":       {66, 110, 900, 8, [][]string{{"bad1", "system0"}, {"document3", "bad2"}}, 30, false},
-		"with a companion":    {8, 12, 160, 3, [][]string{{"system0", "bad1", "companion"}}, 0, false},
-		"rare parts, middle":  {8, 12, 160, 3, [][]string{{"system7", "bad1", "session11"}}, 0, true},
-		"rare parts, first":   {8, 12, 160, 3, [][]string{{"bad1", "system5"}}, 0, true},
-		"rare parts, several": {8, 12, 160, 3, [][]string{{"system7", "bad1"}, {"bad2", "session3"}}, 0, true},
-		"rare parts, many":    {66, 110, 900, 8, [][]string{{"system7", "bad1", "session11"}}, 0, true},
+		"middle":              {8, 12, 160, 3, [][]string{{"system0", "bad1", "document1"}}, 0, false, false},
+		"first":               {8, 12, 160, 3, [][]string{{"bad1", "system0", "document1"}}, 0, false, false},
+		"rare":                {8, 12, 160, 0.5, [][]string{{"system0", "bad1"}}, 0, false, false},
+		"little traffic":      {8, 12, 12, 1, [][]string{{"system0", "bad1", "document2"}}, 0, false, false},
+		"several":             {8, 12, 160, 4, [][]string{{"system0", "bad1"}, {"bad2", "document1"}, {"system0", "document0", "bad3"}}, 0, false, false},
+		"some cut off":        {9, 12, 160, 3, [][]string{{"system0", "bad1", "document1"}}, 4, false, false},
+		"many":                {66, 110, 900, 8, [][]string{{"system0", "bad1", "document1"}}, 0, false, false},
+		"many, cut off":       {66, 110, 900, 8, [][]string{{"bad1", "system0"}, {"document3", "bad2"}}, 30, false, false},
+		"with a companion":    {8, 12, 160, 3, [][]string{{"system0", "bad1", "companion"}}, 0, false, false},
+		"rare parts, middle":  {8, 12, 160, 3, [][]string{{"system7", "bad1", "session11"}}, 0, true, false},
+		"rare parts, first":   {8, 12, 160, 3, [][]string{{"bad1", "system5"}}, 0, true, false},
+		"rare parts, several": {8, 12, 160, 3, [][]string{{"system7", "bad1"}, {"bad2", "session3"}}, 0, true, false},
+		"rare parts, many":    {66, 110, 900, 8, [][]string{{"system7", "bad1", "session11"}}, 0, true, false},
+		"burst":               {4, 6, 150, 10, [][]string{{"system0", "bad1", "document1"}}, 0, false, true},
+		"burst, first":        {4, 6, 150, 10, [][]string{{"bad1", "system0", "document2"}}, 0, false, true},
+		"burst, several":      {4, 6, 150, 10, [][]string{{"system0", "bad1"}, {"bad2", "document1"}}, 0, false, true},
+		"burst, large":        {8, 12, 160, 10, [][]string{{"system0", "bad1"}, {"bad2", "document1"}}, 0, false, true},
+		"burst, three":        {8, 12, 160, 10, [][]string{{"system0", "bad1"}, {"bad2", "document1"}, {"system0", "document0", "bad3"}}, 0, false, true},
+		"burst, many":         {66, 110, 900, 10, [][]string{{"system0", "bad1"}, {"bad2", "document1"}}, 0, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range *seeds {
@@ -294,7 +312,10 @@
 				for s.now < length {
 					s.sendSound(c.sound)
 					if s.now >= begin && s.rng.Float64() < c.bad*s.step.Seconds() {
-						s.send(s.randomInstance(), c.prompts[s.rng.IntN(len(c.prompts))], false)
+						prompt := c.prompts[s.rng.IntN(len(c.prompts))]
+						if !c.pause || !s.fifthCrashIsRecent(prompt) {
+							s.send(s.randomInstance(), prompt, false)
+						}
 					}
 					for i, inst := range s.instances[:c.cutOff] {
 						// Cut off one after the other, until after the crashes.
