Do not send a request again whose caller left while its retry waited

Cause: waits up to 100 ms before a retry and looked at the caller only before. Ruled out: that the attempt notices by itself; it takes a retry from the budget and is placed first. Found by reading; the case added to TestLostRequestWithSuspectedPartIsNotSentAgain fails without the change.

--- a/internal/crash/decide.go
+++ b/internal/crash/decide.go
@@ -61,8 +61,9 @@
 }
 
 // count returns how many other attempts were lost, and how many answered, since the
-// given time, without losses in crashes that are explained. For a part these are the attempts without it; for a request, which has
-// few attempts, those in crashes that do not name it.
+// given time, without losses in crashes that are explained. For a part these are the
+// attempts without it; for a request, which has few attempts, those in crashes that
+// do not name it.
 func (o *outcomes) count(pool string, s Suspect, since time.Duration, explained func(*crash) bool) (lost, answered int) {
 	for _, x := range o.ring {
 		switch {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -165,8 +165,9 @@
 	return reply
 }
 
-// SyncBlocks weighs the known crashes anew and exchanges blocks with one of the members that know others than this
-// instance, as one does that was cut off or has just started.
+// SyncBlocks weighs the known crashes anew, and exchanges blocks with one of the
+// members that know others than this instance, as one does that was cut off or has
+// just started.
 func (g *Gateway) SyncBlocks(members []heartbeat.Member, now time.Time) {
 	if g.Crashes.Decide(); g.Crashes.HasOutgoing() {
 		g.reportCrashes()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,7 +230,10 @@
 	case c.possibleRuns > 0 && (!c.route.Retryable() || c.possibleRuns >= c.route.MaxTargets):
 		return false
 	}
-	if awaitConfirmCrash(ctx, f); f.err.Ran == result.MayHaveRun && g.Crashes.Suspected(c.suspects()) {
+	if awaitConfirmCrash(ctx, f); ctx.Err() != nil {
+		return false
+	}
+	if f.err.Ran == result.MayHaveRun && g.Crashes.Suspected(c.suspects()) {
 		f.err.Message += "; not sent again, as a part of its prompt was lost in several crashes"
 		return false
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -148,6 +149,13 @@
 	if !g.canRetry(t.Context(), c, &delivery{}, notRunFailure(placement.Refused, true, "refused")) {
 		t.Error("not sent again though it has not run")
 	}
+	ctx, cancel := context.WithCancel(t.Context())
+	lost.crashConfirmed = make(chan struct{})
+	g.Crashes = crash.New(crash.Config{Clock: clk})
+	time.AfterFunc(10*time.Millisecond, cancel)
+	if g.canRetry(ctx, c, &delivery{}, lost) {
+		t.Error("sent again after the caller has left")
+	}
 }
 
 // Guards against passing on a partial event of an interrupted stream, and against
