Print the log of a process of the soak that serves nothing

A process that does not serve in time now has the end of its log printed, and whether it has exited.

--- a/internal/instance/soak_process_test.go
+++ b/internal/instance/soak_process_test.go
@@ -18,6 +18,9 @@
 	done              chan struct{}
 }
 
+// maxLogTail bounds what a failed test prints of the log of one process, in bytes.
+const maxLogTail = 32 << 10
+
 // start starts the process unless it is running.
 func (p *instanceProcess) start() {
 	p.mu.Lock()
@@ -49,6 +52,26 @@
 	}()
 }
 
+func (p *instanceProcess) exited() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// logTail returns the end of the log of all processes that ran as this instance.
+func (p *instanceProcess) logTail() string {
+	text, err := os.ReadFile(filepath.Join(p.s.dir, p.ip+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-maxLogTail):])
+}
+
 func (p *instanceProcess) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/instance/soak_test.go
+++ b/internal/instance/soak_test.go
@@ -201,10 +201,17 @@
 
 // waitUntilServing waits until a request to p succeeds.
 func (s *soak) waitUntilServing(p *instanceProcess) {
+	served := false
+	defer func() {
+		if !served {
+			s.t.Logf("exited: %v, end of the log of %s:\n%s", p.exited(), p.ip, p.logTail())
+		}
+	}()
 	eventually(s.t, "served by "+p.ip, func() bool {
 		response := s.send(&http.Client{Transport: callerTransport}, p.address, "safe")
 		return response.status == http.StatusOK
 	})
+	served = true
 }
 
 // runCaller sends requests until ctx is done. It reuses connections until they
