Look up the blocks that explain a crash by its suspects

Change: blocks are looked up by the suspects of the crash, outcomes are counted in one pass, and what explains a crash is found once for the attempts that were lost together in it.

--- a/internal/crash/decide.go
+++ b/internal/crash/decide.go
@@ -60,33 +60,56 @@
 	o.next = (o.next + 1) % maxOutcomes
 }
 
-// count returns how many other attempts were lost, and how many answered, since the
-// given time, without losses in crashes that are explained. For a part these are the
-// attempts without it; for a request, which has few attempts, those in crashes that
-// do not name it.
-func (o *outcomes) count(pool string, s Suspect, since time.Duration, explained func(*crash) bool) (lost, answered int) {
+// tally counts attempts by how they ended.
+type tally struct{ lost, answered int }
+
+func (y *tally) add(lost bool) {
+	if lost {
+		y.lost++
+	} else {
+		y.answered++
+	}
+}
+
+// count counts the other attempts since the given time, and those since
+// outcomeWindow before it, without losses in crashes that are explained. For a part
+// these are the attempts without it; for a request, which has few attempts, those in
+// crashes that do not name it.
+func (o *outcomes) count(pool string, s Suspect, since time.Duration, explained func(*crash) bool) (recent, all tally) {
 	for _, x := range o.ring {
-		switch {
-		case x.pool != pool || x.at <= since:
-		case x.lost == nil:
-			answered++
-		case explained(x.lost):
-		case s.Part && !slices.Contains(x.suspects, s) || !s.Part && !x.lost.suspects[s]:
-			lost++
+		if x.pool != pool || x.at <= since-outcomeWindow {
+			continue
+		}
+		if x.lost != nil {
+			other := s.Part && !slices.Contains(x.suspects, s) || !s.Part && !x.lost.suspects[s]
+			if !other || explained(x.lost) {
+				continue
+			}
+		}
+		all.add(x.lost != nil)
+		if x.at > since {
+			recent.add(x.lost != nil)
 		}
 	}
-	return lost, answered
+	return recent, all
 }
 
 // crashesNeeded returns the number of crashes since the given time after which s is
 // blocked.
 func (t *Tracker) crashesNeeded(pool string, s Suspect, since time.Duration) int {
 	itself := []Suspect{s}
-	explained := func(c *crash) bool { return t.explained(c, itself, 0) }
-	lost, answered := t.mu.outcomes.count(pool, s, since, explained)
+	// Losses in one crash mostly follow each other.
+	var last *crash
+	lastExplained := false
+	recent, all := t.mu.outcomes.count(pool, s, since, func(c *crash) bool {
+		if c != last {
+			last, lastExplained = c, t.explained(c, itself, 0)
+		}
+		return lastExplained
+	})
 	least := minRequestCrashes
 	if s.Part {
-		if answered < minAnswered {
+		if recent.answered < minAnswered {
 			return math.MaxInt
 		}
 		least = minPartCrashes
@@ -97,10 +120,9 @@
 		falseBlock = knownFalseBlock
 	}
 	if s.Part || known {
-		lostBefore, answeredBefore := t.mu.outcomes.count(pool, s, since-outcomeWindow, explained)
-		lossRate = max(float64(lost+1)/float64(lost+answered+2), float64(lostBefore)/float64(max(lostBefore+answeredBefore, 1)))
-	} else if lost > 0 {
-		lossRate = float64(lost) / float64(lost+answered)
+		lossRate = max(float64(recent.lost+1)/float64(recent.lost+recent.answered+2), float64(all.lost)/float64(max(all.lost+all.answered, 1)))
+	} else if recent.lost > 0 {
+		lossRate = float64(recent.lost) / float64(recent.lost+recent.answered)
 	}
 	switch lossRate {
 	case 0:
@@ -186,8 +208,19 @@
 // explained reports whether a block in force that rests on more than the given
 // number of crashes, and has none of the suspects, explains the crash.
 func (t *Tracker) explained(c *crash, suspects []Suspect, crashes int) bool {
-	for _, b := range t.mu.blocks {
-		if b.crashes > crashes && c.names(b.suspects) && !b.hasAny(suspects) && b.inForce(t.now()) {
+	explains := func(b *block) bool {
+		return b.crashes > crashes && c.names(b.suspects) && !b.hasAny(suspects) && b.inForce(t.now())
+	}
+	if len(c.suspects) < len(t.mu.byFirst) {
+		for s := range c.suspects {
+			if slices.ContainsFunc(t.mu.byFirst[s], explains) {
+				return true
+			}
+		}
+		return false
+	}
+	for s, blocks := range t.mu.byFirst {
+		if c.suspects[s] && slices.ContainsFunc(blocks, explains) {
 			return true
 		}
 	}
