--- a/internal/crash/tracker_test.go
+++ b/internal/crash/tracker_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wigeonhill/wigeonhill/internal/clock"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
@@ -360,3 +362,44 @@
 		}
 	}
 }
+
+// BenchmarkCrashReports plays the reports of one crash between 330 instances, 16 of
+// which had a request at the target, with three parts in each prompt.
+func BenchmarkCrashReports(b *testing.B) {
+	const instances, places = 330, 16
+	clk := &clock.Virtual{}
+	var trackers []*Tracker
+	for range instances {
+		trackers = append(trackers, newTracker(clk))
+	}
+	crashes, messages, bytes := 0, 0, 0
+	for b.Loop() {
+		crashes++
+		clk.Advance(time.Second)
+		attempts := make([]*Attempt, places)
+		for i := range attempts {
+			parts := []string{"system", fmt.Sprint("document", crashes%100), fmt.Sprint("session", crashes, i)}
+			attempts[i], _ = trackers[(crashes+i*instances/places)%instances].Begin(fmt.Sprint("t", crashes), "pool", Suspects(Fingerprint{byte(i), byte(crashes), byte(crashes >> 8)}, parts), true)
+		}
+		for _, a := range attempts {
+			a.t.RecordLoss(a)
+			a.End()
+		}
+		for _, from := range trackers {
+			for news := from.Outgoing(); news != nil; news = from.Outgoing() {
+				for _, to := range trackers {
+					if to != from {
+						reply := to.Merge(news)
+						messages++
+						bytes += proto.Size(news) + proto.Size(reply)
+						from.Merge(reply)
+					}
+				}
+				from.Decide()
+			}
+		}
+	}
+	b.ReportMetric(float64(messages)/float64(crashes), "messages/crash")
+	b.ReportMetric(float64(bytes)/float64(crashes)/instances, "B/crash/instance")
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(crashes)/instances, "us/crash/instance")
+}
