--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -135,6 +136,10 @@
 // Guards against sending a request again that would crash another target, also if
 // the loss of its target is confirmed only while the retry is considered.
 func TestLostRequestWithSuspectedPartIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, testLostRequestWithSuspectedPart)
+}
+
+func testLostRequestWithSuspectedPart(t *testing.T) {
 	g, c := newTestGateway(), resumableCall()
 	c.PromptParts = []deployment.PromptPart{{ID: "bad"}, {ID: "own"}}
 	clk := &clock.Virtual{}
@@ -154,6 +159,7 @@
 	confirmed := make(chan struct{})
 	lost.crashConfirmed = confirmed
 	go func() {
+		time.Sleep(crashConfirmWait / 2)
 		lose("t3")
 		close(confirmed)
 	}()
