--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -61,6 +61,27 @@
 	return u, err
 }
 
+// PeakRSS returns the largest resident set size in bytes that a process had since it
+// started, or since ResetPeakRSS.
+func PeakRSS(pid int) (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, ok := strings.Cut(string(status), "VmHWM:")
+	if !ok {
+		return 0, fmt.Errorf("process %d has exited", pid)
+	}
+	var kib int64
+	_, err = fmt.Sscan(rest, &kib)
+	return kib << 10, err
+}
+
+// ResetPeakRSS makes PeakRSS start anew from the current resident set size.
+func ResetPeakRSS(pid int) error {
+	return os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", pid), []byte("5"), 0o200)
+}
+
 // ConfigServiceCalls returns the number of calls that the configuration service
 // has received.
 func (f *Fleet) ConfigServiceCalls(ctx context.Context) (int, error) {
--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -223,6 +223,8 @@
 	// storeProxyAddress is the address of a proxy in front of the store; empty
 	// for none.
 	storeProxyAddress string
+	// memoryMB is the memory of an instance according to its settings.
+	memoryMB int
 }
 
 func (d *testDeployment) storeAddress() string {
@@ -237,7 +239,7 @@
 var deploymentCount atomic.Int32
 
 func newTestDeployment(t *testing.T) *testDeployment {
-	d := &testDeployment{t: t, store: newFakeStore(t), nextIP: 1, port: 21000 + 20*int(deploymentCount.Add(1))}
+	d := &testDeployment{t: t, store: newFakeStore(t), nextIP: 1, port: 21000 + 20*int(deploymentCount.Add(1)), memoryMB: 284}
 	return d
 }
 
@@ -318,7 +320,7 @@
 directory = "%s:%d"
 [limits]
 cpu_share = 0.4
-memory_mb = 284
+memory_mb = %d
 [bounds]
 addr_reuse_s = 2
 drain_ms = 3000
@@ -334,7 +336,7 @@
 [platform]
 address = %q
 `, domain, d.nextIP, ip, domain, regionByDomain[domain], d.port+8, d.port+15, seeds, ip, d.port, ip, d.port+1, control, ip, d.port+2,
-		d.storeAddress())
+		d.memoryMB, d.storeAddress())
 	path = filepath.Join(d.t.TempDir(), "node.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
