Bound what every HTTP client keeps of a response

Cause: clients for health checks, load polls, engine commands and cache events used the defaults of net/http, which keeps 10 MB of a head; a head of 64 KB of a target's response takes several times as much once it is parsed, if its lines are short; whole answers and long events were bounded for each request, not for all together.

Heads have 16 KB, of health checks and polls 8 KB. What is held of responses is reserved from 2% of the memory (platform), or from response_buffer (serve, new); without memory a response is passed on as it arrives. Events reuse their buffer. Hops send pieces of 16 KB.

Ruled out: bodies of health checks (not read), chunk sizes, extensions and trailers (bounded by net/http), a share of 5% for responses (63 MB for an event of many lines behind a hop, as buffers grow by doubling and the collector doubles that again).

--- a/cmd/wigeonhill/status.go
+++ b/cmd/wigeonhill/status.go
@@ -9,11 +9,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 )
 
 const (
-	statusTimeout  = 10 * time.Second
-	maxStatusBytes = 64 << 20
+	statusTimeout = 10 * time.Second
+	// maxStatusHeadBytes and maxStatusBytes bound a page; a longer one ends with an
+	// error.
+	maxStatusHeadBytes = 16 << 10
+	maxStatusBytes     = 64 << 20
 )
 
 // statusCommand prints the operator pages of a running instance.
@@ -98,7 +103,8 @@
 	if err != nil {
 		return invalidError{errors.Wrapf(err, "address %q", c.Address)}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := httpclient.New(httpclient.Config{ConnectTimeout: statusTimeout, MaxHead: maxStatusHeadBytes, MaxBody: maxStatusBytes})
+	resp, err := client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "request to the instance")
 	}
@@ -107,6 +113,6 @@
 		msg, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
 		return errors.Newf("%s responded with status %s: %s", c.Address, resp.Status, msg)
 	}
-	_, err = io.Copy(os.Stdout, io.LimitReader(resp.Body, maxStatusBytes))
+	_, err = io.Copy(os.Stdout, resp.Body)
 	return errors.Wrap(err, "read the response")
 }
--- a/internal/confservice/client.go
+++ b/internal/confservice/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 )
 
@@ -28,6 +28,9 @@
 	readTimeout    = 5 * time.Second
 	waitMargin     = 5 * time.Second // for the response after the wait
 	connectTimeout = 2 * time.Second
+	maxHeadBytes   = 16 << 10
+	maxConns       = 4
+	idleTimeout    = time.Minute
 )
 
 // ErrNotFound is returned for a value that is not published.
@@ -48,17 +51,9 @@
 
 // NewClient returns a Client of the service at the base URL.
 func NewClient(base string) *Client {
-	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		TLSHandshakeTimeout:    connectTimeout,
-		MaxResponseHeaderBytes: 16 << 10,
-		MaxConnsPerHost:        4,
-		IdleConnTimeout:        time.Minute,
-	}
-	return &Client{baseURL: strings.TrimSuffix(base, "/"), httpClient: &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Client{baseURL: strings.TrimSuffix(base, "/"), httpClient: httpclient.New(httpclient.Config{
+		ConnectTimeout: connectTimeout, MaxHead: maxHeadBytes, MaxBody: maxValueBytes, MaxConnsPerHost: maxConns, IdleTimeout: idleTimeout,
+	})}
 }
 
 // CallCounts counts calls since the start of the process.
@@ -126,13 +121,10 @@
 	if httpframing.EndsWithConnection(res) {
 		return Value{}, false, errors.New("the response of the configuration service has no length, so it cannot be told from a part of it")
 	}
-	v.Text, err = io.ReadAll(io.LimitReader(res.Body, maxValueBytes+1))
+	v.Text, err = io.ReadAll(res.Body)
 	c.calls.bytes.Add(uint64(len(v.Text)))
 	if err != nil {
 		return Value{}, false, errors.Wrap(err, "reading the response of the configuration service")
 	}
-	if len(v.Text) > maxValueBytes {
-		return Value{}, false, errors.Newf("the response of the configuration service exceeds %d bytes", maxValueBytes)
-	}
 	return v, true, nil
 }
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -61,15 +61,17 @@
 
 // LocalConfig holds the dependencies of a LocalDispatcher.
 type LocalConfig struct {
-	Instance        settings.Instance
-	Bounds          settings.Bounds
-	ConfigSource    ConfigSource
-	Chooser         Chooser
-	Admitter        admission.Admitter
-	Slots           Slots
-	Gate            *Gate
-	Crashes         *crash.Tracker
-	Memory          *MemoryBudget
+	Instance     settings.Instance
+	Bounds       settings.Bounds
+	ConfigSource ConfigSource
+	Chooser      Chooser
+	Admitter     admission.Admitter
+	Slots        Slots
+	Gate         *Gate
+	Crashes      *crash.Tracker
+	Memory       *MemoryBudget
+	// ResponseMemory bounds what is held of the whole responses of engines.
+	ResponseMemory  *MemoryBudget
 	RetryBudget     *RetryBudget
 	Requests        audit.RequestRecorder
 	Trail           audit.Trail
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -10,12 +10,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 )
 
 const (
 	targetDialTimeout = 2 * time.Second
-	maxResponseHeader = 64 << 10
-	targetReadBuffer  = 4 << 10
+	// maxTargetHeadBytes bounds the head of a target's response.
+	maxTargetHeadBytes = 16 << 10
 )
 
 // countingConn counts writes, to tell whether any byte may have been sent.
@@ -102,17 +104,19 @@
 // header again by itself.
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+	t := httpclient.NewTransport(httpclient.Config{
+		ConnectTimeout: targetDialTimeout,
+		MaxHead:        maxTargetHeadBytes,
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
 			return &countingConn{Conn: c}, nil
 		},
-		MaxIdleConnsPerHost:    -1,   // no connection is kept
-		DisableCompression:     true, // the response is passed on unchanged
-		MaxResponseHeaderBytes: maxResponseHeader,
-		ReadBufferSize:         targetReadBuffer,
-	}
+	})
+	// No connection is kept, and the target is not told so: the header Connection
+	// would be part of the request.
+	t.DisableKeepAlives, t.MaxIdleConnsPerHost = false, -1
+	return t
 }
--- a/internal/dispatch/deliver.go
+++ b/internal/dispatch/deliver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -19,6 +20,9 @@
 	// head is passed on, so that a short response that is interrupted can be
 	// retried.
 	prefetchBytes = 64 << 10
+	// unreservedResponseBytes is the size in bytes up to which an engine's response
+	// is held whatever the others take of the memory for responses.
+	unreservedResponseBytes = 32 << 10
 )
 
 // deliver passes the response of an attempt to the sink.
@@ -40,27 +44,31 @@
 // deliverBuffered reads the whole response of an engine before passing on any of
 // it.
 func (r *run) deliverBuffered(ctx context.Context, resp *attemptResponse) error {
-	reservation := r.local.Memory.NewReservation(r.call.Permit.Team)
-	defer reservation.Close()
-	limit := r.local.Bounds.MaxBody
-	var body []byte
-	buf := make([]byte, chunkBytes)
-	for {
-		n, err := resp.body.Read(buf)
-		if n > 0 {
-			if err := reservation.Reserve(int64(n), result.MayHaveRun); err != nil {
-				return &attemptError{err: result.FromError(err), final: true}
-			}
-			if body = append(body, buf[:n]...); limit > 0 && int64(len(body)) > limit {
-				return &attemptError{err: result.New(result.TargetFailed, result.MayHaveRun, "the answer exceeds the bound"), final: true}
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return classifyReadError(ctx, err)
+	team := r.local.Memory.NewReservation(r.call.Permit.Team)
+	defer team.Close()
+	responses := r.local.ResponseMemory.NewReservation("")
+	defer responses.Close()
+	if err := team.Reserve(unreservedResponseBytes, result.MayHaveRun); err != nil {
+		return &attemptError{err: result.FromError(err), final: true}
+	}
+	limit := math.MaxInt - 1
+	if r.local.Bounds.MaxBody > 0 {
+		limit = int(r.local.Bounds.MaxBody)
+	}
+	var refused error
+	body, whole, err := ReadBuffered(resp.body, unreservedResponseBytes, limit, func(n int) bool {
+		if refused = team.Reserve(int64(n), result.MayHaveRun); refused == nil {
+			refused = responses.Reserve(int64(n), result.MayHaveRun)
 		}
+		return refused == nil
+	})
+	switch {
+	case err != nil:
+		return classifyReadError(ctx, err)
+	case refused != nil:
+		return &attemptError{err: result.FromError(refused), final: true}
+	case !whole || len(body) > limit:
+		return &attemptError{err: result.New(result.TargetFailed, result.MayHaveRun, "the answer exceeds the bound"), final: true}
 	}
 	if resp.status == http.StatusOK {
 		if r.usage = responseUsage(body); r.usage == nil {
@@ -114,7 +122,8 @@
 // deliverServiceEvents passes on a stream of events of a plain service, each as it
 // arrives. One that ends inside an event has been broken off.
 func (r *run) deliverServiceEvents(ctx context.Context, resp *attemptResponse) error {
-	events := sse.NewReader(resp.body)
+	events, release := r.newEventReader(resp)
+	defer release()
 	for {
 		p, err := events.Next()
 		if err != nil && err != io.EOF {
--- a/internal/dispatch/sse.go
+++ b/internal/dispatch/sse.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/sse"
 )
 
@@ -13,6 +14,15 @@
 	doneData         = []byte("[DONE]")
 )
 
+// newEventReader returns a reader of the stream in resp whose long events count
+// against the memory of the call's team, and a function that releases it.
+func (r *run) newEventReader(resp *attemptResponse) (events *sse.Reader, release func()) {
+	memory := r.local.Memory.NewReservation(r.call.Permit.Team)
+	events = sse.NewReader(resp.body)
+	events.Reserve = func(n int) bool { return memory.Reserve(int64(n), result.MayHaveRun) == nil }
+	return events, memory.Close
+}
+
 // nextEvent returns the next event of an engine's stream.
 func nextEvent(r *sse.Reader) (sse.Piece, error) {
 	p, err := r.Next()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -14,9 +14,11 @@
 // finish reason, the usage) are held until the next output or the end marker: if
 // the engine is lost before that, the engine that resumes sends them again.
 func (r *run) deliverStream(ctx context.Context, resp *attemptResponse) error {
-	events := sse.NewReader(resp.body)
+	events, release := r.newEventReader(resp)
+	defer release()
 	resumedAt := r.deliveredTokens
 	var pending [][]byte
+	pendingBytes := 0
 	var reported *usage
 	for {
 		ev, err := nextEvent(events)
@@ -52,9 +54,10 @@
 			// The first event of a resumed stream repeats the role, and its last
 			// one a finish reason that may have been sent with the last output.
 			if resumedAt == 0 || c.usage != nil || c.finished && !r.finished {
-				pending = append(pending, ev.Raw)
+				pending = append(pending, bytes.Clone(ev.Raw))
+				pendingBytes += len(ev.Raw)
 			}
-			if len(pending) > maxPendingEvents {
+			if len(pending) > maxPendingEvents || pendingBytes > maxPendingBytes {
 				return newAttemptError(result.TargetFailed, true, "the stream has too many events without output", nil)
 			}
 			continue
@@ -62,7 +65,7 @@
 		if err := r.sendEvents(resp, append(pending, ev.Raw)); err != nil {
 			return err
 		}
-		pending = nil
+		pending, pendingBytes = nil, 0
 		r.deliveredTokens++
 		if r.running != nil && r.deliveredTokens == resumedAt+crash.RespondingEvents {
 			r.running.Responding()
@@ -72,8 +75,11 @@
 	}
 }
 
-// maxPendingEvents bounds the events held until the next output.
-const maxPendingEvents = 16
+// maxPendingEvents and maxPendingBytes bound the events held until the next output.
+const (
+	maxPendingEvents = 16
+	maxPendingBytes  = 64 << 10
+)
 
 // endStream checks that the token counts of a resumed stream add up before it
 // passes on the end. An engine that counts tokens differently would have repeated
--- a/internal/enginecmd/manager.go
+++ b/internal/enginecmd/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/wigeonhill/wigeonhill/internal/audit"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
@@ -34,6 +35,9 @@
 	// model registry limits its rate.
 	maxCommandsPerRound = 2
 	maxLoadReportBytes  = 64 << 10
+	// maxConcurrentReads bounds the reads of engines' states in flight, so that
+	// engines that do not answer delay the others only if there are as many.
+	maxConcurrentReads = 32
 )
 
 // errStaleFencingToken stands for the response 409 Conflict of an engine that has
@@ -123,20 +127,22 @@
 	region := cfg.Regions[shard.Region]
 	states := make(map[string]EngineState)
 	var mu sync.Mutex
-	var reads sync.WaitGroup
+	var reads errgroup.Group
+	reads.SetLimit(maxConcurrentReads)
 	for name, t := range cfg.Targets {
 		if region == nil || t.Kind != config.Engine || t.Region != shard.Region || leadership.ShardFor(region, name) != shard {
 			continue
 		}
-		reads.Go(func() {
+		reads.Go(func() error {
 			if state, err := m.readState(ctx, t.Address); err == nil {
 				mu.Lock()
 				defer mu.Unlock()
 				states[name] = state
 			}
+			return nil
 		})
 	}
-	reads.Wait()
+	_ = reads.Wait() // no read returns an error
 	return states
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/load"
 	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
@@ -20,6 +21,9 @@
 // pollInterval is the interval between readiness checks of a starting process.
 const pollInterval = 50 * time.Millisecond
 
+// httpClient makes the calls to the processes of a fleet.
+var httpClient = httpclient.New(httpclient.Config{ConnectTimeout: 10 * time.Second, MaxHead: 64 << 10, MaxBody: 64 << 20, IdleTimeout: 30 * time.Second})
+
 // Fleet is a set of instances, stand-in targets and a stand-in configuration
 // service, each running as its own process.
 type Fleet struct {
@@ -199,7 +203,7 @@
 	if err != nil {
 		return 0, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return 0, err
 	}
@@ -286,7 +290,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return 0, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/crash"
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
@@ -19,10 +20,15 @@
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
-// maxBufferedResponse is the size in bytes up to which a response is read completely
-// before its first byte is passed on, so that the request can be retried if the
-// response is interrupted.
-const maxBufferedResponse = 256 << 10
+const (
+	// maxBufferedResponse is the size in bytes up to which a response is read
+	// completely before its first byte is passed on, so that the request can be
+	// retried if the response is interrupted.
+	maxBufferedResponse = 256 << 10
+	// initialResponseBuffer is the size in bytes of the buffer of a response. It
+	// grows only if memory for responses is left.
+	initialResponseBuffer = 4 << 10
+)
 
 var (
 	errUnresponsive = errors.New("no answer in a multiple of the usual time")
@@ -114,7 +120,7 @@
 	d.framing, d.succeeded = resp.framing, resp.status >= 200 && resp.status < 300
 	body := &countingReader{r: resp.body}
 	resp.body = body
-	f := passOn(resp, d, onFirstByte)
+	f := g.passOn(c, resp, d, onFirstByte)
 	g.Metrics.recordResponse(resp.framing, f)
 	if resp.framing == closeFraming {
 		reason := "complete"
@@ -128,11 +134,22 @@
 }
 
 // passOn passes a response on as the kind of response that it is.
-func passOn(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
+func (g *Gateway) passOn(c *call, resp *targetResponse, d *delivery, onFirstByte func()) *failure {
+	refused := false
+	reserve := func(n int) bool {
+		ok := d.reserve(n)
+		if !ok && !refused {
+			refused = true
+			g.Log.Emit(event.ResponseNotBuffered, zap.String("request", c.ID), zap.String("target", resp.target), zap.Int64("reserved", g.BufferedResponseBytes()))
+		}
+		return ok
+	}
 	if resp.status >= 200 && resp.status < 300 && sse.IsStream(resp.header) {
-		return deliverEvents(resp, d, onFirstByte)
+		return deliverEvents(resp, d, reserve, onFirstByte)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.body, maxBufferedResponse+1))
+	body, whole, err := dispatch.ReadBuffered(resp.body, initialResponseBuffer, maxBufferedResponse, reserve)
+	reserved := cap(body) - initialResponseBuffer
+	defer func() { d.release(reserved) }()
 	if err != nil {
 		return readFailure(err)
 	}
@@ -141,39 +158,43 @@
 		// The call resumes a stream, but the target did not respond with one.
 		return mayHaveRunFailure(placement.Failed, result.StreamInterrupted, "the target did not resume the stream: status %d", resp.status)
 	}
-	if resp.status >= http.StatusInternalServerError && len(body) <= maxBufferedResponse {
-		d.fallback = &bufferedResponse{resp.status, resp.header, body, resp.target}
+	if resp.status >= http.StatusInternalServerError && whole {
+		replaced := d.fallback
+		d.fallback = &bufferedResponse{resp.status, resp.header, body, resp.target, reserved}
+		if reserved = 0; replaced != nil {
+			reserved = replaced.reserved
+		}
 		return mayHaveRunFailure(placement.Failed, result.TargetFailed, "the target answered %d", resp.status)
 	}
-	return deliverBody(resp, d, body)
+	return deliverBody(resp, d, body, whole)
 }
 
 // deliverBody passes on a response that is no event stream. body is the part that
-// was read already: all of it if it has at most maxBufferedResponse bytes.
-func deliverBody(resp *targetResponse, d *delivery, body []byte) *failure {
-	length := int64(len(body))
-	if length > maxBufferedResponse {
-		length = -1
+// was read already, which is all of it if whole is set.
+func deliverBody(resp *targetResponse, d *delivery, body []byte, whole bool) *failure {
+	length := int64(-1)
+	if whole {
+		length = int64(len(body))
 	}
 	d.start(resp)
 	if err := d.sink.Head(resp.status, resp.header, length, resp.target); err != nil {
 		return callerWriteFailure(err)
 	}
+	buf := body[:cap(body)]
 	for {
 		if len(body) > 0 {
 			if err := d.sink.Data(body); err != nil {
 				return callerWriteFailure(err)
 			}
 		}
-		if length >= 0 {
+		if whole {
 			return nil
 		}
-		buf := make([]byte, maxBufferedResponse/4)
 		n, err := resp.body.Read(buf)
 		body = buf[:n]
 		switch {
 		case err == io.EOF:
-			length = 0
+			whole = true
 		case err != nil:
 			return readFailure(err)
 		}
@@ -194,8 +215,18 @@
 
 // deliverEvents passes on a stream of server-sent events, whole events at a time as
 // far as they are not too long, so that it can be resumed after the last one.
-func deliverEvents(resp *targetResponse, d *delivery, onFirstByte func()) *failure {
+// reserve is asked for the memory of long events.
+func deliverEvents(resp *targetResponse, d *delivery, reserve func(n int) bool, onFirstByte func()) *failure {
 	events, whole := newEventReader(resp.body), 0
+	reserved := 0
+	events.Reserve = func(n int) bool {
+		ok := reserve(n)
+		if ok {
+			reserved += n
+		}
+		return ok
+	}
+	defer func() { d.release(reserved) }()
 	if d.started {
 		events.skipThrough(d.lastEventID)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,6 +18,10 @@
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
+// maxForwardDataBytes bounds the part of a body in one message to the instance that
+// forwarded the request.
+const maxForwardDataBytes = 16 << 10
+
 // forward sends a call to an instance of another region and waits for the head of
 // the response.
 func (g *Gateway) forward(ctx context.Context, c *call, region, lastEventID string) (*targetResponse, *failure) {
@@ -195,7 +200,9 @@
 	defer cancel()
 	ctx, stop := p.Gateway.untilCutoff(ctx)
 	defer stop()
-	d := &delivery{sink: &forwardSink{stream: stream, id: c.ID}, lastEventID: msg.GetResumeAfter()}
+	d := p.Gateway.newDelivery(&forwardSink{stream: stream, id: c.ID}, c.team)
+	defer d.close()
+	d.lastEventID = msg.GetResumeAfter()
 	tail := &peerv1.Tail{}
 	err := p.Gateway.refusal()
 	if err == nil {
@@ -243,7 +250,13 @@
 	return s.stream.Send(&peerv1.ForwardResponse{RequestId: s.id, Part: &peerv1.ForwardResponse_Head{Head: head}})
 }
 
-// Data implements sink.
+// Data implements sink. A message is as small as the receiver holds it in memory
+// whole.
 func (s *forwardSink) Data(p []byte) error {
-	return s.stream.Send(&peerv1.ForwardResponse{RequestId: s.id, Part: &peerv1.ForwardResponse_Data{Data: p}})
+	for part := range slices.Chunk(p, maxForwardDataBytes) {
+		if err := s.stream.Send(&peerv1.ForwardResponse{RequestId: s.id, Part: &peerv1.ForwardResponse_Data{Data: part}}); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
@@ -18,6 +19,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/quota"
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/settings"
 )
 
 const (
@@ -27,6 +29,9 @@
 	// notReadyRetryAfter is the Retry-After of errors that are expected to pass
 	// soon, such as those of an instance that has just started.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// responseMemoryFraction is the fraction of the instance's memory that may be
+	// reserved for what is held of all responses together.
+	responseMemoryFraction = 0.02
 	// assumedRoundTrip is the round trip assumed between regions, which is not
 	// measured yet; it is the largest of the current deployments.
 	assumedRoundTrip = 120 * time.Millisecond
@@ -64,6 +69,7 @@
 	Config
 	targetTransport http.RoundTripper
 	bufferedBodies  atomic.Int64 // capacity of the buffers for callers' request bodies, in bytes
+	responseMemory  *dispatch.MemoryBudget
 	draining        atomic.Bool
 	refusing        atomic.Bool // the last part of the drain, without new requests
 	// cutoff ends shortly before the drain does.
@@ -76,6 +82,7 @@
 // New returns a Gateway that uses the settings and dependencies in cfg.
 func New(cfg Config) *Gateway {
 	g := &Gateway{Config: cfg, targetTransport: newTargetTransport()}
+	g.responseMemory = dispatch.NewMemoryBudget(settings.Bounds{ProcessBuffer: int64(responseMemoryFraction * float64(cfg.Settings.MemoryBytes))})
 	g.cutoff, g.cutOff = context.WithCancel(context.Background())
 	return g
 }
@@ -84,9 +91,31 @@
 // in bytes. Bodies of forwarded requests are not included.
 func (g *Gateway) BufferedBodyBytes() int64 { return g.bufferedBodies.Load() }
 
+// BufferedResponseBytes returns the memory reserved for responses that are held until
+// they are passed on, in bytes.
+func (g *Gateway) BufferedResponseBytes() int64 { return g.responseMemory.ReservedBytes() }
+
+// newDelivery returns the state of a response that goes to s. Close it.
+func (g *Gateway) newDelivery(s sink, team string) *delivery {
+	return &delivery{sink: s, memory: g.responseMemory.NewReservation(team)}
+}
+
+// close releases the memory of the response.
+func (d *delivery) close() { d.memory.Close() }
+
+// reserve reserves n bytes for the response and reports whether there were as many.
+func (d *delivery) reserve(n int) bool {
+	return d.memory.Reserve(int64(n), result.MayHaveRun) == nil
+}
+
+// release releases n bytes.
+func (d *delivery) release(n int) { d.memory.Release(int64(n)) }
+
 // delivery is the state of the response to one request over all attempts.
 type delivery struct {
 	sink sink
+	// memory is reserved for what is held of the response.
+	memory *dispatch.Reservation
 	// started is set once the response was begun at the sink; its head cannot be
 	// replaced from then on.
 	started bool
@@ -122,6 +151,8 @@
 	header http.Header
 	body   []byte
 	target string
+	// reserved is the memory that is reserved for the body, in bytes.
+	reserved int
 }
 
 // serveCall tries targets and regions until one responds, the rules for retries
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -19,6 +19,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/platform"
@@ -26,9 +27,9 @@
 
 const (
 	// targetDialTimeout is many times the round trip within a region.
-	targetDialTimeout    = 500 * time.Millisecond
-	maxTargetHeaderBytes = 64 << 10
-	targetBufferSize     = 4 << 10
+	targetDialTimeout = 500 * time.Millisecond
+	// maxTargetHeadBytes bounds the head of a target's response.
+	maxTargetHeadBytes = 16 << 10
 )
 
 // keepAlive detects a peer that lost its power or its link within about three
@@ -40,14 +41,7 @@
 // carries a late response to an earlier request, the outcome of the request would
 // be unknown for no reason.
 func newTargetTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: targetDialTimeout, KeepAliveConfig: keepAlive}).DialContext,
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxTargetHeaderBytes,
-		ReadBufferSize:         targetBufferSize,
-		WriteBufferSize:        targetBufferSize,
-	}
+	return httpclient.NewTransport(httpclient.Config{ConnectTimeout: targetDialTimeout, KeepAlive: keepAlive, MaxHead: maxTargetHeadBytes})
 }
 
 // connTracker records whether a connection was obtained for a request, after which
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -51,6 +51,7 @@
 	gauge("targets_down", "Targets of the own region that are avoided until a health check succeeds.", func() float64 { return float64(len(i.tracker.DownTargets(time.Now()))) })
 	gauge("requests_running", "Requests in progress, those of other instances included.", func() float64 { return float64(i.gateway.RunningRequests()) })
 	gauge("request_memory_bytes", "Memory held for the bodies of requests.", func() float64 { return float64(i.gateway.BufferedBodyBytes()) })
+	gauge("response_memory_bytes", "Memory held for responses until they are passed on.", func() float64 { return float64(i.gateway.BufferedResponseBytes()) })
 	gauge("ready", "1 if callers are sent here.", func() float64 { return boolToFloat(i.gateway.Ready()) })
 	gauge("peers_reachable", "Other instances whose rows arrive.", func() float64 { reachable, _ := i.peerCounts(); return float64(reachable) })
 	gauge("peers_lost", "Other instances whose rows stopped arriving.", func() float64 { _, lost := i.peerCounts(); return float64(lost) })
--- a/internal/instance/prober.go
+++ b/internal/instance/prober.go
@@ -2,26 +2,33 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
 const (
-	// probeInterval is the interval between health checks of a target that is
-	// down; each check is charged for.
-	probeInterval = 400 * time.Millisecond
-	probeTimeout  = 700 * time.Millisecond
+	// probeTimeout bounds one health check.
+	probeTimeout = 700 * time.Millisecond
+	// maxProbeHeadBytes bounds the head of the response to a health check.
+	maxProbeHeadBytes = 8 << 10
 )
 
+// probeClientConfig is for health checks. Their bodies are not read.
+var probeClientConfig = httpclient.Config{ConnectTimeout: probeTimeout, CallTimeout: probeTimeout, MaxHead: maxProbeHeadBytes}
+
 // prober runs health checks of targets that requests found unreachable.
 type prober struct {
 	catalog *catalog.Manager
@@ -32,12 +39,10 @@
 }
 
 func newProber(c *catalog.Manager, t *placement.Tracker, log *event.Logger) *prober {
-	return &prober{catalog: c, tracker: t, log: log, wakeup: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: probeTimeout}).DialContext, DisableKeepAlives: true,
-	}, Timeout: probeTimeout}}
+	return &prober{catalog: c, tracker: t, log: log, wakeup: make(chan struct{}, 1), client: httpclient.New(probeClientConfig)}
 }
 
-// wake triggers a health check at once, after a target was found down.
+// wake makes the prober look at once for targets that are down.
 func (p *prober) wake(string) {
 	select {
 	case p.wakeup <- struct{}{}:
@@ -47,20 +52,35 @@
 
 // Run checks the targets that are down until ctx is done.
 func (p *prober) Run(ctx context.Context) error {
-	tick := time.NewTicker(probeInterval)
-	defer tick.Stop()
+	runProbes(ctx, p.tracker.DownTargets, p.wakeup, p.check)
+	return nil
+}
+
+// runProbes calls check for the targets that down returns, as probeSchedule decides,
+// until ctx is done.
+func runProbes(ctx context.Context, down func(now time.Time) []string, wakeup <-chan struct{}, check func(ctx context.Context, id string)) {
+	schedule, ended := newProbeSchedule(), make(chan string, maxConcurrentProbes)
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		case <-p.wakeup:
+			return
+		case id := <-ended:
+			schedule.end(id, time.Now())
+		case <-wakeup:
+			timer.Reset(schedule.refresh(down(time.Now()), time.Now()))
+		case <-timer.C:
+			timer.Reset(schedule.refresh(down(time.Now()), time.Now()))
 		}
-		var wg sync.WaitGroup
-		for _, id := range p.tracker.DownTargets(time.Now()) {
-			wg.Go(func() { p.check(ctx, id) })
+		for _, id := range schedule.start(time.Now()) {
+			checks.Go(func() {
+				check(ctx, id)
+				ended <- id
+			})
 		}
-		wg.Wait()
 	}
 }
 
@@ -77,6 +97,9 @@
 	}
 	res, err := p.client.Do(req)
 	if err != nil {
+		if !isConnectionError(err) {
+			p.log.Emit(event.HealthCheckInvalid, zap.String("target", id), zap.Error(err))
+		}
 		return // still down
 	}
 	_ = res.Body.Close()
@@ -93,3 +116,10 @@
 	p.tracker.SetHealthy(id, health.WarmupLeft, time.Now())
 	p.log.Emit(event.TargetRecovered, zap.String("target", id), zap.Duration("warmup_left", health.WarmupLeft))
 }
+
+// isConnectionError reports whether a call got no response at all, as is usual with
+// a target that is down.
+func isConnectionError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) || errors.Is(err, io.EOF) || errors.Is(err, context.Canceled) || os.IsTimeout(err)
+}
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -9,9 +9,12 @@
 	"sort"
 	"time"
 
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
+var recordClient = httpclient.New(clientConfig)
+
 // FetchRecords returns the record of every target. For a target that does not
 // respond it builds the record from the target's journal.
 func FetchRecords(ctx context.Context, p *Plan) ([]*standin.Record, error) {
@@ -43,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := recordClient.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peerapi/client.go
+++ b/internal/peerapi/client.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
 )
@@ -80,19 +81,14 @@
 func NewClientsWithDial(p settings.Peers, dial DialFunc) (*Clients, error) {
 	c := &Clients{scheme: "https"}
 	c.mu.byAddress = map[string]peerv1connect.PeerClient{}
-	c.transport = &http.Transport{
-		DialContext:           dial,
-		TLSHandshakeTimeout:   dialTimeout,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: 0, // each call has its own deadline
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:               sendPingTimeout,
-			PingTimeout:                   pingTimeout,
-			MaxReceiveBufferPerStream:     streamWindowBytes,
-			MaxReceiveBufferPerConnection: connWindowBytes,
-		},
-		Protocols: new(http.Protocols),
+	c.transport = httpclient.NewTransport(clientConfig(dial))
+	c.transport.HTTP2 = &http.HTTP2Config{
+		SendPingTimeout:               sendPingTimeout,
+		PingTimeout:                   pingTimeout,
+		MaxReceiveBufferPerStream:     streamWindowBytes,
+		MaxReceiveBufferPerConnection: connWindowBytes,
 	}
+	c.transport.Protocols = new(http.Protocols)
 	if p.Insecure {
 		c.scheme = "http"
 		c.transport.Protocols.SetUnencryptedHTTP2(true)
@@ -107,6 +103,12 @@
 	return c, nil
 }
 
+// clientConfig bounds the calls to peers. Each call has a deadline of its own, and
+// connect bounds its messages.
+func clientConfig(dial DialFunc) httpclient.Config {
+	return httpclient.Config{ConnectTimeout: dialTimeout, MaxHead: maxHeaderBytes, MaxBody: httpclient.UnboundedBody, IdleTimeout: idleTimeout, Dial: dial}
+}
+
 // Client returns the client for a peer address (IP:port).
 func (c *Clients) Client(address string) peerv1connect.PeerClient {
 	c.mu.Lock()
@@ -117,7 +119,7 @@
 	if len(c.mu.byAddress) >= maxClients {
 		clear(c.mu.byAddress)
 	}
-	client := peerv1connect.NewPeerClient(&http.Client{Transport: c.transport}, c.scheme+"://"+address,
+	client := peerv1connect.NewPeerClient(httpclient.FromTransport(c.transport, clientConfig(nil)), c.scheme+"://"+address,
 		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
 	c.mu.byAddress[address] = client
 	return client
--- a/internal/server/cachepoller.go
+++ b/internal/server/cachepoller.go
@@ -39,7 +39,7 @@
 }
 
 func newCachePoller(address func(string) string, apply func(string, []routing.CacheEvent)) *cachePoller {
-	p := &cachePoller{client: &http.Client{Timeout: cachePollTimeout}, address: address, apply: apply, now: time.Now}
+	p := &cachePoller{client: newTargetClient(cachePollTimeout), address: address, apply: apply, now: time.Now}
 	p.mu.lastUsed = make(map[string]time.Time)
 	p.mu.lastSeq = make(map[string]uint64)
 	return p
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/enginecmd"
 	"github.com/wigeonhill/wigeonhill/internal/entry"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/idempotency"
 	"github.com/wigeonhill/wigeonhill/internal/leadership"
 	"github.com/wigeonhill/wigeonhill/internal/lease"
@@ -150,13 +151,29 @@
 	})
 	srv.leases = lease.NewManager(lease.Config{
 		Self: srv.self, Clock: srv.clock, ConfigSource: srv.configs, Leadership: srv.leadership, PeerClient: peers,
-		LoadClient: lease.NewLoadClient(&http.Client{Timeout: targetCallTimeout}), Log: srv.log, AuditTrail: srv.auditTrail,
+		LoadClient: lease.NewLoadClient(newTargetClient(targetCallTimeout)), Log: srv.log, AuditTrail: srv.auditTrail,
 	})
 	srv.buildLocalDispatcher(crashes)
 }
 
-// targetCallTimeout bounds one load poll of a target and one engine command.
-const targetCallTimeout = 2 * time.Second
+const (
+	// targetCallTimeout bounds one load poll of a target and one engine command.
+	targetCallTimeout = 2 * time.Second
+	// maxTargetCallHeadBytes and maxTargetCallBodyBytes bound the response to such a
+	// call, or to a poll for cache events.
+	maxTargetCallHeadBytes = 8 << 10
+	maxTargetCallBodyBytes = 256 << 10
+	// targetCallIdleTimeout is many times the interval between two polls.
+	targetCallIdleTimeout = 90 * time.Second
+)
+
+// newTargetClient returns a client for calls to targets that are no requests of
+// callers.
+func newTargetClient(timeout time.Duration) *http.Client {
+	return httpclient.New(httpclient.Config{
+		ConnectTimeout: timeout, CallTimeout: timeout, MaxHead: maxTargetCallHeadBytes, MaxBody: maxTargetCallBodyBytes, IdleTimeout: targetCallIdleTimeout,
+	})
+}
 
 // buildLocalDispatcher builds admission, routing and the dispatcher of requests to
 // targets of the local region.
@@ -185,7 +202,8 @@
 	})
 	srv.localDispatcher = dispatch.NewLocalDispatcher(dispatch.LocalConfig{
 		Instance: s.Instance, Bounds: s.Bounds, ConfigSource: srv.configs, Chooser: srv.router,
-		Admitter: srv.admitter, Slots: srv.leases, Gate: srv.gate, Crashes: crashes, Memory: srv.memoryBudget,
+		Admitter: srv.admitter, Slots: srv.leases, Gate: srv.gate, Crashes: crashes,
+		Memory: srv.memoryBudget, ResponseMemory: dispatch.NewMemoryBudget(settings.Bounds{ProcessBuffer: s.Bounds.ResponseBuffer}),
 		RetryBudget: dispatch.NewRetryBudget(), Requests: srv.requestRecords, Trail: srv.auditTrail, Clock: srv.clock,
 		Log: srv.log, AttemptObserver: srv.router,
 	})
@@ -275,7 +293,7 @@
 		srv.leadership.OnProcessPause, srv.leases.OnProcessPause, srv.configs.OnProcessPause, srv.gate.OnProcessPause,
 	}}
 	engineCommands := enginecmd.NewManager(enginecmd.Config{
-		Clock: srv.clock, ConfigSource: srv.configs, Leadership: srv.leadership, HTTPClient: &http.Client{Timeout: targetCallTimeout}, Log: srv.log, AuditTrail: srv.auditTrail,
+		Clock: srv.clock, ConfigSource: srv.configs, Leadership: srv.leadership, HTTPClient: newTargetClient(targetCallTimeout), Log: srv.log, AuditTrail: srv.auditTrail,
 	})
 	return []manager{
 		{"watchdog", pauseWatchdog.Run},
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -18,6 +18,11 @@
 	// a line end may have no end at all.
 	MaxEventBytes = 256 << 10
 	bufferBytes   = 4 << 10
+	// unreservedBytes is the size in bytes up to which the Reader holds an event
+	// without asking Reserve.
+	unreservedBytes = 16 << 10
+	// reserveBytes is for how many bytes more Reserve is asked at a time.
+	reserveBytes = 16 << 10
 	// maxFieldBytes is how much of a line is kept, in bytes, to find its field.
 	maxFieldBytes = 1 << 10
 )
@@ -27,6 +32,7 @@
 
 // Piece is an event with the blank line that ends it, or a part of a long event.
 type Piece struct {
+	// Raw is valid until the next call of Next.
 	Raw []byte
 	// ID is the id of the event, "" if it has none or if it was not read yet.
 	ID string
@@ -38,7 +44,16 @@
 
 // Reader reads the events of one stream.
 type Reader struct {
+	// Reserve is asked for the memory of long events, n bytes at a time. If it
+	// returns false, the event is returned in pieces, which may end inside a line.
+	// What was reserved stays in use as long as the Reader. Optional.
+	Reserve func(n int) bool
+
 	r *bufio.Reader
+	// raw is the buffer of the pieces.
+	raw []byte
+	// reserved is the size in bytes that an event may have without asking Reserve.
+	reserved int
 	// line is the start of the line being read, lineBytes the size of all that was
 	// read of it.
 	line      []byte
@@ -52,15 +67,18 @@
 }
 
 // NewReader returns a Reader of the stream r.
-func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, bufferBytes)} }
+func NewReader(r io.Reader) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, bufferBytes), reserved: unreservedBytes}
+}
 
 // Next returns the next event, or the next piece of an event of at least
-// MaxEventBytes. io.EOF means that the stream ended between two events; it comes
-// with the comments after the last one. Any other error comes without bytes:
-// io.ErrUnexpectedEOF if the stream ended inside an event, or that of the
-// underlying reader, or ErrLineTooLong.
+// MaxEventBytes, or of one for which Reserve gave no memory. io.EOF means that the
+// stream ended between two events; it comes with the comments after the last one.
+// Any other error comes without bytes: io.ErrUnexpectedEOF if the stream ended inside
+// an event, or that of the underlying reader, or ErrLineTooLong.
 func (r *Reader) Next() (Piece, error) {
-	var p Piece
+	p := Piece{Raw: r.raw[:0]}
+	defer func() { r.raw = p.Raw }()
 	for {
 		part, ended, err := r.readPart()
 		if err != nil {
@@ -71,6 +89,10 @@
 			return Piece{}, ErrLineTooLong
 		}
 		if !ended {
+			if !r.mayHold(len(p.Raw)) {
+				p.ID, p.More = r.id, true
+				return p, nil
+			}
 			continue
 		}
 		r.lineBytes = 0
@@ -79,13 +101,24 @@
 			r.id, r.inEvent = "", false
 			return p, nil
 		}
-		if len(p.Raw) >= MaxEventBytes {
+		if len(p.Raw) >= MaxEventBytes || !r.mayHold(len(p.Raw)) {
 			p.ID, p.More = r.id, true
 			return p, nil
 		}
 	}
 }
 
+// mayHold reports whether an event of n bytes may be held, and reserves memory for it.
+func (r *Reader) mayHold(n int) bool {
+	for r.Reserve != nil && n > r.reserved {
+		if !r.Reserve(reserveBytes) {
+			return false
+		}
+		r.reserved += reserveBytes
+	}
+	return true
+}
+
 func (r *Reader) end(p Piece, err error) (Piece, error) {
 	switch {
 	case err != io.EOF:
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 )
 
 // EngineOptions configures an Engine.
@@ -162,13 +164,16 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// registryClient calls the model registry.
+var registryClient = httpclient.New(httpclient.Config{ConnectTimeout: 10 * time.Second, MaxHead: 64 << 10, MaxBody: 64 << 20, IdleTimeout: 30 * time.Second})
+
 func (e *Engine) loadModel(ctx context.Context, name string) error {
 	if e.opt.ModelRegistry != "" {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.opt.ModelRegistry+"/v1/weights/"+name, nil)
 		if err != nil {
 			return err
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := registryClient.Do(req)
 		if err != nil {
 			return err
 		}
