Reserve the whole buffer of a long event, write up the endless responses

A long event grew its buffer by quarters, so that a line of 256 KB left over 1 MB of garbage, and what was reserved was its length, not its buffer. In serve, long events counted against team_buffer (64 MB), and response_buffer (8 MB) was too large for a bound of 32 MB with doubled buffers and the collector's reserve.

Change: the buffer of an event doubles and is reserved with its capacity; in serve from response_buffer, whose default is 4 MB now.

Ruled out: queues to slow callers (256 KB a stream, as before).

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -70,7 +70,8 @@
 	Gate         *Gate
 	Crashes      *crash.Tracker
 	Memory       *MemoryBudget
-	// ResponseMemory bounds what is held of the whole responses of engines.
+	// ResponseMemory bounds what is held of the whole responses of engines and of
+	// long events.
 	ResponseMemory  *MemoryBudget
 	RetryBudget     *RetryBudget
 	Requests        audit.RequestRecorder
--- a/internal/dispatch/sse.go
+++ b/internal/dispatch/sse.go
@@ -15,9 +15,9 @@
 )
 
 // newEventReader returns a reader of the stream in resp whose long events count
-// against the memory of the call's team, and a function that releases it.
+// against the memory for responses, and a function that releases it.
 func (r *run) newEventReader(resp *attemptResponse) (events *sse.Reader, release func()) {
-	memory := r.local.Memory.NewReservation(r.call.Permit.Team)
+	memory := r.local.ResponseMemory.NewReservation("")
 	events = sse.NewReader(resp.body)
 	events.Reserve = func(n int) bool { return memory.Reserve(int64(n), result.MayHaveRun) == nil }
 	return events, memory.Close
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -151,7 +151,7 @@
 		MaxStreams:      r.Int("max_streams", 4096, 1, 1_000_000),
 		StreamBuffer:    r.Bytes("stream_buffer", 256*kib, 4*kib, gib),
 		TeamBuffer:      r.Bytes("team_buffer", 64*mib, 4*kib, 64*gib),
-		ResponseBuffer:  r.Bytes("response_buffer", 8*mib, 64*kib, 256*gib),
+		ResponseBuffer:  r.Bytes("response_buffer", 4*mib, 64*kib, 256*gib),
 		ProcessBuffer:   r.Bytes("process_buffer", 512*mib, 4*kib, 256*gib),
 		MaxConfigAge:    r.Duration("max_edition_age", hour, sec, 7*24*hour),
 		RequestTimeout:  r.Duration("request_timeout", 10*min, 100*ms, 24*hour),
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -18,11 +18,11 @@
 	// a line end may have no end at all.
 	MaxEventBytes = 256 << 10
 	bufferBytes   = 4 << 10
-	// unreservedBytes is the size in bytes up to which the Reader holds an event
-	// without asking Reserve.
-	unreservedBytes = 16 << 10
-	// reserveBytes is for how many bytes more Reserve is asked at a time.
-	reserveBytes = 16 << 10
+	// initialBytes is the first size in bytes of the buffer of an event, and
+	// unreservedBytes the size up to which it grows without asking Reserve. Both have
+	// room for one more part beyond a power of two.
+	initialBytes    = 8<<10 + bufferBytes
+	unreservedBytes = 16<<10 + bufferBytes
 	// maxFieldBytes is how much of a line is kept, in bytes, to find its field.
 	maxFieldBytes = 1 << 10
 )
@@ -44,16 +44,15 @@
 
 // Reader reads the events of one stream.
 type Reader struct {
-	// Reserve is asked for the memory of long events, n bytes at a time. If it
+	// Reserve is asked for the memory of long events, n bytes more each time. If it
 	// returns false, the event is returned in pieces, which may end inside a line.
 	// What was reserved stays in use as long as the Reader. Optional.
 	Reserve func(n int) bool
 
 	r *bufio.Reader
-	// raw is the buffer of the pieces.
+	// raw is the buffer of the pieces. While a piece is read, it has room for one
+	// more part.
 	raw []byte
-	// reserved is the size in bytes that an event may have without asking Reserve.
-	reserved int
 	// line is the start of the line being read, lineBytes the size of all that was
 	// read of it.
 	line      []byte
@@ -68,7 +67,7 @@
 
 // NewReader returns a Reader of the stream r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, bufferBytes), reserved: unreservedBytes}
+	return &Reader{r: bufio.NewReaderSize(r, bufferBytes)}
 }
 
 // Next returns the next event, or the next piece of an event of at least
@@ -77,8 +76,10 @@
 // Any other error comes without bytes: io.ErrUnexpectedEOF if the stream ended inside
 // an event, or that of the underlying reader, or ErrLineTooLong.
 func (r *Reader) Next() (Piece, error) {
+	if r.raw == nil {
+		r.raw = make([]byte, 0, initialBytes)
+	}
 	p := Piece{Raw: r.raw[:0]}
-	defer func() { r.raw = p.Raw }()
 	for {
 		part, ended, err := r.readPart()
 		if err != nil {
@@ -89,7 +90,7 @@
 			return Piece{}, ErrLineTooLong
 		}
 		if !ended {
-			if !r.mayHold(len(p.Raw)) {
+			if !r.makeRoom(&p) {
 				p.ID, p.More = r.id, true
 				return p, nil
 			}
@@ -101,21 +102,26 @@
 			r.id, r.inEvent = "", false
 			return p, nil
 		}
-		if len(p.Raw) >= MaxEventBytes || !r.mayHold(len(p.Raw)) {
+		if len(p.Raw) >= MaxEventBytes || !r.makeRoom(&p) {
 			p.ID, p.More = r.id, true
 			return p, nil
 		}
 	}
 }
 
-// mayHold reports whether an event of n bytes may be held, and reserves memory for it.
-func (r *Reader) mayHold(n int) bool {
-	for r.Reserve != nil && n > r.reserved {
-		if !r.Reserve(reserveBytes) {
-			return false
-		}
-		r.reserved += reserveBytes
+// makeRoom grows the buffer of p unless there is room for one more part. It reports
+// false if there is no memory for that.
+func (r *Reader) makeRoom(p *Piece) bool {
+	size := cap(p.Raw)
+	if size-len(p.Raw) >= bufferBytes {
+		return true
+	}
+	growth := size - bufferBytes
+	if r.Reserve != nil && size+growth > unreservedBytes && !r.Reserve(growth) {
+		return false
 	}
+	r.raw = make([]byte, 0, size+growth)
+	p.Raw = append(r.raw, p.Raw...)
 	return true
 }
 
