--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -133,7 +133,8 @@
 	return f
 }
 
-// passOn passes a response on as the kind of response that it is.
+// passOn passes a response on as the kind of response that it is. What is held of it
+// beyond a small buffer is reserved; see delivery.memory.
 func (g *Gateway) passOn(c *call, resp *targetResponse, d *delivery, onFirstByte func()) *failure {
 	refused := false
 	reserve := func(n int) bool {
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// FromTransport returns a client like New that uses t.
+// FromTransport returns a client like New that uses t, which NewTransport made. Of c
+// only CallTimeout and MaxBody apply.
 func FromTransport(t *http.Transport, c Config) *http.Client {
 	client := &http.Client{
 		Transport:     t,
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
+// recordClient fetches the records of the targets.
 var recordClient = httpclient.New(clientConfig)
 
 // FetchRecords returns the record of every target. For a target that does not
--- a/internal/peerapi/client.go
+++ b/internal/peerapi/client.go
@@ -104,7 +104,7 @@
 }
 
 // clientConfig bounds the calls to peers. Each call has a deadline of its own, and
-// connect bounds its messages.
+// connect bounds its messages. dial may be nil where only the client is made.
 func clientConfig(dial DialFunc) httpclient.Config {
 	return httpclient.Config{ConnectTimeout: dialTimeout, MaxHead: maxHeaderBytes, MaxBody: httpclient.UnboundedBody, IdleTimeout: idleTimeout, Dial: dial}
 }
