Make the test of cancelled requests wait for the serving goroutine

Run may be acquiring the allocation of the second request when its caller leaves. The request then leaves the queue only when the acquisition ends, and what it got is given back: 70 tokens refunded in all instead of 30. Both are allowed; the test took them for leaks.

Change: the test waits until no goroutine serves the queue and then checks that exactly the 10 used tokens stay debited. A new test holds the acquisition open while the caller leaves, so this order is always played.

Ruled out: a leak. The new test fails if the allocation or the entry stays.

--- a/internal/admission/fake_test.go
+++ b/internal/admission/fake_test.go
@@ -23,6 +23,25 @@
 	changed        chan struct{}
 	expired        bool
 	wantTokensGate chan struct{} // if set, WantTokens waits until it is closed
+	takeGate       *takeGate     // if set, TryTake waits at it
+}
+
+// takeGate holds calls of TryTake back: each sends to reached and waits until open
+// is closed.
+type takeGate struct{ reached, open chan struct{} }
+
+// holdTakes makes calls of TryTake from now on wait at the gate that it returns.
+func (f *fakeHolder) holdTakes() *takeGate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.takeGate = &takeGate{make(chan struct{}, 16), make(chan struct{})}
+	return f.takeGate
+}
+
+func (f *fakeHolder) tokens() (debited, refunded float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.debited, f.refunded
 }
 
 func newFakeHolder() *fakeHolder {
@@ -92,6 +111,13 @@
 }
 
 func (f *fakeHolder) TryTake(target string) (lease.Slot, bool) {
+	f.mu.Lock()
+	gate := f.takeGate
+	f.mu.Unlock()
+	if gate != nil {
+		gate.reached <- struct{}{}
+		<-gate.open
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.idle[target] == 0 {
--- a/internal/admission/manager_test.go
+++ b/internal/admission/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,12 +87,56 @@
 	}
 	m.Done(first, 10)
 	m.Done(first, 10) // must have no effect
-	if holder.refunded != 30 || m.Outstanding() != 0 || m.Queued() != 0 {
-		t.Fatalf("refunded %v, outstanding %d, queued %d", holder.refunded, m.Outstanding(), m.Queued())
+	// Run may be acquiring an allocation for the second request when its caller
+	// leaves; it then releases the allocation and removes the request.
+	waitNoneServing(m)
+	debited, refunded := holder.tokens()
+	if debited-refunded != 10 || m.Outstanding() != 0 || m.Queued() != 0 {
+		t.Errorf("debited %v, refunded %v, outstanding %d, queued %d", debited, refunded, m.Outstanding(), m.Queued())
 	}
 	stop()
 }
 
+// Guards against a leaked allocation or entry when the caller leaves while another
+// goroutine acquires the allocation.
+func TestCancelDuringAcquisitionReleasesEverything(t *testing.T) {
+	holder := newFakeHolder()
+	holder.balance["a"] = 100
+	holder.idle["x"] = 1
+	m, _, stop := startManager(t, holder)
+	defer stop()
+	r := Request{Team: "a", Weight: 1, Tokens: 40, Targets: []string{"x"}}
+	first, err := m.Admit(context.Background(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	queued, _, refused := m.submit(r, false, nil)
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	gate := holder.holdTakes()
+	var ended sync.WaitGroup
+	ended.Go(func() { m.Done(first, 40) })
+	<-gate.reached
+	m.abandon(queued)
+	close(gate.open)
+	ended.Wait()
+	waitNoneServing(m)
+	debited, refunded := holder.tokens()
+	if debited-refunded != 40 || m.Outstanding() != 0 || m.Queued() != 0 {
+		t.Errorf("debited %v, refunded %v, outstanding %d, queued %d", debited, refunded, m.Outstanding(), m.Queued())
+	}
+}
+
+// waitNoneServing returns when no goroutine serves the queue of m.
+func waitNoneServing(m *Manager) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for m.mu.serving {
+		m.mu.servingEnded.Wait()
+	}
+}
+
 // Guards against a queued request that is not served after a released slot, new
 // tokens or new slots.
 func TestWakeUps(t *testing.T) {
