Hold whole responses in reused blocks instead of growing slices

The buffers grew by doubling: a second copy lives while one grows, and each response that is given up leaves all of its copies as garbage for the next collection.

Change: dispatch.ResponseBuffer holds a response in blocks of 32 KB, which are reused. Each attempt at the platform's targets has its own reservation; a kept 5xx response takes it along (before: one for the request, counted by hand).

Ruled out: the reserved bytes themselves (4 MiB at most), long events (the doubling there is bounded by the same 4 MiB), a smaller bound (it would refuse answers that are delivered today).

--- a/internal/dispatch/deliver.go
+++ b/internal/dispatch/deliver.go
@@ -62,25 +62,26 @@
 		}
 		return refused == nil
 	})
+	defer body.Free()
 	switch {
 	case err != nil:
 		return classifyReadError(ctx, err)
 	case refused != nil:
 		return &attemptError{err: result.FromError(refused), final: true}
-	case !whole || len(body) > limit:
+	case !whole:
 		return &attemptError{err: result.New(result.TargetFailed, result.MayHaveRun, "the answer exceeds the bound"), final: true}
 	}
 	if resp.status == http.StatusOK {
-		if r.usage = responseUsage(body); r.usage == nil {
+		if r.usage = responseUsage(body.Bytes()); r.usage == nil {
 			attemptErr := newAttemptError(result.TargetFailed, true, "the answer of the engine is incomplete", nil)
 			attemptErr.crash = resp.endsWithConnection
 			return attemptErr
 		}
 	}
-	if err := r.sendHead(resp, int64(len(body))); err != nil {
+	if err := r.sendHead(resp, int64(body.Len())); err != nil {
 		return err
 	}
-	return r.sendData(body)
+	return body.Each(r.sendData)
 }
 
 // deliverService passes on the response of a plain service.
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 
 	"github.com/wigeonhill/wigeonhill/internal/result"
@@ -37,31 +36,6 @@
 	return m.mu.total
 }
 
-// ReadBuffered reads r up to limit bytes, or as far as reserve, which is called with
-// the growth of the buffer, returns true. whole reports whether r has ended. What was
-// reserved is the capacity of body beyond initial, the first size of the buffer.
-func ReadBuffered(r io.Reader, initial, limit int, reserve func(n int) bool) (body []byte, whole bool, err error) {
-	body = make([]byte, 0, initial)
-	for {
-		if len(body) == cap(body) {
-			// One byte more tells whether r ends there.
-			size := min(2*cap(body), limit+1)
-			if size <= cap(body) || !reserve(size-cap(body)) {
-				return body, false, nil
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, true, nil
-		}
-		if err != nil {
-			return body, false, err
-		}
-	}
-}
-
 // Reservation accounts for the bytes that one request holds for one purpose. One
 // goroutine may reserve bytes while another releases them.
 type Reservation struct {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -134,23 +134,29 @@
 }
 
 // passOn passes a response on as the kind of response that it is. What is held of it
-// beyond a small buffer is reserved; see delivery.memory.
+// beyond a small buffer is reserved.
 func (g *Gateway) passOn(c *call, resp *targetResponse, d *delivery, onFirstByte func()) *failure {
-	refused := false
+	memory, logged := g.responseMemory.NewReservation(c.team), false
 	reserve := func(n int) bool {
-		ok := d.reserve(n)
-		if !ok && !refused {
-			refused = true
+		ok := memory.Reserve(int64(n), result.MayHaveRun) == nil
+		if !ok && !logged {
+			logged = true
 			g.Log.Emit(event.ResponseNotBuffered, zap.String("request", c.ID), zap.String("target", resp.target), zap.Int64("reserved", g.BufferedResponseBytes()))
 		}
 		return ok
 	}
 	if resp.status >= 200 && resp.status < 300 && sse.IsStream(resp.header) {
+		defer memory.Close()
 		return deliverEvents(resp, d, reserve, onFirstByte)
 	}
 	body, whole, err := dispatch.ReadBuffered(resp.body, initialResponseBuffer, maxBufferedResponse, reserve)
-	reserved := cap(body) - initialResponseBuffer
-	defer func() { d.release(reserved) }()
+	kept := false
+	defer func() {
+		if !kept {
+			body.Free()
+			memory.Close()
+		}
+	}()
 	if err != nil {
 		return readFailure(err)
 	}
@@ -160,11 +166,8 @@
 		return mayHaveRunFailure(placement.Failed, result.StreamInterrupted, "the target did not resume the stream: status %d", resp.status)
 	}
 	if resp.status >= http.StatusInternalServerError && whole {
-		replaced := d.fallback
-		d.fallback = &bufferedResponse{resp.status, resp.header, body, resp.target, reserved}
-		if reserved = 0; replaced != nil {
-			reserved = replaced.reserved
-		}
+		d.setFallback(&bufferedResponse{resp.status, resp.header, body, resp.target, memory})
+		kept = true
 		return mayHaveRunFailure(placement.Failed, result.TargetFailed, "the target answered %d", resp.status)
 	}
 	return deliverBody(resp, d, body, whole)
@@ -172,30 +175,32 @@
 
 // deliverBody passes on a response that is no event stream. body is the part that
 // was read already, which is all of it if whole is set.
-func deliverBody(resp *targetResponse, d *delivery, body []byte, whole bool) *failure {
+func deliverBody(resp *targetResponse, d *delivery, body *dispatch.ResponseBuffer, whole bool) *failure {
 	length := int64(-1)
 	if whole {
-		length = int64(len(body))
+		length = int64(body.Len())
 	}
 	d.start(resp)
 	if err := d.sink.Head(resp.status, resp.header, length, resp.target); err != nil {
 		return callerWriteFailure(err)
 	}
-	buf := body[:cap(body)]
+	if err := body.Each(d.sink.Data); err != nil {
+		return callerWriteFailure(err)
+	}
+	if whole {
+		return nil
+	}
+	buf := body.Space()
 	for {
-		if len(body) > 0 {
-			if err := d.sink.Data(body); err != nil {
+		n, err := resp.body.Read(buf)
+		if n > 0 {
+			if err := d.sink.Data(buf[:n]); err != nil {
 				return callerWriteFailure(err)
 			}
 		}
-		if whole {
-			return nil
-		}
-		n, err := resp.body.Read(buf)
-		body = buf[:n]
 		switch {
 		case err == io.EOF:
-			whole = true
+			return nil
 		case err != nil:
 			return readFailure(err)
 		}
@@ -219,15 +224,7 @@
 // reserve is asked for the memory of long events.
 func deliverEvents(resp *targetResponse, d *delivery, reserve func(n int) bool, onFirstByte func()) *failure {
 	events, whole := newEventReader(resp.body), 0
-	reserved := 0
-	events.Reserve = func(n int) bool {
-		ok := reserve(n)
-		if ok {
-			reserved += n
-		}
-		return ok
-	}
-	defer func() { d.release(reserved) }()
+	events.Reserve = reserve
 	if d.started {
 		events.skipThrough(d.lastEventID)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -200,7 +200,7 @@
 	defer cancel()
 	ctx, stop := p.Gateway.untilCutoff(ctx)
 	defer stop()
-	d := p.Gateway.newDelivery(&forwardSink{stream: stream, id: c.ID}, c.team)
+	d := &delivery{sink: &forwardSink{stream: stream, id: c.ID}}
 	defer d.close()
 	d.lastEventID = msg.GetResumeAfter()
 	tail := &peerv1.Tail{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,27 +95,21 @@
 // they are passed on, in bytes.
 func (g *Gateway) BufferedResponseBytes() int64 { return g.responseMemory.ReservedBytes() }
 
-// newDelivery returns the state of a response that goes to s. Close it.
-func (g *Gateway) newDelivery(s sink, team string) *delivery {
-	return &delivery{sink: s, memory: g.responseMemory.NewReservation(team)}
-}
-
 // close releases the memory of the response.
-func (d *delivery) close() { d.memory.Close() }
+func (d *delivery) close() { d.setFallback(nil) }
 
-// reserve reserves n bytes for the response and reports whether there were as many.
-func (d *delivery) reserve(n int) bool {
-	return d.memory.Reserve(int64(n), result.MayHaveRun) == nil
+// setFallback replaces the response that is passed on if no target does better.
+func (d *delivery) setFallback(b *bufferedResponse) {
+	if replaced := d.fallback; replaced != nil {
+		replaced.body.Free()
+		replaced.memory.Close()
+	}
+	d.fallback = b
 }
 
-// release releases n bytes.
-func (d *delivery) release(n int) { d.memory.Release(int64(n)) }
-
-// delivery is the state of the response to one request over all attempts.
+// delivery is the state of the response to one request over all attempts. Close it.
 type delivery struct {
 	sink sink
-	// memory is reserved for what is held of the response.
-	memory *dispatch.Reservation
 	// started is set once the response was begun at the sink; its head cannot be
 	// replaced from then on.
 	started bool
@@ -149,10 +143,10 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *dispatch.ResponseBuffer
 	target string
-	// reserved is the memory that is reserved for the body, in bytes.
-	reserved int
+	// memory is what is reserved for the body.
+	memory *dispatch.Reservation
 }
 
 // serveCall tries targets and regions until one responds, the rules for retries
@@ -278,10 +272,10 @@
 func (g *Gateway) finishFailed(c *call, d *delivery, last *failure, err error) error {
 	if b := d.fallback; b != nil && !d.started {
 		d.started, d.target = true, b.target
-		if err := d.sink.Head(b.status, b.header, int64(len(b.body)), b.target); err != nil {
+		if err := d.sink.Head(b.status, b.header, int64(b.body.Len()), b.target); err != nil {
 			return sinkError{err}
 		}
-		if err := d.sink.Data(b.body); err != nil {
+		if err := b.body.Each(d.sink.Data); err != nil {
 			return sinkError{err}
 		}
 		return nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -88,7 +88,7 @@
 
 func TestTruncatedBodyIsNotContinuedByStream(t *testing.T) {
 	g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
-	d := g.newDelivery(s, "")
+	d := &delivery{sink: s}
 	body := strings.Repeat("x", 2*maxBufferedResponse)
 	resp := &targetResponse{status: http.StatusOK, header: http.Header{}, body: io.NopCloser(io.MultiReader(strings.NewReader(body), iotest.ErrReader(io.ErrUnexpectedEOF))), framing: lengthFraming}
 	f := g.deliver(c, resp, d, func() {})
@@ -103,7 +103,7 @@
 func TestLargeErrorResponseIsNotTruncated(t *testing.T) {
 	for _, size := range []int{maxBufferedResponse, maxBufferedResponse + 1, 3 * maxBufferedResponse} {
 		g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
-		d := g.newDelivery(s, "")
+		d := &delivery{sink: s}
 		resp := &targetResponse{status: http.StatusInternalServerError, header: http.Header{}, body: io.NopCloser(strings.NewReader(strings.Repeat("x", size))), framing: lengthFraming}
 		var err error
 		if f := g.deliver(c, resp, d, func() {}); f != nil {
@@ -180,7 +180,7 @@
 func TestInterruptedStreamResumesAfterLastWholeEvent(t *testing.T) {
 	for name, end := range map[string]error{"reset": errors.New("connection reset"), "closed": io.EOF, "cut short": io.ErrUnexpectedEOF} {
 		g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
-		d := g.newDelivery(s, "")
+		d := &delivery{sink: s}
 		f := g.deliver(c, streamOf(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), iotest.ErrReader(end))), d, func() {})
 		if f == nil || f.outcome != placement.ConnectionLost || f.err.Ran != result.MayHaveRun || s.body.String() != "id: 1\ndata: a\n\n" || !g.canRetry(t.Context(), c, d, f) {
 			t.Fatalf("%s: %v after %q", name, f, s.body.String())
@@ -196,7 +196,7 @@
 	long := "id: 1\n" + strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 600) + "\n"
 	for _, cut := range []int{300 << 10, len(long) - 1} {
 		g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
-		d := g.newDelivery(s, "")
+		d := &delivery{sink: s}
 		f := g.deliver(c, streamOf(strings.NewReader(long[:cut])), d, func() {})
 		if f == nil || f.outcome != placement.ConnectionLost || !strings.HasPrefix(long, s.body.String()) {
 			t.Fatalf("cut after %d bytes: %v, %d bytes delivered", cut, f, s.body.Len())
@@ -213,7 +213,7 @@
 		"data: a\n\nid: 2\ndata: b\n\n": true,
 	} {
 		g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
-		d := g.newDelivery(s, "")
+		d := &delivery{sink: s}
 		f := g.deliver(c, streamOf(strings.NewReader(text+"id: 9\nda")), d, func() {})
 		if f == nil || s.body.String() != text || g.canRetry(t.Context(), c, d, f) != resumable {
 			t.Errorf("%q: %v, delivered %q, last id %q, resumable %v", text, f, s.body.String(), d.lastEventID, !resumable)
@@ -224,7 +224,7 @@
 func TestLongEventIsDeliveredOnceAfterResumption(t *testing.T) {
 	long := "id: 1\n" + strings.Repeat("data: "+strings.Repeat("x", 200<<10)+"\n", 3) + "\n"
 	g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
-	d := g.newDelivery(s, "")
+	d := &delivery{sink: s}
 	f := g.deliver(c, streamOf(strings.NewReader(long+"id: 2\nda")), d, func() {})
 	if f == nil || s.body.String() != long || !g.canRetry(t.Context(), c, d, f) {
 		t.Fatalf("%v after %d bytes", f, s.body.Len())
@@ -257,7 +257,7 @@
 		g, s := newTestGateway(), &recordingSink{}
 		resp := streamOf(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
 		resp.header.Set("Content-Type", contentType)
-		if f := g.deliver(resumableCall(), resp, g.newDelivery(s, ""), func() {}); f == nil || s.body.String() != "id: 1\ndata: a\n\n" {
+		if f := g.deliver(resumableCall(), resp, &delivery{sink: s}, func() {}); f == nil || s.body.String() != "id: 1\ndata: a\n\n" {
 			t.Errorf("%s: %v, %q", contentType, f, s.body.String())
 		}
 	}
@@ -268,7 +268,7 @@
 		for fr, complete := range map[framing]bool{closeFraming: false, lengthFraming: true, chunkFraming: true, tailFraming: true} {
 			for _, resumed := range []bool{false, true} {
 				g, s := newTestGateway(), &recordingSink{}
-				d := g.newDelivery(s, "")
+				d := &delivery{sink: s}
 				if resumed {
 					d.started, d.resumable, d.lastEventID = true, true, "3"
 				}
@@ -281,7 +281,7 @@
 		}
 	}
 	g := newTestGateway()
-	d := g.newDelivery(&recordingSink{}, "")
+	d := &delivery{sink: &recordingSink{}}
 	d.started, d.resumable, d.lastEventID = true, true, "3"
 	if f := g.deliver(resumableCall(), streamOf(strings.NewReader("id: 3\ndata: c\n\n")), d, func() {}); f != nil {
 		t.Errorf("resumed with an event that was delivered before: %v", f)
@@ -297,7 +297,7 @@
 		if !complete {
 			text += "id: 2\nda"
 		}
-		d := g.newDelivery(&recordingSink{}, "")
+		d := &delivery{sink: &recordingSink{}}
 		var err error
 		if f := g.deliver(c, streamOf(strings.NewReader(text)), d, func() {}); f != nil {
 			err = f
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -92,7 +92,7 @@
 	g.RetryBudget.RecordRequest(c.service)
 	s := &callerSink{w: w, rc: http.NewResponseController(w)}
 	_ = s.rc.SetWriteDeadline(c.deadline.Add(writeMargin)) // some writers do not support it; then only the context applies
-	d := g.newDelivery(s, c.team)
+	d := &delivery{sink: s}
 	defer d.close()
 	err = g.serveCall(ctx, c, d)
 	if err != nil && team != nil && result.FromError(err).Ran == result.NotRun {
