Send heartbeats to other failure domains through relays

Cause: each instance sent its heartbeats to each other one.

Change: a failure domain with at least four instances that can relay gets one heartbeat a round; a relay, another one each round, passes it on within the domain. Who misses heartbeats of another domain asks for them directly. Members are introduced by address only, by the seeds and within the domain, not with all rows by everyone. A frozen relay does not pass on what waited in its socket. What others tell of a member that is heard itself no longer replaces its row. Heartbeats are encoded once a round, not once for each receiver. Deployments with fewer than four instances in a domain send as before, but ask, too.

Each test of the fleet was seen to fail without its part of the change, but the one of instances that come and go, which passes on both.

--- a/internal/heartbeat/manager.go
+++ b/internal/heartbeat/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,12 @@
 	maxDatagramBytes = 1300
 	readBufferBytes  = 64 << 10
 	writeTimeout     = 50 * time.Millisecond
+	// maxRelayPause is the time without a tick after which the process counts as
+	// frozen; for relayRest from its next tick on, it relays nothing.
+	maxRelayPause = time.Second
+	relayRest     = time.Second
+	// logInterval is the interval at which changes of reachability are logged.
+	logInterval = 500 * time.Millisecond
 )
 
 // Config configures a Manager.
@@ -38,11 +45,19 @@
 type Manager struct {
 	Config
 	*Table
-	conn         *net.UDPConn
-	started      time.Time
+	conn    *net.UDPConn
+	started time.Time
+	// write sends a datagram to an IP address.
+	write        func(ip string, datagram []byte)
 	lastSequence uint64
 	// loggedReachable is the last logged reachability, by peer address.
 	loggedReachable map[string]bool
+	lastLogged      time.Time
+	relaying        struct {
+		sync.Mutex
+		lastTick  time.Time
+		restUntil time.Time
+	}
 }
 
 // NewManager opens the UDP socket for heartbeats.
@@ -51,9 +66,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for heartbeats of other instances")
 	}
-	return &Manager{
-		Config: cfg, Table: NewTable(cfg.Self, time.Now), conn: conn, started: time.Now(), loggedReachable: map[string]bool{},
-	}, nil
+	m := newManager(cfg, time.Now)
+	m.conn, m.write = conn, m.writeUDP
+	return m, nil
+}
+
+func newManager(cfg Config, now func() time.Time) *Manager {
+	return &Manager{Config: cfg, Table: NewTable(cfg.Self, now), started: now(), loggedReachable: map[string]bool{}}
 }
 
 // Run sends and receives heartbeats until ctx is done.
@@ -74,25 +93,41 @@
 
 // sendDue sends the heartbeats and introductions that are due.
 func (m *Manager) sendDue() {
+	m.tick()
 	dueMembers, dueSeeds := m.Due()
 	if len(dueMembers)+len(dueSeeds) == 0 {
 		return
 	}
 	full := m.newHeartbeat()
-	reduced := reducedHeartbeat(full)
-	for _, a := range dueMembers {
-		hb := full
-		if !m.SameRegion(a) {
-			hb = reduced
+	datagrams := map[destination][]byte{} // by destination without address
+	for _, d := range dueMembers {
+		kind := d
+		kind.address = ""
+		datagram, ok := datagrams[kind]
+		if !ok {
+			datagram = m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{heartbeatFor(full, d.remote)}, Relay: d.relay, Overdue: d.overdue})
+			datagrams[kind] = datagram
 		}
-		m.send(a, &peerv1.FleetReport{Rows: []*peerv1.FleetRow{hb}})
+		m.send(d.address, datagram)
 	}
-	for _, a := range dueSeeds {
-		m.send(a, &peerv1.FleetReport{Rows: []*peerv1.FleetRow{full}, Introduce: true})
+	if len(dueSeeds) > 0 {
+		datagram := m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{full}, Introduce: true})
+		for _, a := range dueSeeds {
+			m.send(a, datagram)
+		}
 	}
 	m.logChanges()
 }
 
+// heartbeatFor returns what of hb is sent to an instance of another region, if
+// remote is set, or of the local one.
+func heartbeatFor(hb *peerv1.FleetRow, remote bool) *peerv1.FleetRow {
+	if remote {
+		return reducedHeartbeat(hb)
+	}
+	return hb
+}
+
 // reducedHeartbeat returns a copy of hb without the load of individual targets
 // and without cached prompt parts, for other regions: only instances of the same
 // region choose among its targets.
@@ -101,16 +136,20 @@
 		Instance: hb.GetInstance(), Sequence: hb.GetSequence(), CallersAddress: hb.GetCallersAddress(), Ready: hb.GetReady(),
 		Leaving: hb.GetLeaving(), PublishedChange: hb.GetPublishedChange(), TargetsChange: hb.GetTargetsChange(),
 		StoreAnswers: hb.GetStoreAnswers(), Teams: hb.GetTeams(), Pools: hb.GetPools(), StartedMs: hb.GetStartedMs(),
-		CrashBlocks: hb.GetCrashBlocks(),
+		CrashBlocks: hb.GetCrashBlocks(), Relays: hb.GetRelays(),
 	}
 }
 
-// Announce immediately sends a heartbeat to all members, for updates that
-// should not wait for the next interval.
+// Announce immediately sends a heartbeat to each member, for updates that
+// should not wait for the next interval or for a relay.
 func (m *Manager) Announce() {
-	hb := m.newHeartbeat()
+	full := m.newHeartbeat()
+	datagrams := map[bool][]byte{}
+	for _, remote := range []bool{false, true} {
+		datagrams[remote] = m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{heartbeatFor(full, remote)}})
+	}
 	for _, member := range m.Members() {
-		m.send(member.Heartbeat.GetInstance().GetPeerAddress(), &peerv1.FleetReport{Rows: []*peerv1.FleetRow{hb}})
+		m.send(member.Heartbeat.GetInstance().GetPeerAddress(), datagrams[member.Region() != m.Self.GetRegion()])
 	}
 }
 
@@ -119,26 +158,35 @@
 func (m *Manager) newHeartbeat() *peerv1.FleetRow {
 	m.mu.Lock()
 	m.lastSequence++
-	hb := &peerv1.FleetRow{Instance: m.Self, Sequence: m.lastSequence, StartedMs: m.started.UnixMilli()}
+	hb := &peerv1.FleetRow{Instance: m.Self, Sequence: m.lastSequence, StartedMs: m.started.UnixMilli(), Relays: true}
 	m.mu.Unlock()
 	m.FillHeartbeat(hb)
 	return hb
 }
 
-// send writes a datagram. Write errors are ignored, as the next heartbeat
-// supersedes a lost one.
-func (m *Manager) send(peerAddress string, report *peerv1.FleetReport) {
-	host, _, err := net.SplitHostPort(peerAddress)
-	if err != nil {
-		return // not expected: the addresses of heartbeats and seeds were checked before
-	}
+// encode returns nil if the report cannot be encoded, which it logs.
+func (m *Manager) encode(report *peerv1.FleetReport) []byte {
 	b, err := proto.Marshal(report)
 	if err != nil {
-		m.Log.Emit(event.PeerMessageInvalid, zap.String("peer", peerAddress), zap.Error(err))
-		return
+		m.Log.Emit(event.PeerMessageInvalid, zap.String("peer", m.Self.GetPeerAddress()), zap.Error(err))
+		return nil
+	}
+	return b
+}
+
+// send sends a datagram, unless it is empty.
+func (m *Manager) send(peerAddress string, datagram []byte) {
+	ip, _, err := net.SplitHostPort(peerAddress)
+	if err != nil || len(datagram) == 0 {
+		return // the address is not expected to be invalid: those of heartbeats and seeds were checked before
 	}
+	m.write(ip, datagram)
+}
+
+// writeUDP ignores write errors, as the next heartbeat supersedes a lost one.
+func (m *Manager) writeUDP(ip string, datagram []byte) {
 	_ = m.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, _ = m.conn.WriteToUDP(b, &net.UDPAddr{IP: net.ParseIP(host), Port: m.Port})
+	_, _ = m.conn.WriteToUDP(datagram, &net.UDPAddr{IP: net.ParseIP(ip), Port: m.Port})
 }
 
 func (m *Manager) receive(ctx context.Context) {
@@ -151,49 +199,108 @@
 			}
 			continue // such as an ICMP port unreachable from an instance that is not listening yet
 		}
-		var report peerv1.FleetReport
-		if err := proto.Unmarshal(buf[:n], &report); err != nil {
-			m.Log.Emit(event.PeerMessageInvalid, zap.String("peer", from.String()), zap.Error(err))
-			continue
-		}
-		m.handleReport(&report, from.IP.String())
+		m.handleDatagram(buf[:n], from.IP.String())
 	}
 }
 
-// handleReport merges received heartbeats and replies with the known members to
-// an instance that is new or introduces itself. from is the sender's IP address.
-func (m *Manager) handleReport(report *peerv1.FleetReport, from string) {
+// handleDatagram merges the heartbeats of a datagram and does what its sender asks
+// for. from is the sender's IP address.
+func (m *Manager) handleDatagram(datagram []byte, from string) {
+	var report peerv1.FleetReport
+	if err := proto.Unmarshal(datagram, &report); err != nil {
+		m.Log.Emit(event.PeerMessageInvalid, zap.String("peer", from), zap.Error(err))
+		return
+	}
 	for _, hb := range report.GetRows() {
 		peer := hb.GetInstance().GetPeerAddress()
 		host, _, err := net.SplitHostPort(peer)
 		if err != nil {
 			continue
 		}
-		direct := host == from
-		newIncarnation := m.Merge(hb, direct)
-		if direct && (newIncarnation || report.GetIntroduce()) {
-			m.sendKnownMembers(peer)
+		isSender := host == from
+		isNew := m.Merge(hb, isSender || report.GetRelayed())
+		switch {
+		case isSender && report.GetIntroduce():
+			m.sendHeartbeat(peer, hb)
+			m.introduce(peer, "")
+		case isSender && isNew && hb.GetInstance().GetDomain() == m.Self.GetDomain():
+			// It may not know others that have just started in the domain.
+			m.sendHeartbeat(peer, hb)
+			m.introduce(peer, m.Self.GetDomain())
+		case isSender && report.GetOverdue(), isNew && (isSender || report.GetRelayed()):
+			m.sendHeartbeat(peer, hb)
+		}
+		if isSender && report.GetRelay() {
+			m.relay(hb)
 		}
 	}
 }
 
-// sendKnownMembers sends peer a heartbeat of the local instance and the last
-// heartbeats of all reachable members.
-func (m *Manager) sendKnownMembers(peer string) {
-	heartbeats := append([]*peerv1.FleetRow{m.newHeartbeat()}, m.ReachableHeartbeats()...)
-	for len(heartbeats) > 0 {
-		n, size := 1, proto.Size(heartbeats[0])
-		for n < len(heartbeats) && size+proto.Size(heartbeats[n]) < maxDatagramBytes {
-			size += proto.Size(heartbeats[n])
+// tick notices that the process was frozen.
+func (m *Manager) tick() {
+	now := m.now()
+	m.relaying.Lock()
+	defer m.relaying.Unlock()
+	if m.pausedAt(now) {
+		m.relaying.restUntil = now.Add(relayRest)
+	}
+	m.relaying.lastTick = now
+}
+
+func (m *Manager) pausedAt(now time.Time) bool {
+	return !m.relaying.lastTick.IsZero() && now.Sub(m.relaying.lastTick) > maxRelayPause
+}
+
+// mayRelay reports whether what arrives now was sent just now. What waited in the
+// socket while the process was frozen may come from instances that stopped since,
+// and must not make them look alive.
+func (m *Manager) mayRelay() bool {
+	now := m.now()
+	m.relaying.Lock()
+	defer m.relaying.Unlock()
+	return !m.pausedAt(now) && !now.Before(m.relaying.restUntil)
+}
+
+// relay passes a heartbeat on to the other instances of the failure domain.
+func (m *Manager) relay(hb *peerv1.FleetRow) {
+	if !m.mayRelay() {
+		return
+	}
+	datagram := m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{hb}, Relayed: true})
+	for _, a := range m.relayDestinations(hb.GetInstance().GetPeerAddress()) {
+		m.send(a, datagram)
+	}
+}
+
+// sendHeartbeat sends a heartbeat of the local instance to the one at peer, whose
+// last heartbeat is hb.
+func (m *Manager) sendHeartbeat(peer string, hb *peerv1.FleetRow) {
+	own := heartbeatFor(m.newHeartbeat(), hb.GetInstance().GetRegion() != m.Self.GetRegion())
+	m.send(peer, m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{own}}))
+}
+
+// introduce tells the instance at peer how to contact the reachable members; see
+// Table.introductions.
+func (m *Manager) introduce(peer, domain string) {
+	rows := m.introductions(domain)
+	for len(rows) > 0 {
+		n, size := 1, proto.Size(rows[0])
+		for n < len(rows) && size+proto.Size(rows[n]) < maxDatagramBytes {
+			size += proto.Size(rows[n])
 			n++
 		}
-		m.send(peer, &peerv1.FleetReport{Rows: heartbeats[:n]})
-		heartbeats = heartbeats[n:]
+		m.send(peer, m.encode(&peerv1.FleetReport{Rows: rows[:n]}))
+		rows = rows[n:]
 	}
 }
 
 // logChanges logs members that became reachable or unreachable.
 func (m *Manager) logChanges() {
+	now := m.now()
+	if now.Sub(m.lastLogged) < logInterval {
+		return
+	}
+	m.lastLogged = now
 	for _, member := range m.Members() {
 		a := member.Heartbeat.GetInstance().GetPeerAddress()
 		if was, known := m.loggedReachable[a]; known && was == member.Reachable {
@@ -205,6 +312,6 @@
 			e = event.PeerFound
 		}
 		m.Log.Emit(e, zap.String("peer", member.Name()), zap.String("address", a),
-			zap.Duration("silent", time.Since(member.LastSeen)), zap.Int("members", len(m.loggedReachable)))
+			zap.Duration("silent", now.Sub(member.LastSeen)), zap.Int("members", len(m.loggedReachable)))
 	}
 }
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
 
@@ -31,6 +33,9 @@
 	// retryInterval is the minimum interval between heartbeats to unreachable
 	// members, and the interval between introductions to seeds.
 	retryInterval = time.Second
+	// minRelays is the number of instances of another failure domain, ready to pass
+	// heartbeats on, from which on they are sent to one of them instead of to each.
+	minRelays = 4
 	// memberExpiry is the time without a heartbeat after which a member is
 	// removed. Regions occasionally lose contact with each other for an hour.
 	memberExpiry = 2 * time.Hour
@@ -39,7 +44,8 @@
 // Member is the last known state of another instance.
 type Member struct {
 	Heartbeat *peerv1.FleetRow
-	// LastSeen is when the last heartbeat arrived from the member itself.
+	// LastSeen is when the last heartbeat arrived from the member itself or through a
+	// relay.
 	LastSeen  time.Time
 	Reachable bool
 	// Late is set as soon as one heartbeat is overdue, long before the member
@@ -51,6 +57,9 @@
 
 func (m *Member) Region() string { return m.Heartbeat.GetInstance().GetRegion() }
 
+// Domain returns the failure domain of the member.
+func (m *Member) Domain() string { return m.Heartbeat.GetInstance().GetDomain() }
+
 // member is a Member with the state needed to send heartbeats to it.
 type member struct {
 	Member
@@ -58,6 +67,26 @@
 	indirect bool      // known only through other instances
 }
 
+// destination is an instance that gets a heartbeat.
+type destination struct {
+	address string
+	// remote is set for other regions.
+	remote bool
+	// relay asks the instance to pass the heartbeat on in its failure domain.
+	relay bool
+	// overdue asks it for a heartbeat, because the last ones did not arrive.
+	overdue bool
+}
+
+// domain holds the members of a failure domain.
+type domain struct {
+	name    string
+	members []*member // sorted by peer address
+	// lastSent is when a relay of the domain last got a heartbeat; rounds counts them.
+	lastSent time.Time
+	rounds   uint64
+}
+
 // Table holds the known members and decides when to send to them; it does no
 // I/O. Lock order: Table.mu is a leaf lock.
 type Table struct {
@@ -67,6 +96,7 @@
 		sync.Mutex
 		members map[string]*member   // by peer address
 		seeds   map[string]time.Time // last introduction, by peer address
+		domains []*domain            // sorted by name
 	}
 }
 
@@ -92,7 +122,7 @@
 }
 
 // Merge adds a received heartbeat unless a newer one is known. direct is set if
-// it was sent by the instance that it describes. Merge reports whether the
+// it came from the instance that it describes, also through a relay. Merge reports whether the
 // member was unknown or had another incarnation before.
 func (t *Table) Merge(hb *peerv1.FleetRow, direct bool) (newIncarnation bool) {
 	id := hb.GetInstance()
@@ -107,14 +137,17 @@
 		m = &member{Member: Member{Heartbeat: hb}, indirect: !direct}
 		t.mu.members[id.GetPeerAddress()] = m
 		newIncarnation = true
-	case !newer(hb, m.Heartbeat):
-		return false
+	case !newer(hb, m.Heartbeat), !direct && !m.indirect:
+		return false // what others tell of a member that is heard itself adds nothing
 	case m.Heartbeat.GetInstance().GetIncarnation() != id.GetIncarnation():
 		newIncarnation = true
 	}
 	if direct || newIncarnation {
 		m.Heartbeat = hb
 	}
+	if newIncarnation {
+		t.updateDomains()
+	}
 	if direct {
 		m.LastSeen, m.Reachable, m.indirect = t.now(), true, false
 	}
@@ -137,6 +170,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	out := make([]Member, 0, len(t.mu.members))
+	expired := false
 	for a, m := range t.mu.members {
 		if m.indirect {
 			continue
@@ -144,27 +178,22 @@
 		sinceLastSeen := now.Sub(m.LastSeen)
 		if sinceLastSeen > memberExpiry {
 			delete(t.mu.members, a)
+			expired = true
 			continue
 		}
 		m.Reachable = sinceLastSeen < t.timeout(m)
-		m.Late = sinceLastSeen > t.interval(m)+lateMargin
+		m.Late = t.late(m, now)
 		out = append(out, m.Member)
 	}
+	if expired {
+		t.updateDomains()
+	}
 	slices.SortFunc(out, func(a, b Member) int {
 		return strings.Compare(a.Heartbeat.GetInstance().GetPeerAddress(), b.Heartbeat.GetInstance().GetPeerAddress())
 	})
 	return out
 }
 
-// SameRegion reports whether peerAddress belongs to a known member of the local
-// region.
-func (t *Table) SameRegion(peerAddress string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := t.mu.members[peerAddress]
-	return m != nil && t.isLocal(m)
-}
-
 func (t *Table) isLocal(m *member) bool { return m.Region() == t.self.GetRegion() }
 
 // timeout returns the time without a heartbeat after which m is unreachable.
@@ -184,21 +213,61 @@
 	return max(remoteInterval, scaled)
 }
 
-// Due returns the peer addresses of the members to which a heartbeat should be
-// sent now, and those of the seeds to which the local instance should introduce
-// itself. It records them as sent.
-func (t *Table) Due() (dueMembers, dueSeeds []string) {
+// late reports whether a heartbeat of m is overdue.
+func (t *Table) late(m *member, now time.Time) bool {
+	return now.Sub(m.LastSeen) > t.interval(m)+lateMargin
+}
+
+// updateDomains must be called with the lock held when members come or go.
+func (t *Table) updateDomains() {
+	byName := map[string]*domain{}
+	for _, d := range t.mu.domains {
+		d.members = nil
+		byName[d.name] = d
+	}
+	for _, m := range t.mu.members {
+		d := byName[m.Domain()]
+		if d == nil {
+			// The start of the rounds spreads the heartbeats of all over the relays.
+			d = &domain{name: m.Domain(), rounds: xxhash.Sum64String(t.self.GetPeerAddress())}
+			byName[d.name] = d
+		}
+		d.members = append(d.members, m)
+	}
+	t.mu.domains = t.mu.domains[:0]
+	for _, d := range byName {
+		slices.SortFunc(d.members, func(a, b *member) int { return strings.Compare(a.address(), b.address()) })
+		t.mu.domains = append(t.mu.domains, d)
+	}
+	slices.SortFunc(t.mu.domains, func(a, b *domain) int { return strings.Compare(a.name, b.name) })
+}
+
+// Due returns the members to which a heartbeat should be sent now, and the peer
+// addresses of the seeds to which the local instance should introduce itself. It
+// records them as sent.
+func (t *Table) Due() (dueMembers []destination, dueSeeds []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	for a, m := range t.mu.members {
-		sendInterval := t.interval(m)
-		if m.indirect || now.Sub(m.LastSeen) > t.timeout(m) {
-			sendInterval = max(retryInterval, sendInterval)
+	for _, d := range t.mu.domains {
+		relay, relayed := t.relayFor(d, now)
+		if relay != nil {
+			dueMembers = append(dueMembers, destination{address: relay.address(), remote: !t.isLocal(relay), relay: true})
 		}
-		if now.Sub(m.lastSent) >= sendInterval-localInterval/4 {
-			m.lastSent = now
-			dueMembers = append(dueMembers, a)
+		for _, m := range d.members {
+			// Members of other domains may send only to relays in the local one.
+			overdue := d.name != t.self.GetDomain() && (m.indirect || t.late(m, now))
+			if relayed && !overdue {
+				continue
+			}
+			sendInterval := t.interval(m)
+			if relayed || m.indirect || now.Sub(m.LastSeen) > t.timeout(m) {
+				sendInterval = max(retryInterval, sendInterval)
+			}
+			if t.due(m.lastSent, sendInterval, now) {
+				m.lastSent = now
+				dueMembers = append(dueMembers, destination{address: m.address(), remote: !t.isLocal(m), overdue: overdue})
+			}
 		}
 	}
 	for a, lastSent := range t.mu.seeds {
@@ -213,6 +282,69 @@
 	return dueMembers, dueSeeds
 }
 
+// due reports whether interval has passed since lastSent, or will have passed before
+// the next call of Due.
+func (t *Table) due(lastSent time.Time, interval time.Duration, now time.Time) bool {
+	return now.Sub(lastSent) >= interval-localInterval/4
+}
+
+// relayFor reports whether the members of d get their heartbeats through relays, and
+// returns the relay that gets one now, or nil. A relay is used for one heartbeat, then
+// the next one of its domain: if one fails, the members miss one heartbeat in a
+// round, and ask for it.
+func (t *Table) relayFor(d *domain, now time.Time) (relay *member, relayed bool) {
+	if d.name == t.self.GetDomain() || len(d.members) < minRelays {
+		return nil, false
+	}
+	canRelay := func(m *member) bool {
+		return !m.indirect && m.Heartbeat.GetRelays() && !m.Heartbeat.GetLeaving() && !t.late(m, now)
+	}
+	relays := 0
+	for _, m := range d.members {
+		if canRelay(m) {
+			relays++
+		}
+	}
+	if relays < minRelays || !t.due(d.lastSent, t.interval(d.members[0]), now) {
+		return nil, relays >= minRelays
+	}
+	d.lastSent = now
+	d.rounds++
+	skip := d.rounds % uint64(relays)
+	for _, m := range d.members {
+		if !canRelay(m) {
+			continue
+		}
+		if skip == 0 {
+			return m, true
+		}
+		skip--
+	}
+	return nil, true // not reached: the members have not changed
+}
+
+func (m *member) address() string { return m.Heartbeat.GetInstance().GetPeerAddress() }
+
+// relayDestinations returns the peer addresses to which this instance passes on a
+// heartbeat of the instance at origin.
+func (t *Table) relayDestinations(origin string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var out []string
+	for _, d := range t.mu.domains {
+		if d.name != t.self.GetDomain() {
+			continue
+		}
+		for _, m := range d.members {
+			if a := m.address(); a != origin && !m.indirect && now.Sub(m.LastSeen) < t.timeout(m) {
+				out = append(out, a)
+			}
+		}
+	}
+	return out
+}
+
 // seedInterval returns the interval between introductions to a seed. It is short
 // until the first member is known, so that an instance that starts does not wait
 // a whole retryInterval for its next introduction.
@@ -223,12 +355,15 @@
 	return retryInterval
 }
 
-// ReachableHeartbeats returns the last heartbeats of the reachable members.
-func (t *Table) ReachableHeartbeats() []*peerv1.FleetRow {
+// introductions returns what another instance needs to know to contact the reachable
+// members, of one failure domain or, if domainName is empty, of all.
+func (t *Table) introductions(domainName string) []*peerv1.FleetRow {
 	var out []*peerv1.FleetRow
 	for _, m := range t.Members() {
-		if m.Reachable {
-			out = append(out, m.Heartbeat)
+		if hb := m.Heartbeat; m.Reachable && (domainName == "" || m.Domain() == domainName) {
+			out = append(out, &peerv1.FleetRow{
+				Instance: hb.GetInstance(), Sequence: hb.GetSequence(), CallersAddress: hb.GetCallersAddress(), StartedMs: hb.GetStartedMs(),
+			})
 		}
 	}
 	return out
