--- a/internal/heartbeat/doc.go
+++ b/internal/heartbeat/doc.go
@@ -1,8 +1,9 @@
 // Package heartbeat tracks the other instances of a deployment in which no
 // list of instances is published. Every instance sends heartbeats about itself
 // as UDP datagrams: often within its region, less often to other regions, since
-// those links have little bandwidth. A member is reachable while its heartbeats
-// arrive. Unknown members are discovered through seed addresses, which may be
+// those links have little bandwidth. A failure domain of several instances gets one
+// heartbeat, which the receiver relays to the others. A member is reachable while its
+// heartbeats arrive. Unknown members are discovered through seed addresses, which may be
 // out of date, and through the heartbeats that an instance returns when another
 // one introduces itself.
 //
