Reserve ports of test fleets with sockets that do not listen

Cause: processes of e2e fleets sometimes could not bind ('address already in use', three entries of KNOWN-RED). A process that is being started holds copies of all sockets of its parent until it runs its program; a port whose listener the harness closed meanwhile stays in use. Tests start processes in parallel, and under load that takes long.

Change: ports are reserved by sockets that are bound but do not listen, which a listener may share on Linux, and stay reserved as long as the fleet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,11 +35,13 @@
 	// Teams and their API keys. A team whose key is set to "" has no key in the
 	// next published configuration.
 	Teams []load.Team
+
+	ports *ports // reserved until Stop, so that a process that is down can be started again
 }
 
 // New allocates addresses and writes the settings, the configuration and the
 // instance list to spec.Dir. It starts no process.
-func New(spec Spec) (*Fleet, error) {
+func New(spec Spec) (_ *Fleet, err error) {
 	gatewayPath, err := programPath(spec.Bin, "wigeonhill")
 	if err != nil {
 		return nil, err
@@ -48,9 +50,13 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Spec: spec}
 	p := newPorts()
-	defer p.close()
+	f := &Fleet{Spec: spec, ports: p}
+	defer func() {
+		if err != nil {
+			p.close()
+		}
+	}()
 	if f.ConfigService, err = f.newProc(p, "config", "", 0); err != nil {
 		return nil, err
 	}
@@ -81,7 +87,10 @@
 		t.Key = NewKey(t.Name)
 		f.Teams = append(f.Teams, t)
 	}
-	return f, f.writeFiles(gatewayPath, standinPath)
+	if err := f.writeFiles(gatewayPath, standinPath); err != nil {
+		return nil, err
+	}
+	return f, nil
 }
 
 // NewKey returns a random API key for team. It starts with standin.KeyMarker,
@@ -230,6 +239,7 @@
 		}
 		wg.Wait()
 	}
+	f.ports.close()
 	return killed
 }
 
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -1,9 +1,8 @@
 package fleet
 
 import (
-	"context"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -136,11 +135,12 @@
 // LogPath returns the path of the log, which holds stdout and stderr.
 func (p *Proc) LogPath() string { return p.logPath }
 
-// ports allocates free TCP ports. All listeners stay open until close, so that
-// no port is allocated twice.
+// ports reserves free TCP ports with sockets that are bound but do not listen. A
+// process may listen at a reserved port, even while its parent or another process
+// that is just being started still holds the socket.
 type ports struct {
-	host      string
-	listeners []net.Listener
+	host    [4]byte
+	sockets []int
 }
 
 // newPorts picks a loopback address other than 127.0.0.1 if the system allows
@@ -148,35 +148,39 @@
 // process that is down.
 func newPorts() *ports {
 	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 1+time.Now().UnixNano()/1000%250, pid>>8&0xff, 1+pid%250)
-	if l, err := listenPlain(host); err == nil {
-		_ = l.Close()
-		return &ports{host: host}
+	p := &ports{host: [4]byte{127, byte(1 + time.Now().UnixNano()/1000%250), byte(pid >> 8), byte(1 + pid%250)}}
+	if _, err := p.allocate(); err != nil {
+		p.host = [4]byte{127, 0, 0, 1}
 	}
-	return &ports{host: "127.0.0.1"}
-}
-
-// listenPlain listens without Multipath TCP, whose listeners the kernel may release
-// only some time after they were closed.
-func listenPlain(host string) (net.Listener, error) {
-	var cfg net.ListenConfig
-	cfg.SetMultipathTCP(false)
-	return cfg.Listen(context.Background(), "tcp", host+":0")
+	return p
 }
 
+// allocate reserves a port and returns its address.
 func (p *ports) allocate() (string, error) {
-	l, err := listenPlain(p.host)
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", os.NewSyscallError("socket", err)
+	}
+	p.sockets = append(p.sockets, fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: p.host}); err != nil {
+		return "", os.NewSyscallError("bind", err)
+	}
+	// Set only now, so that the port is no other reserved one. Listeners set it, too.
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return "", os.NewSyscallError("setsockopt", err)
+	}
+	bound, err := syscall.Getsockname(fd)
 	if err != nil {
-		return "", err
+		return "", os.NewSyscallError("getsockname", err)
 	}
-	p.listeners = append(p.listeners, l)
-	return l.Addr().String(), nil
+	return netip.AddrPortFrom(netip.AddrFrom4(p.host), uint16(bound.(*syscall.SockaddrInet4).Port)).String(), nil
 }
 
 func (p *ports) close() {
-	for _, l := range p.listeners {
-		_ = l.Close()
+	for _, fd := range p.sockets {
+		_ = syscall.Close(fd)
 	}
+	p.sockets = nil
 }
 
 // programPath returns the path of a program in dir. If the program is missing,
