Test refused whole responses in serve, share the accept loop of test targets

Change: entry TestWholeResponseWithoutMemoryIsRefused (1, 90, 300 and 90 KB with a buffer of 100 KB: only the third is refused, as one that may have run, and nothing stays reserved); standin.ServeConns; e2e send has a timeout and keeps 1 MB.

--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -19,7 +19,16 @@
 // If there is no response, the status is 0 and the body is the error.
 func (h *harness) send(in *fleet.Proc, key, method, path, body string) (int, string) {
 	h.t.Helper()
-	ctx, cancel := context.WithTimeout(h.ctx, 30*time.Second)
+	return h.sendWithin(30*time.Second, in, key, method, path, body)
+}
+
+// maxKeptBody is how much of a body send returns, in bytes; it reads the rest, too.
+const maxKeptBody = 1 << 20
+
+// sendWithin is send with another timeout.
+func (h *harness) sendWithin(timeout time.Duration, in *fleet.Proc, key, method, path, body string) (int, string) {
+	h.t.Helper()
+	ctx, cancel := context.WithTimeout(h.ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.Address+path, strings.NewReader(body))
 	h.must(err)
@@ -29,7 +38,8 @@
 		return 0, err.Error()
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, _ := io.ReadAll(resp.Body)
+	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxKeptBody))
+	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, string(raw)
 }
 
--- a/internal/e2e/endless_test.go
+++ b/internal/e2e/endless_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -63,36 +61,11 @@
 		l, err := net.Listen("tcp", p.Address)
 		h.must(err)
 		h.t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go engines.serve(conn)
-			}
-		}()
+		go standin.ServeConns(l, engines.serve)
 	}
 	return engines
 }
 
-// callStatus sends a request to an instance, reads the response and returns its
-// status, which is 0 if there was no response.
-func (h *harness) callStatus(address, method, path, body string, timeout time.Duration) (status int) {
-	ctx, cancel := context.WithTimeout(h.ctx, timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
-	h.must(err)
-	req.Header.Set("Authorization", "Bearer "+h.Teams[0].Key)
-	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode
-}
-
 // Engines respond without end to load polls, polls for cache events and requests,
 // directly and behind a hop: the memory of no instance grows, and the other targets
 // are used as before.
@@ -108,7 +81,7 @@
 		for n := range endlessCallers {
 			callers.Go(func() {
 				body := fmt.Sprintf(`{"model":%q,"max_tokens":8,"stream":%v,"messages":[{"role":"user","content":"request %d"}]}`, load.CareModel, n%2 == 0, n)
-				h.callStatus(h.Instances[n/2%2].Address, "POST", "/v1/chat/completions", body, endlessTimeout)
+				h.sendWithin(endlessTimeout, h.Instances[n/2%2], h.Teams[0].Key, "POST", "/v1/chat/completions", body)
 			})
 		}
 		callers.Wait()
@@ -131,7 +104,7 @@
 				return
 			case <-time.After(20 * time.Millisecond):
 			}
-			if h.callStatus(h.Instances[0].Address, "GET", load.StockPath+"oil", "", 10*time.Second) == http.StatusOK {
+			if status, _ := h.send(h.Instances[0], h.Teams[0].Key, "GET", load.StockPath+"oil", ""); status == http.StatusOK {
 				served.Add(1)
 			} else {
 				failed.Add(1)
--- a/internal/entry/bounds_test.go
+++ b/internal/entry/bounds_test.go
@@ -186,6 +186,28 @@
 	}
 }
 
+// Whole responses share response_buffer: one that does not fit ends with an error that
+// says that the request may have run, and leaves nothing reserved.
+func TestWholeResponseWithoutMemoryIsRefused(t *testing.T) {
+	cluster := newTestCluster(t)
+	var size atomic.Int64
+	cluster.startTarget("t1", "north", config.Engine, func(rw http.ResponseWriter, r *http.Request) {
+		content := strings.Repeat("x", int(size.Load()))
+		_, _ = io.WriteString(rw, strings.Replace(completeResponse, "hello", content, 1))
+	})
+	n := cluster.startInstance("n", "north", func(b *settings.Bounds) { b.ResponseBuffer = 100 << 10 })
+	for _, kb := range []int64{1, 90, 300, 90} {
+		size.Store(kb << 10)
+		r := n.sendChat(false)
+		if kb == 300 {
+			n.expectError(t, r, result.MemoryLimitReached, "may_have_run")
+		} else if want := int(size.Load()) + len(completeResponse) - len("hello"); r.status != http.StatusOK || len(r.body) != want {
+			t.Fatalf("%d KB: status %d, %d bytes of %d", kb, r.status, len(r.body), want)
+		}
+		await(t, func() bool { return n.responses.ReservedBytes() == 0 && n.memory.ReservedBytes() == 0 })
+	}
+}
+
 // Guards the limit on caller connections: a new connection over the limit closes
 // the one that has been idle longest, and requests are still served.
 func TestConnectionLimit(t *testing.T) {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -62,6 +62,7 @@
 	local       *dispatch.LocalDispatcher
 	dispatcher  *dispatch.Dispatcher
 	memory      *dispatch.MemoryBudget
+	responses   *dispatch.MemoryBudget
 	server      *entry.Server
 	records     chan entry.Record
 	clock       *clock.Virtual
@@ -374,8 +375,9 @@
 	n.gate = dispatch.NewGate(confirmer)
 	n.suspects = crash.New(crash.Config{Clock: n.clock})
 	n.memory = dispatch.NewMemoryBudget(b)
+	n.responses = dispatch.NewMemoryBudget(settings.Bounds{ProcessBuffer: b.ResponseBuffer})
 	n.local = dispatch.NewLocalDispatcher(dispatch.LocalConfig{Instance: inst, Bounds: b, ConfigSource: c, Chooser: n, Admitter: n.admitter, Slots: n.admitter,
-		Gate: n.gate, Crashes: n.suspects, Memory: n.memory, ResponseMemory: dispatch.NewMemoryBudget(settings.Bounds{}), RetryBudget: dispatch.NewRetryBudget(), Requests: nopAudit{}, Trail: nopAudit{}, Clock: n.clock, Log: log})
+		Gate: n.gate, Crashes: n.suspects, Memory: n.memory, ResponseMemory: n.responses, RetryBudget: dispatch.NewRetryBudget(), Requests: nopAudit{}, Trail: nopAudit{}, Clock: n.clock, Log: log})
 	store := idempotency.New(idempotency.Config{Instance: name, Incarnation: n.incarnation, Clock: n.clock, Start: time.Now()})
 	clients, err := peerapi.NewClients(settings.Peers{Insecure: true})
 	check(c.t, err)
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
+	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
 // Guards targets against a request that crashes them: it is blocked after its
@@ -226,28 +227,20 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	go func() {
+	go standin.ServeConns(l, func(conn net.Conn) {
+		defer conn.Close()
+		in, earlier := bufio.NewReader(conn), ""
 		for {
-			conn, err := l.Accept()
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				in, earlier := bufio.NewReader(conn), ""
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					response := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: true\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
-					_, _ = io.WriteString(conn, earlier+response)
-					earlier = response
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			response := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: true\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+			_, _ = io.WriteString(conn, earlier+response)
+			earlier = response
 		}
-	}()
+	})
 	cluster := newTestCluster(t)
 	cluster.addTarget("t1", "north", config.PlainService, l.Addr().String())
 	n := cluster.startInstance("n", "north")
--- a/internal/instance/endless_memory_test.go
+++ b/internal/instance/endless_memory_test.go
@@ -55,15 +55,7 @@
 	}
 	target := &endlessTarget{Listener: l, id: id, startAt: make(chan struct{})}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go target.serve(conn, kind)
-		}
-	}()
+	go standin.ServeConns(l, func(conn net.Conn) { target.serve(conn, kind) })
 	return target
 }
 
--- a/internal/instance/repeated_refusal_test.go
+++ b/internal/instance/repeated_refusal_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"testing"
+
+	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
 // A target that writes an earlier refusal again on a kept connection.
@@ -51,15 +53,7 @@
 	}
 	target := &repeatingTarget{Listener: l, byID: map[string]int{}}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go target.serve(conn)
-		}
-	}()
+	go standin.ServeConns(l, target.serve)
 	return target
 }
 
--- a/internal/instance/soak_proxy_test.go
+++ b/internal/instance/soak_proxy_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
 // networkFault is a fault that a proxy injects into its connections.
@@ -43,15 +45,7 @@
 		t.Fatal(err)
 	}
 	p := &proxy{Listener: l, server: server, open: map[*net.TCPConn]bool{}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(c.(*net.TCPConn))
-		}
-	}()
+	go standin.ServeConns(l, func(c net.Conn) { p.serve(c.(*net.TCPConn)) })
 	t.Cleanup(func() { _ = l.Close(); p.reset() })
 	return p
 }
