Send heartbeats directly to instances that do not take relayed ones

Cause: beside instances of the version before relays, a domain with four newer ones got its heartbeats through them; the earlier ones take what is relayed for hearsay and lost the sender.

Change: a member whose heartbeats do not say that it relays gets its own. Nothing changes where all run this version.

Ruled out: giving up relays for a domain with one earlier instance, which would flood the links during each update.

--- a/internal/heartbeat/fleet_test.go
+++ b/internal/heartbeat/fleet_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
@@ -51,6 +53,9 @@
 	ip      string
 	offset  int // of its ticks, in steps
 	stopped bool
+	// earlier makes it an instance of the version before relays, which takes what is
+	// relayed for what others tell.
+	earlier bool
 	// frozen keeps what arrives in waiting, which is handled when it runs again.
 	frozen  bool
 	waiting []delivery
@@ -61,6 +66,20 @@
 	datagram []byte
 }
 
+func (n *fleetNode) receive(d delivery) {
+	if n.earlier || d.from.earlier {
+		var report peerv1.FleetReport
+		if err := proto.Unmarshal(d.datagram, &report); err == nil {
+			report.Relay, report.Relayed, report.Overdue = false, false, false
+			for _, hb := range report.GetRows() {
+				hb.Relays = hb.GetRelays() && !n.earlier
+			}
+			d.datagram, _ = proto.Marshal(&report)
+		}
+	}
+	n.handleDatagram(d.datagram, d.from.ip)
+}
+
 func newFleet(t *testing.T, perDomain int) *fleet {
 	f := &fleet{t: t, clock: virtualClock{time.Unix(1000, 0)}, rng: rand.New(rand.NewPCG(1, 2)), nodes: map[string]*fleetNode{}, queue: map[time.Time][]delivery{}}
 	f.add(perDomain)
@@ -96,7 +115,9 @@
 }
 
 func (f *fleet) fillHeartbeat(hb *peerv1.FleetRow) {
-	hb.Ready, hb.Relays = true, hb.GetRelays() && !f.direct
+	host, _, _ := net.SplitHostPort(hb.GetInstance().GetPeerAddress())
+	n := f.nodes[host]
+	hb.Ready, hb.Relays = true, hb.GetRelays() && !f.direct && (n == nil || !n.earlier)
 	for i := range 19 {
 		hb.Teams = append(hb.Teams, &peerv1.TeamUse{Team: fmt.Sprintf("team-%d", i), Spent: 1e6, Demand: 10})
 	}
@@ -137,7 +158,7 @@
 			case d.to.frozen:
 				d.to.waiting = append(d.to.waiting, d)
 			case !d.to.stopped:
-				d.to.handleDatagram(d.datagram, d.from.ip)
+				d.to.receive(d)
 			}
 		}
 		step := int(f.clock.at.UnixMilli()/fleetStep.Milliseconds()) % steps
@@ -145,7 +166,7 @@
 			if !n.stopped && !n.frozen && n.offset == step {
 				n.sendDue()
 				for i := 0; i < len(n.waiting); i++ {
-					n.handleDatagram(n.waiting[i].datagram, n.waiting[i].from.ip)
+					n.receive(n.waiting[i])
 				}
 				n.waiting = nil
 			}
@@ -357,3 +378,18 @@
 		}
 	}
 }
+
+// While a deployment is updated, instances of the version before relays run beside
+// those of this one.
+func TestEarlierVersionsGetHeartbeatsDirectly(t *testing.T) {
+	f := newFleet(t, 8)
+	for i, n := range f.order {
+		n.earlier = i%3 == 0
+	}
+	f.connected(maxContact)
+	worst := 0
+	f.run(20*time.Second, func() { worst = max(worst, f.unreachable()) })
+	if worst > 0 {
+		t.Errorf("up to %d pairs of instances do not reach each other", worst)
+	}
+}
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -122,8 +122,8 @@
 }
 
 // Merge adds a received heartbeat unless a newer one is known. direct is set if
-// it came from the instance that it describes, also through a relay. Merge reports whether the
-// member was unknown or had another incarnation before.
+// it came from the instance that it describes, also through a relay. Merge reports
+// whether the member was unknown or had another incarnation before.
 func (t *Table) Merge(hb *peerv1.FleetRow, direct bool) (newIncarnation bool) {
 	id := hb.GetInstance()
 	if id.GetPeerAddress() == "" || id.GetPeerAddress() == t.self.GetPeerAddress() {
@@ -257,11 +257,13 @@
 		for _, m := range d.members {
 			// Members of other domains may send only to relays in the local one.
 			overdue := d.name != t.self.GetDomain() && (m.indirect || t.late(m, now))
-			if relayed && !overdue {
+			// Earlier versions do not count what a relay passes on.
+			takesRelayed := relayed && m.Heartbeat.GetRelays()
+			if takesRelayed && !overdue {
 				continue
 			}
 			sendInterval := t.interval(m)
-			if relayed || m.indirect || now.Sub(m.LastSeen) > t.timeout(m) {
+			if takesRelayed || m.indirect || now.Sub(m.LastSeen) > t.timeout(m) {
 				sendInterval = max(retryInterval, sendInterval)
 			}
 			if t.due(m.lastSent, sendInterval, now) {
