--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -327,3 +327,35 @@
 		}
 	}
 }
+
+// Of the 5xx responses of several targets only the last is held, until the request
+// ends; a response that was passed on or interrupted is not.
+func TestHeldResponsesAreReleased(t *testing.T) {
+	g, s, c := newTestGateway(), &recordingSink{}, resumableCall()
+	d := &delivery{sink: s}
+	answer := func(status int, body io.Reader) *failure {
+		return g.deliver(c, &targetResponse{status: status, header: http.Header{}, body: io.NopCloser(body), framing: lengthFraming}, d, func() {})
+	}
+	text := strings.Repeat("x", 100<<10)
+	for range 3 {
+		if f := answer(http.StatusInternalServerError, strings.NewReader(text)); f == nil {
+			t.Fatal("a 5xx response was passed on at once")
+		}
+		if n := g.BufferedResponseBytes(); n < 100<<10-initialResponseBuffer || n > 200<<10 {
+			t.Errorf("%d bytes are reserved for one response of 100 KB", n)
+		}
+	}
+	held := g.BufferedResponseBytes()
+	if f := answer(http.StatusOK, io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrUnexpectedEOF))); f == nil {
+		t.Error("an interrupted response counts as complete")
+	}
+	if n := g.BufferedResponseBytes(); n != held {
+		t.Errorf("%d bytes are reserved after an interrupted response, %d before", n, held)
+	}
+	if err := g.finishFailed(c, d, notRunFailure(placement.Refused, true, "refused"), result.New(result.NoTarget, result.NotRun, "no target")); err != nil || s.body.String() != text {
+		t.Errorf("the last response was not passed on whole: %v, %d bytes", err, s.body.Len())
+	}
+	if d.close(); g.BufferedResponseBytes() != 0 {
+		t.Errorf("%d bytes are still reserved", g.BufferedResponseBytes())
+	}
+}
