Keep no memory for responses while a slow caller reads one

Cause: since responses are held in blocks, serve passed a whole one on block by block, and each block waits for the caller. Until then the blocks stayed in use and reserved: a few callers that do not read would have kept the 4 MiB of response_buffer from all others.

Change: the response goes to the sink in one piece, as before, and its blocks and the reservation are given up first.

Ruled out: the platform, where responses are written straight to the caller, and its memory was held for so long before, too.

--- a/internal/dispatch/buffer.go
+++ b/internal/dispatch/buffer.go
@@ -68,8 +68,8 @@
 	return nil
 }
 
-// Bytes returns the bytes in one piece, which is a copy unless they fit into the
-// first part.
+// Bytes returns the bytes in one piece, which stays valid after Free. It is a copy
+// unless they fit into the first part.
 func (b *ResponseBuffer) Bytes() []byte {
 	if b.size <= len(b.first) {
 		return b.first[:b.size]
@@ -88,8 +88,8 @@
 	return b.first
 }
 
-// Free gives the blocks back. Neither the buffer nor what Each and Bytes have passed
-// out may be used afterwards.
+// Free gives the blocks back. What Each and Space have passed out must not be used
+// afterwards. More calls have no effect.
 func (b *ResponseBuffer) Free() {
 	for _, block := range b.blocks {
 		bufferBlocks.Put(block)
--- a/internal/dispatch/deliver.go
+++ b/internal/dispatch/deliver.go
@@ -71,17 +71,22 @@
 	case !whole:
 		return &attemptError{err: result.New(result.TargetFailed, result.MayHaveRun, "the answer exceeds the bound"), final: true}
 	}
+	// The sink takes the response as one piece and reserves its own memory for it, so
+	// that a slow caller keeps nobody else's response waiting for memory.
+	data := body.Bytes()
+	body.Free()
+	responses.Close()
 	if resp.status == http.StatusOK {
-		if r.usage = responseUsage(body.Bytes()); r.usage == nil {
+		if r.usage = responseUsage(data); r.usage == nil {
 			attemptErr := newAttemptError(result.TargetFailed, true, "the answer of the engine is incomplete", nil)
 			attemptErr.crash = resp.endsWithConnection
 			return attemptErr
 		}
 	}
-	if err := r.sendHead(resp, int64(body.Len())); err != nil {
+	if err := r.sendHead(resp, int64(len(data))); err != nil {
 		return err
 	}
-	return body.Each(r.sendData)
+	return r.sendData(data)
 }
 
 // deliverService passes on the response of a plain service.
--- a/internal/entry/bounds_test.go
+++ b/internal/entry/bounds_test.go
@@ -208,6 +208,19 @@
 	}
 }
 
+// Memory for whole responses is needed until a response is complete, not until a slow
+// caller has read it.
+func TestSlowReaderHoldsNoResponseMemory(t *testing.T) {
+	cluster := newTestCluster(t)
+	cluster.startTarget("t1", "north", config.Engine, func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(rw, strings.Replace(completeResponse, "hello", strings.Repeat("x", 900<<10), 1))
+	})
+	n := cluster.startInstance("n", "north")
+	b := chatBody(false)
+	n.dialAndSend(t, fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", apiKey, len(b), b))
+	await(t, func() bool { return n.memory.ReservedBytes() >= 900<<10 && n.responses.ReservedBytes() == 0 })
+}
+
 // Guards the limit on caller connections: a new connection over the limit closes
 // the one that has been idle longest, and requests are still served.
 func TestConnectionLimit(t *testing.T) {
