Give relays of heartbeats files of their own

Cause: read as a newcomer, table.go and manager.go mixed who is known, what is sent and what is relayed, and the tests their network with what they check.

No change of behaviour.

--- a/internal/heartbeat/manager.go
+++ b/internal/heartbeat/manager.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,10 +19,6 @@
 	maxDatagramBytes = 1300
 	readBufferBytes  = 64 << 10
 	writeTimeout     = 50 * time.Millisecond
-	// maxRelayPause is the time without a tick after which the process counts as
-	// frozen; for relayRest from its next tick on, it relays nothing.
-	maxRelayPause = time.Second
-	relayRest     = time.Second
 	// logInterval is the interval at which changes of reachability are logged.
 	logInterval = 500 * time.Millisecond
 )
@@ -41,7 +36,8 @@
 	Log           *event.Logger
 }
 
-// Manager sends and receives heartbeats.
+// Manager sends and receives heartbeats. Lock order: Table.mu and that of pause are
+// leaf locks.
 type Manager struct {
 	Config
 	*Table
@@ -53,11 +49,7 @@
 	// loggedReachable is the last logged reachability, by peer address.
 	loggedReachable map[string]bool
 	lastLogged      time.Time
-	relaying        struct {
-		sync.Mutex
-		lastTick  time.Time
-		restUntil time.Time
-	}
+	pause           pauseDetector
 }
 
 // NewManager opens the UDP socket for heartbeats.
@@ -93,7 +85,7 @@
 
 // sendDue sends the heartbeats and introductions that are due.
 func (m *Manager) sendDue() {
-	m.tick()
+	m.pause.tick(m.now())
 	dueMembers, dueSeeds := m.Due()
 	if len(dueMembers)+len(dueSeeds) == 0 {
 		return
@@ -219,6 +211,7 @@
 		}
 		isSender := host == from
 		isNew := m.Merge(hb, isSender || report.GetRelayed())
+		// Who starts, asks or is new here should not wait for the next round.
 		switch {
 		case isSender && report.GetIntroduce():
 			m.sendHeartbeat(peer, hb)
@@ -236,42 +229,6 @@
 	}
 }
 
-// tick notices that the process was frozen.
-func (m *Manager) tick() {
-	now := m.now()
-	m.relaying.Lock()
-	defer m.relaying.Unlock()
-	if m.pausedAt(now) {
-		m.relaying.restUntil = now.Add(relayRest)
-	}
-	m.relaying.lastTick = now
-}
-
-func (m *Manager) pausedAt(now time.Time) bool {
-	return !m.relaying.lastTick.IsZero() && now.Sub(m.relaying.lastTick) > maxRelayPause
-}
-
-// mayRelay reports whether what arrives now was sent just now. What waited in the
-// socket while the process was frozen may come from instances that stopped since,
-// and must not make them look alive.
-func (m *Manager) mayRelay() bool {
-	now := m.now()
-	m.relaying.Lock()
-	defer m.relaying.Unlock()
-	return !m.pausedAt(now) && !now.Before(m.relaying.restUntil)
-}
-
-// relay passes a heartbeat on to the other instances of the failure domain.
-func (m *Manager) relay(hb *peerv1.FleetRow) {
-	if !m.mayRelay() {
-		return
-	}
-	datagram := m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{hb}, Relayed: true})
-	for _, a := range m.relayDestinations(hb.GetInstance().GetPeerAddress()) {
-		m.send(a, datagram)
-	}
-}
-
 // sendHeartbeat sends a heartbeat of the local instance to the one at peer, whose
 // last heartbeat is hb.
 func (m *Manager) sendHeartbeat(peer string, hb *peerv1.FleetRow) {
--- /dev/null
+++ b/internal/heartbeat/relay.go
@@ -0,0 +1,152 @@
+package heartbeat
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+)
+
+const (
+	// minRelays is the number of instances of another failure domain, ready to pass
+	// heartbeats on, from which on they are sent to one of them instead of to each.
+	minRelays = 4
+	// maxPause is the time without a tick after which the process counts as frozen;
+	// for relayRest from its next tick on, it relays nothing.
+	maxPause  = time.Second
+	relayRest = time.Second
+)
+
+// domain holds the members of a failure domain.
+type domain struct {
+	name    string
+	members []*member // sorted by peer address
+	// lastSent is when a relay of the domain last got a heartbeat; rounds counts them.
+	lastSent time.Time
+	rounds   uint64
+}
+
+// updateDomains must be called with the lock held when members come or go.
+func (t *Table) updateDomains() {
+	byName := map[string]*domain{}
+	for _, d := range t.mu.domains {
+		d.members = nil
+		byName[d.name] = d
+	}
+	for _, m := range t.mu.members {
+		d := byName[m.Domain()]
+		if d == nil {
+			// The start of the rounds spreads the heartbeats of all over the relays.
+			d = &domain{name: m.Domain(), rounds: xxhash.Sum64String(t.self.GetPeerAddress())}
+			byName[d.name] = d
+		}
+		d.members = append(d.members, m)
+	}
+	t.mu.domains = t.mu.domains[:0]
+	for _, d := range byName {
+		slices.SortFunc(d.members, func(a, b *member) int { return strings.Compare(a.address(), b.address()) })
+		t.mu.domains = append(t.mu.domains, d)
+	}
+	slices.SortFunc(t.mu.domains, func(a, b *domain) int { return strings.Compare(a.name, b.name) })
+}
+
+// relayFor reports whether the members of d get their heartbeats through relays, and
+// returns the relay that gets one now, or nil. A relay is used for one heartbeat, then
+// the next one of its domain: if one fails, the members miss one heartbeat in a
+// round, and ask for it.
+func (t *Table) relayFor(d *domain, now time.Time) (relay *member, relayed bool) {
+	if d.name == t.self.GetDomain() || len(d.members) < minRelays {
+		return nil, false
+	}
+	canRelay := func(m *member) bool {
+		return !m.indirect && m.Heartbeat.GetRelays() && !m.Heartbeat.GetLeaving() && !t.late(m, now)
+	}
+	relays := 0
+	for _, m := range d.members {
+		if canRelay(m) {
+			relays++
+		}
+	}
+	if relays < minRelays || !t.due(d.lastSent, t.interval(d.members[0]), now) {
+		return nil, relays >= minRelays
+	}
+	d.lastSent = now
+	d.rounds++
+	skip := d.rounds % uint64(relays)
+	for _, m := range d.members {
+		if !canRelay(m) {
+			continue
+		}
+		if skip == 0 {
+			return m, true
+		}
+		skip--
+	}
+	return nil, true // not reached: the members have not changed
+}
+
+// relayDestinations returns the peer addresses to which this instance passes on a
+// heartbeat of the instance at origin.
+func (t *Table) relayDestinations(origin string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var out []string
+	for _, d := range t.mu.domains {
+		if d.name != t.self.GetDomain() {
+			continue
+		}
+		for _, m := range d.members {
+			if a := m.address(); a != origin && !m.indirect && now.Sub(m.LastSeen) < t.timeout(m) {
+				out = append(out, a)
+			}
+		}
+	}
+	return out
+}
+
+// relay passes a heartbeat on to the other instances of the failure domain.
+func (m *Manager) relay(hb *peerv1.FleetRow) {
+	if !m.pause.over(m.now()) {
+		return
+	}
+	datagram := m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{hb}, Relayed: true})
+	for _, a := range m.relayDestinations(hb.GetInstance().GetPeerAddress()) {
+		m.send(a, datagram)
+	}
+}
+
+// pauseDetector notices that the process was frozen. What waited in the socket
+// meanwhile may come from instances that stopped since, and must not make them look
+// alive.
+type pauseDetector struct {
+	mu        sync.Mutex
+	lastTick  time.Time
+	restUntil time.Time
+}
+
+// tick must be called at each localInterval.
+func (p *pauseDetector) tick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused(now) {
+		p.restUntil = now.Add(relayRest)
+	}
+	p.lastTick = now
+}
+
+// paused must be called with the lock held.
+func (p *pauseDetector) paused(now time.Time) bool {
+	return !p.lastTick.IsZero() && now.Sub(p.lastTick) > maxPause
+}
+
+// over reports whether what arrives now was sent just now.
+func (p *pauseDetector) over(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.paused(now) && !now.Before(p.restUntil)
+}
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
 
@@ -33,9 +31,6 @@
 	// retryInterval is the minimum interval between heartbeats to unreachable
 	// members, and the interval between introductions to seeds.
 	retryInterval = time.Second
-	// minRelays is the number of instances of another failure domain, ready to pass
-	// heartbeats on, from which on they are sent to one of them instead of to each.
-	minRelays = 4
 	// memberExpiry is the time without a heartbeat after which a member is
 	// removed. Regions occasionally lose contact with each other for an hour.
 	memberExpiry = 2 * time.Hour
@@ -78,15 +73,6 @@
 	overdue bool
 }
 
-// domain holds the members of a failure domain.
-type domain struct {
-	name    string
-	members []*member // sorted by peer address
-	// lastSent is when a relay of the domain last got a heartbeat; rounds counts them.
-	lastSent time.Time
-	rounds   uint64
-}
-
 // Table holds the known members and decides when to send to them; it does no
 // I/O. Lock order: Table.mu is a leaf lock.
 type Table struct {
@@ -218,30 +204,6 @@
 	return now.Sub(m.LastSeen) > t.interval(m)+lateMargin
 }
 
-// updateDomains must be called with the lock held when members come or go.
-func (t *Table) updateDomains() {
-	byName := map[string]*domain{}
-	for _, d := range t.mu.domains {
-		d.members = nil
-		byName[d.name] = d
-	}
-	for _, m := range t.mu.members {
-		d := byName[m.Domain()]
-		if d == nil {
-			// The start of the rounds spreads the heartbeats of all over the relays.
-			d = &domain{name: m.Domain(), rounds: xxhash.Sum64String(t.self.GetPeerAddress())}
-			byName[d.name] = d
-		}
-		d.members = append(d.members, m)
-	}
-	t.mu.domains = t.mu.domains[:0]
-	for _, d := range byName {
-		slices.SortFunc(d.members, func(a, b *member) int { return strings.Compare(a.address(), b.address()) })
-		t.mu.domains = append(t.mu.domains, d)
-	}
-	slices.SortFunc(t.mu.domains, func(a, b *domain) int { return strings.Compare(a.name, b.name) })
-}
-
 // Due returns the members to which a heartbeat should be sent now, and the peer
 // addresses of the seeds to which the local instance should introduce itself. It
 // records them as sent.
@@ -290,63 +252,8 @@
 	return now.Sub(lastSent) >= interval-localInterval/4
 }
 
-// relayFor reports whether the members of d get their heartbeats through relays, and
-// returns the relay that gets one now, or nil. A relay is used for one heartbeat, then
-// the next one of its domain: if one fails, the members miss one heartbeat in a
-// round, and ask for it.
-func (t *Table) relayFor(d *domain, now time.Time) (relay *member, relayed bool) {
-	if d.name == t.self.GetDomain() || len(d.members) < minRelays {
-		return nil, false
-	}
-	canRelay := func(m *member) bool {
-		return !m.indirect && m.Heartbeat.GetRelays() && !m.Heartbeat.GetLeaving() && !t.late(m, now)
-	}
-	relays := 0
-	for _, m := range d.members {
-		if canRelay(m) {
-			relays++
-		}
-	}
-	if relays < minRelays || !t.due(d.lastSent, t.interval(d.members[0]), now) {
-		return nil, relays >= minRelays
-	}
-	d.lastSent = now
-	d.rounds++
-	skip := d.rounds % uint64(relays)
-	for _, m := range d.members {
-		if !canRelay(m) {
-			continue
-		}
-		if skip == 0 {
-			return m, true
-		}
-		skip--
-	}
-	return nil, true // not reached: the members have not changed
-}
-
 func (m *member) address() string { return m.Heartbeat.GetInstance().GetPeerAddress() }
 
-// relayDestinations returns the peer addresses to which this instance passes on a
-// heartbeat of the instance at origin.
-func (t *Table) relayDestinations(origin string) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	var out []string
-	for _, d := range t.mu.domains {
-		if d.name != t.self.GetDomain() {
-			continue
-		}
-		for _, m := range d.members {
-			if a := m.address(); a != origin && !m.indirect && now.Sub(m.LastSeen) < t.timeout(m) {
-				out = append(out, a)
-			}
-		}
-	}
-	return out
-}
-
 // seedInterval returns the interval between introductions to a seed. It is short
 // until the first member is known, so that an instance that starts does not wait
 // a whole retryInterval for its next introduction.
