Derive the relays of a domain once, name what an address is read from

Cause: read again, relayFor walked the members twice and ended in a line that is not reached; the domains were sorted anew for each member that a starting instance learns of, and Members had a flag for it; the path to a member's peer address was written in eleven places, the pair of it in tests in four.

Change: the relays are a slice; domains are sorted when they are next used after a change; Member.Address, fleet.node. No change of behaviour.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -137,7 +137,7 @@
 	var wg sync.WaitGroup
 	for _, m := range g.Members.Members() {
 		if m.Reachable {
-			wg.Go(func() { g.exchangeCrashNews(m.Heartbeat.GetInstance().GetPeerAddress(), news) })
+			wg.Go(func() { g.exchangeCrashNews(m.Address(), news) })
 		}
 	}
 	wg.Wait()
@@ -182,7 +182,7 @@
 	var others []string
 	for _, m := range members {
 		if m.Reachable && m.Heartbeat.GetCrashBlocks() != digest {
-			others = append(others, m.Heartbeat.GetInstance().GetPeerAddress())
+			others = append(others, m.Address())
 		}
 	}
 	if len(others) > 0 {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -58,7 +58,7 @@
 	for _, m := range g.Members.Members() {
 		if m.Reachable && m.Region() == region && m.Heartbeat.GetReady() {
 			if n++; rand.IntN(n) == 0 {
-				address = m.Heartbeat.GetInstance().GetPeerAddress()
+				address = m.Address()
 			}
 		}
 	}
--- a/internal/heartbeat/fleet_test.go
+++ b/internal/heartbeat/fleet_test.go
@@ -84,8 +84,8 @@
 	return f
 }
 
-// add starts as many instances in each failure domain. The first instances of the
-// first fleet are the seeds of all.
+// add starts as many instances in each failure domain. Their seeds are three of all
+// instances.
 func (f *fleet) add(perDomain int) (added []*fleetNode) {
 	for d := range fleetRegions * domainsPerRegion {
 		for range perDomain {
@@ -112,9 +112,14 @@
 	return added
 }
 
+// node returns the instance with a peer address.
+func (f *fleet) node(peerAddress string) *fleetNode {
+	ip, _, _ := net.SplitHostPort(peerAddress) // add made the address
+	return f.nodes[ip]
+}
+
 func (f *fleet) fillHeartbeat(hb *peerv1.FleetRow) {
-	host, _, _ := net.SplitHostPort(hb.GetInstance().GetPeerAddress())
-	n := f.nodes[host]
+	n := f.node(hb.GetInstance().GetPeerAddress())
 	hb.Ready, hb.Relays = true, hb.GetRelays() && !f.direct && (n == nil || !n.earlier)
 	for i := range 19 {
 		hb.Teams = append(hb.Teams, &peerv1.TeamUse{Team: fmt.Sprintf("team-%d", i), Spent: 1e6, Demand: 10})
@@ -190,7 +195,7 @@
 		}
 		n += running - 1
 		for _, m := range node.Members() {
-			if host, _, _ := net.SplitHostPort(m.Heartbeat.GetInstance().GetPeerAddress()); m.Reachable && !f.nodes[host].stopped {
+			if m.Reachable && !f.node(m.Address()).stopped {
 				n--
 			}
 		}
--- a/internal/heartbeat/manager.go
+++ b/internal/heartbeat/manager.go
@@ -141,7 +141,7 @@
 		datagrams[remote] = m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{heartbeatFor(full, remote)}})
 	}
 	for _, member := range m.Members() {
-		m.send(member.Heartbeat.GetInstance().GetPeerAddress(), datagrams[member.Region() != m.Self.GetRegion()])
+		m.send(member.Address(), datagrams[member.Region() != m.Self.GetRegion()])
 	}
 }
 
@@ -259,7 +259,7 @@
 	}
 	m.lastLogged = now
 	for _, member := range m.Members() {
-		a := member.Heartbeat.GetInstance().GetPeerAddress()
+		a := member.Address()
 		if was, known := m.loggedReachable[a]; known && was == member.Reachable {
 			continue
 		}
--- a/internal/heartbeat/relay.go
+++ b/internal/heartbeat/relay.go
@@ -30,8 +30,12 @@
 	rounds   uint64
 }
 
-// updateDomains must be called with the lock held when members come or go.
-func (t *Table) updateDomains() {
+// domains returns the failure domains of the members. The caller holds t.mu.
+func (t *Table) domains() []*domain {
+	if !t.mu.domainsStale {
+		return t.mu.domains
+	}
+	t.mu.domainsStale = false
 	byName := map[string]*domain{}
 	for _, d := range t.mu.domains {
 		d.members = nil
@@ -48,10 +52,11 @@
 	}
 	t.mu.domains = t.mu.domains[:0]
 	for _, d := range byName {
-		slices.SortFunc(d.members, func(a, b *member) int { return strings.Compare(a.address(), b.address()) })
+		slices.SortFunc(d.members, func(a, b *member) int { return strings.Compare(a.Address(), b.Address()) })
 		t.mu.domains = append(t.mu.domains, d)
 	}
 	slices.SortFunc(t.mu.domains, func(a, b *domain) int { return strings.Compare(a.name, b.name) })
+	return t.mu.domains
 }
 
 // relayFor reports whether the members of d get their heartbeats through relays, and
@@ -62,31 +67,18 @@
 	if d.name == t.self.GetDomain() || len(d.members) < minRelays {
 		return nil, false
 	}
-	canRelay := func(m *member) bool {
-		return !m.indirect && m.Heartbeat.GetRelays() && !m.Heartbeat.GetLeaving() && !t.late(m, now)
-	}
-	relays := 0
+	relays := make([]*member, 0, len(d.members))
 	for _, m := range d.members {
-		if canRelay(m) {
-			relays++
+		if !m.indirect && m.Heartbeat.GetRelays() && !m.Heartbeat.GetLeaving() && !t.late(m, now) {
+			relays = append(relays, m)
 		}
 	}
-	if relays < minRelays || !t.due(d.lastSent, t.interval(d.members[0]), now) {
-		return nil, relays >= minRelays
+	if len(relays) < minRelays || !t.due(d.lastSent, t.interval(d.members[0]), now) {
+		return nil, len(relays) >= minRelays
 	}
 	d.lastSent = now
 	d.rounds++
-	skip := d.rounds % uint64(relays)
-	for _, m := range d.members {
-		if !canRelay(m) {
-			continue
-		}
-		if skip == 0 {
-			return m, true
-		}
-		skip--
-	}
-	return nil, true // not reached: the members have not changed
+	return relays[d.rounds%uint64(len(relays))], true
 }
 
 // relayDestinations returns the peer addresses to which this instance passes on a
@@ -96,12 +88,12 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	var out []string
-	for _, d := range t.mu.domains {
+	for _, d := range t.domains() {
 		if d.name != t.self.GetDomain() {
 			continue
 		}
 		for _, m := range d.members {
-			if a := m.address(); a != origin && !m.indirect && now.Sub(m.LastSeen) < t.timeout(m) {
+			if a := m.Address(); a != origin && !m.indirect && now.Sub(m.LastSeen) < t.timeout(m) {
 				out = append(out, a)
 			}
 		}
--- a/internal/heartbeat/relay_test.go
+++ b/internal/heartbeat/relay_test.go
@@ -1,7 +1,6 @@
 package heartbeat
 
 import (
-	"net"
 	"slices"
 	"testing"
 	"time"
@@ -42,8 +41,8 @@
 	}
 }
 
-// Three of four instances start at once beside those that run; then half of all
-// stop without a word, and start again later.
+// Nearly as many instances as run start at once beside them; then half of all stop
+// without a word, and start again later.
 func TestInstancesComeAndGoInGreatNumber(t *testing.T) {
 	f := newFleet(t, 6)
 	t.Logf("36 instances know each other after %v", f.connected(maxContact))
@@ -63,7 +62,7 @@
 	for _, n := range added {
 		if !n.stopped {
 			for _, m := range n.Members() {
-				if host, _, _ := net.SplitHostPort(m.Heartbeat.GetInstance().GetPeerAddress()); m.Reachable && f.nodes[host].stopped {
+				if m.Reachable && f.node(m.Address()).stopped {
 					t.Fatalf("%s takes %s for reachable, which stopped 15 s ago", n.Self.GetInstance(), m.Name())
 				}
 			}
@@ -169,7 +168,7 @@
 			continue
 		}
 		for _, m := range n.Members() {
-			if host, _, _ := net.SplitHostPort(m.Heartbeat.GetInstance().GetPeerAddress()); m.Reachable && f.nodes[host].stopped {
+			if m.Reachable && f.node(m.Address()).stopped {
 				t.Errorf("%s takes %s for alive, which stopped 3.9 s ago", n.Self.GetInstance(), m.Name())
 			}
 		}
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -52,6 +52,9 @@
 
 func (m *Member) Region() string { return m.Heartbeat.GetInstance().GetRegion() }
 
+// Address returns the peer address of the member.
+func (m *Member) Address() string { return m.Heartbeat.GetInstance().GetPeerAddress() }
+
 // Domain returns the failure domain of the member.
 func (m *Member) Domain() string { return m.Heartbeat.GetInstance().GetDomain() }
 
@@ -82,7 +85,10 @@
 		sync.Mutex
 		members map[string]*member   // by peer address
 		seeds   map[string]time.Time // last introduction, by peer address
-		domains []*domain            // sorted by name
+		// domains are sorted by name, and out of date if domainsStale is set; see
+		// Table.domains.
+		domains      []*domain
+		domainsStale bool
 	}
 }
 
@@ -131,9 +137,7 @@
 	if direct || newIncarnation {
 		m.Heartbeat = hb
 	}
-	if newIncarnation {
-		t.updateDomains()
-	}
+	t.mu.domainsStale = t.mu.domainsStale || newIncarnation
 	if direct {
 		m.LastSeen, m.Reachable, m.indirect = t.now(), true, false
 	}
@@ -156,7 +160,6 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	out := make([]Member, 0, len(t.mu.members))
-	expired := false
 	for a, m := range t.mu.members {
 		if m.indirect {
 			continue
@@ -164,18 +167,15 @@
 		sinceLastSeen := now.Sub(m.LastSeen)
 		if sinceLastSeen > memberExpiry {
 			delete(t.mu.members, a)
-			expired = true
+			t.mu.domainsStale = true
 			continue
 		}
 		m.Reachable = sinceLastSeen < t.timeout(m)
 		m.Late = t.late(m, now)
 		out = append(out, m.Member)
 	}
-	if expired {
-		t.updateDomains()
-	}
 	slices.SortFunc(out, func(a, b Member) int {
-		return strings.Compare(a.Heartbeat.GetInstance().GetPeerAddress(), b.Heartbeat.GetInstance().GetPeerAddress())
+		return strings.Compare(a.Address(), b.Address())
 	})
 	return out
 }
@@ -211,10 +211,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	for _, d := range t.mu.domains {
+	for _, d := range t.domains() {
 		relay, relayed := t.relayFor(d, now)
 		if relay != nil {
-			dueMembers = append(dueMembers, destination{address: relay.address(), remote: !t.isLocal(relay), relay: true})
+			dueMembers = append(dueMembers, destination{address: relay.Address(), remote: !t.isLocal(relay), relay: true})
 		}
 		for _, m := range d.members {
 			// Members of other domains may send only to relays in the local one.
@@ -230,7 +230,7 @@
 			}
 			if t.due(m.lastSent, sendInterval, now) {
 				m.lastSent = now
-				dueMembers = append(dueMembers, destination{address: m.address(), remote: !t.isLocal(m), overdue: overdue})
+				dueMembers = append(dueMembers, destination{address: m.Address(), remote: !t.isLocal(m), overdue: overdue})
 			}
 		}
 	}
@@ -252,8 +252,6 @@
 	return now.Sub(lastSent) >= interval-localInterval/4
 }
 
-func (m *member) address() string { return m.Heartbeat.GetInstance().GetPeerAddress() }
-
 // seedInterval returns the interval between introductions to a seed. It is short
 // until the first member is known, so that an instance that starts does not wait
 // a whole retryInterval for its next introduction.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -133,7 +133,7 @@
 func (r *Roster) hearsMostSeeds(members []heartbeat.Member) bool {
 	heard := 0
 	for _, seed := range r.seeds {
-		if seed == r.address || slices.ContainsFunc(members, func(m heartbeat.Member) bool { return m.Heartbeat.GetInstance().GetPeerAddress() == seed }) {
+		if seed == r.address || slices.ContainsFunc(members, func(m heartbeat.Member) bool { return m.Address() == seed }) {
 			heard++
 		}
 	}
