Share what the tools' clients, reservations and waits for the queue repeat

Cause: read again, three packages wrote the same bounds of their HTTP clients, gateway and dispatch the same closure around Reserve, the test of admission the loop at the end of Manager.stop, and passOn kept a flag for what d.fallback says.

Change: standin.ClientConfig, Reservation.Grow, Manager.waitNoneServing, bufferedResponse.release. No change of behaviour, assertions untouched.

--- a/internal/admission/manager.go
+++ b/internal/admission/manager.go
@@ -216,6 +216,11 @@
 	m.mu.stopped = true
 	m.mu.Unlock()
 	m.serve()
+	m.waitNoneServing()
+}
+
+// waitNoneServing returns when no goroutine serves the queue.
+func (m *Manager) waitNoneServing() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for m.mu.serving {
--- a/internal/admission/manager_test.go
+++ b/internal/admission/manager_test.go
@@ -89,7 +89,7 @@
 	m.Done(first, 10) // must have no effect
 	// Run may be acquiring an allocation for the second request when its caller
 	// leaves; it then releases the allocation and removes the request.
-	waitNoneServing(m)
+	m.waitNoneServing()
 	debited, refunded := holder.tokens()
 	if debited-refunded != 10 || m.Outstanding() != 0 || m.Queued() != 0 {
 		t.Errorf("debited %v, refunded %v, outstanding %d, queued %d", debited, refunded, m.Outstanding(), m.Queued())
@@ -121,22 +121,13 @@
 	m.abandon(queued)
 	close(gate.open)
 	ended.Wait()
-	waitNoneServing(m)
+	m.waitNoneServing()
 	debited, refunded := holder.tokens()
 	if debited-refunded != 40 || m.Outstanding() != 0 || m.Queued() != 0 {
 		t.Errorf("debited %v, refunded %v, outstanding %d, queued %d", debited, refunded, m.Outstanding(), m.Queued())
 	}
 }
 
-// waitNoneServing returns when no goroutine serves the queue of m.
-func waitNoneServing(m *Manager) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for m.mu.serving {
-		m.mu.servingEnded.Wait()
-	}
-}
-
 // Guards against a queued request that is not served after a released slot, new
 // tokens or new slots.
 func TestWakeUps(t *testing.T) {
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -82,6 +82,9 @@
 	return nil
 }
 
+// Grow reserves n bytes without waiting and reports whether there were as many.
+func (r *Reservation) Grow(n int) bool { return r.Reserve(int64(n), result.MayHaveRun) == nil }
+
 // ReserveWait reserves n bytes of stream data, and waits until they are available.
 // A stream without reserved bytes always gets them: it already holds one chunk,
 // and must make progress while others use up the budget.
--- a/internal/dispatch/sse.go
+++ b/internal/dispatch/sse.go
@@ -5,7 +5,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/sse"
 )
 
@@ -19,7 +18,7 @@
 func (r *run) newEventReader(resp *attemptResponse) (events *sse.Reader, release func()) {
 	memory := r.local.ResponseMemory.NewReservation("")
 	events = sse.NewReader(resp.body)
-	events.Reserve = func(n int) bool { return memory.Reserve(int64(n), result.MayHaveRun) == nil }
+	events.Reserve = memory.Grow
 	return events, memory.Close
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,7 +22,7 @@
 const pollInterval = 50 * time.Millisecond
 
 // httpClient makes the calls to the processes of a fleet.
-var httpClient = httpclient.New(httpclient.Config{ConnectTimeout: 10 * time.Second, MaxHead: 64 << 10, MaxBody: 64 << 20, IdleTimeout: 30 * time.Second})
+var httpClient = httpclient.New(standin.ClientConfig)
 
 // Fleet is a set of instances, stand-in targets and a stand-in configuration
 // service, each running as its own process.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,7 +138,7 @@
 func (g *Gateway) passOn(c *call, resp *targetResponse, d *delivery, onFirstByte func()) *failure {
 	memory, logged := g.responseMemory.NewReservation(c.team), false
 	reserve := func(n int) bool {
-		ok := memory.Reserve(int64(n), result.MayHaveRun) == nil
+		ok := memory.Grow(n)
 		if !ok && !logged {
 			logged = true
 			g.Log.Emit(event.ResponseNotBuffered, zap.String("request", c.ID), zap.String("target", resp.target), zap.Int64("reserved", g.BufferedResponseBytes()))
@@ -150,11 +150,10 @@
 		return deliverEvents(resp, d, reserve, onFirstByte)
 	}
 	body, whole, err := dispatch.ReadBuffered(resp.body, initialResponseBuffer, maxBufferedResponse, reserve)
-	kept := false
+	held := &bufferedResponse{resp.status, resp.header, body, resp.target, memory}
 	defer func() {
-		if !kept {
-			body.Free()
-			memory.Close()
+		if d.fallback != held {
+			held.release()
 		}
 	}()
 	if err != nil {
@@ -166,8 +165,7 @@
 		return mayHaveRunFailure(placement.Failed, result.StreamInterrupted, "the target did not resume the stream: status %d", resp.status)
 	}
 	if resp.status >= http.StatusInternalServerError && whole {
-		d.setFallback(&bufferedResponse{resp.status, resp.header, body, resp.target, memory})
-		kept = true
+		d.setFallback(held)
 		return mayHaveRunFailure(placement.Failed, result.TargetFailed, "the target answered %d", resp.status)
 	}
 	return deliverBody(resp, d, body, whole)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,9 +100,8 @@
 
 // setFallback replaces the response that is passed on if no target does better.
 func (d *delivery) setFallback(b *bufferedResponse) {
-	if replaced := d.fallback; replaced != nil {
-		replaced.body.Free()
-		replaced.memory.Close()
+	if d.fallback != nil {
+		d.fallback.release()
 	}
 	d.fallback = b
 }
@@ -149,6 +148,11 @@
 	memory *dispatch.Reservation
 }
 
+func (b *bufferedResponse) release() {
+	b.body.Free()
+	b.memory.Close()
+}
+
 // serveCall tries targets and regions until one responds, the rules for retries
 // forbid another attempt, or the deadline passes. The error is a *result.Error
 // or a sinkError.
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -14,7 +14,7 @@
 )
 
 // recordClient fetches the records of the targets.
-var recordClient = httpclient.New(clientConfig)
+var recordClient = httpclient.New(standin.ClientConfig)
 
 // FetchRecords returns the record of every target. For a target that does not
 // respond it builds the record from the target's journal.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -9,14 +9,10 @@
 	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
-// clientConfig is for the calls of callers and of the checker. Each call has a
-// deadline of its own.
-var clientConfig = httpclient.Config{ConnectTimeout: 10 * time.Second, MaxHead: 64 << 10, MaxBody: 64 << 20, IdleTimeout: 30 * time.Second}
-
 // Run sends each request at its due time, even if earlier requests have not
 // ended, and returns the outcomes in the order of the requests.
 func Run(ctx context.Context, p *Plan, o Options, requests []*Request) []Outcome {
-	client := httpclient.New(clientConfig)
+	client := httpclient.New(standin.ClientConfig)
 	defer client.CloseIdleConnections()
 	callers := map[callerID]*caller{}
 	for _, r := range requests {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -164,8 +164,12 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// ClientConfig is for the calls of stand-ins and of the tools that run them. Each
+// call has a deadline of its own.
+var ClientConfig = httpclient.Config{ConnectTimeout: 10 * time.Second, MaxHead: 64 << 10, MaxBody: 64 << 20, IdleTimeout: 30 * time.Second}
+
 // registryClient calls the model registry.
-var registryClient = httpclient.New(httpclient.Config{ConnectTimeout: 10 * time.Second, MaxHead: 64 << 10, MaxBody: 64 << 20, IdleTimeout: 30 * time.Second})
+var registryClient = httpclient.New(ClientConfig)
 
 func (e *Engine) loadModel(ctx context.Context, name string) error {
 	if e.opt.ModelRegistry != "" {
