Wait for the stored response in the test of a caller that disconnects

The test waited for the slot, which is released before the response is stored; a resend between the two is refused truthfully.

Change: the test waits for the record of the request, which comes after both, and also checks then that no slot is in use. What it expects of the resend stays.

--- a/internal/entry/booking_test.go
+++ b/internal/entry/booking_test.go
@@ -153,8 +153,13 @@
 		t.Fatal("the caller got a response")
 	}
 	n.expectError(t, n.do("POST", bookingsPath, "book", "Idempotency-Key", k), result.IdempotencyKeyInUse, "may_have_run")
+	recv(t, n.records) // of the resend
 	close(finish)
-	await(t, func() bool { busy, _, _ := n.admitter.usage(); return busy == 0 })
+	// The slot is released before the response is stored; the record comes after both.
+	recv(t, n.records)
+	if busy, _, _ := n.admitter.usage(); busy != 0 {
+		t.Errorf("%d slots are in use after the run", busy)
+	}
 	if r := n.do("POST", bookingsPath, "book", "Idempotency-Key", k); r.body != "booked" || runs.Load() != 1 {
 		t.Fatalf("%+v after %d runs", r, runs.Load())
 	}
