--- a/review/lab/lab_test.go
+++ b/review/lab/lab_test.go
@@ -295,7 +295,6 @@
 	connMu                    sync.Mutex
 	busy                      atomic.Int64
 	sequence                  int64
-	extra                     http.Header // further headers of its answers
 }
 
 func (l *lab) newReplica(service, zone, region string, host, port, slots int, work time.Duration) *replica {
@@ -370,9 +369,6 @@
 		return
 	}
 	body := []byte(fmt.Sprintf("%s %s %s", r.service, r.id, id))
-	for name, values := range r.extra {
-		w.Header()[name] = values
-	}
 	w.Header().Set("X-Response-Signature", fmt.Sprintf("%s.%s.%d", r.id, id, len(body)))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
