--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -22,8 +22,13 @@
 	StoreAddress string
 
 	MemoryBytes int64
-	CPUShare    float64
-	Bounds      Bounds
+	// CPUShare is the fraction of a core that the instance may use.
+	CPUShare float64
+	// MaxDescriptors bounds the open file descriptors of the process, and
+	// LinkBytesPerSecond is the bandwidth of the instance's link; 0 if unknown.
+	MaxDescriptors     int
+	LinkBytesPerSecond float64
+	Bounds             Bounds
 }
 
 // ListenAddresses are the addresses (IP:port) on which an instance listens.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -209,7 +209,7 @@
 
 func sampleForwardRequest() *peerv1.ForwardRequest {
 	return &peerv1.ForwardRequest{RequestId: "r1", Hop: 1, Team: "a", AllowedRegions: []string{"north"}, RemainingMs: 1000, Method: "POST",
-		Path: "/v1/completions", Model: "m", Body: []byte(`{"model":"m","prompt":"x"}`), Headers: []*peerv1.Header{{Name: "X-Resume-Tokens", Value: "3"}}}
+		Path: "/v1/completions", Model: "m", Body: []byte(`{"model":"m","prompt":"x"}`), Headers: []*peerv1.Header{{Name: "X-Resume-Tokens", Value: []byte("3")}}}
 }
 
 // Guards the receiving side of a hop: for any message, a call is accepted only for
--- a/internal/dispatch/hop.go
+++ b/internal/dispatch/hop.go
@@ -112,14 +112,14 @@
 	}
 	for name, values := range c.Header {
 		for _, v := range values {
-			req.Headers = append(req.Headers, &peerv1.Header{Name: name, Value: v})
+			req.Headers = append(req.Headers, &peerv1.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	if resumed > 0 {
-		req.Headers = append(req.Headers, &peerv1.Header{Name: resumeHeader, Value: strconv.Itoa(resumed)})
+		req.Headers = append(req.Headers, &peerv1.Header{Name: resumeHeader, Value: []byte(strconv.Itoa(resumed))})
 	}
 	if !c.StartDeadline.IsZero() {
-		req.Headers = append(req.Headers, &peerv1.Header{Name: startWithinHeader, Value: strconv.FormatInt(time.Until(c.StartDeadline).Milliseconds(), 10)})
+		req.Headers = append(req.Headers, &peerv1.Header{Name: startWithinHeader, Value: []byte(strconv.FormatInt(time.Until(c.StartDeadline).Milliseconds(), 10))})
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		req.RemainingMs = uint32(max(time.Until(deadline).Milliseconds(), 1))
@@ -149,7 +149,7 @@
 	}
 	h := http.Header{}
 	for _, p := range head.GetHeaders() {
-		h.Add(p.GetName(), p.GetValue())
+		h.Add(p.GetName(), string(p.GetValue()))
 	}
 	resp := &attemptResponse{
 		status: int(head.GetStatus()), header: h, target: head.GetTarget(), size: -1, body: f, exclude: instanceKey(m.Name),
--- a/internal/dispatch/receiver.go
+++ b/internal/dispatch/receiver.go
@@ -164,7 +164,7 @@
 	}
 	headers := http.Header{}
 	for _, h := range m.GetHeaders() {
-		headers.Add(h.GetName(), h.GetValue())
+		headers.Add(h.GetName(), string(h.GetValue()))
 	}
 	if resumed, err := strconv.Atoi(headers.Get(resumeHeader)); err == nil && resumed > 0 && resumed < maxResumeTokens {
 		c.ResumeTokens = resumed
@@ -214,11 +214,11 @@
 	head := &peerv1.Head{Status: uint32(h.Status), Target: h.Target}
 	for name, values := range h.Header {
 		for _, v := range values {
-			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: v})
+			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	if h.Size >= 0 {
-		head.Headers = append(head.Headers, &peerv1.Header{Name: "Content-Length", Value: strconv.FormatInt(h.Size, 10)})
+		head.Headers = append(head.Headers, &peerv1.Header{Name: "Content-Length", Value: []byte(strconv.FormatInt(h.Size, 10))})
 	}
 	return f.send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}})
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -38,7 +37,7 @@
 		if head, err = respBody.head(); err == nil {
 			h := http.Header{}
 			for _, p := range head.GetHeaders() {
-				h.Add(p.GetName(), p.GetValue())
+				h.Add(p.GetName(), string(p.GetValue()))
 			}
 			return &targetResponse{status: int(head.GetStatus()), header: h, body: respBody, target: head.GetTarget(), framing: tailFraming}, nil
 		}
@@ -51,20 +50,6 @@
 	return nil, sendFailure(ctx, &conn, err)
 }
 
-// pickInstance returns the address of a random instance of a region, out of those
-// that are reachable and ready.
-func (g *Gateway) pickInstance(region string) (address string, ok bool) {
-	n := 0
-	for _, m := range g.Members.Members() {
-		if m.Reachable && m.Region() == region && m.Heartbeat.GetReady() {
-			if n++; rand.IntN(n) == 0 {
-				address = m.Address()
-			}
-		}
-	}
-	return address, n > 0
-}
-
 func (g *Gateway) forwardRequest(c *call, lastEventID string) *peerv1.ForwardRequest {
 	req := &peerv1.ForwardRequest{
 		From: g.Self, RequestId: c.ID, Hop: 1, Team: c.team, Method: c.method, Host: c.host, Path: c.path, Body: c.body,
@@ -73,7 +58,7 @@
 	}
 	for name, values := range c.header {
 		for _, v := range values {
-			req.Headers = append(req.Headers, &peerv1.Header{Name: name, Value: v})
+			req.Headers = append(req.Headers, &peerv1.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return req
@@ -188,7 +173,7 @@
 	msg := req.Msg
 	h := http.Header{}
 	for _, x := range msg.GetHeaders() {
-		h.Add(x.GetName(), x.GetValue())
+		h.Add(x.GetName(), string(x.GetValue()))
 	}
 	now := time.Now()
 	c := &call{
@@ -244,7 +229,7 @@
 	head := &peerv1.Head{Status: uint32(status), Target: target}
 	for name, values := range header {
 		for _, v := range values {
-			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: v})
+			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return s.stream.Send(&peerv1.ForwardResponse{RequestId: s.id, Part: &peerv1.ForwardResponse_Head{Head: head}})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,9 +32,6 @@
 	// responseMemoryFraction is the fraction of the instance's memory that may be
 	// reserved for what is held of all responses together.
 	responseMemoryFraction = 0.01
-	// assumedRoundTrip is the round trip assumed between regions, which is not
-	// measured yet; it is the largest of the current deployments.
-	assumedRoundTrip = 120 * time.Millisecond
 	// unresponsiveFactor is the multiple of the first-byte objective, and
 	// unresponsiveFraction the fraction of the time left, after which a retryable
 	// request without a response is sent to another target. The later of the two
@@ -217,82 +214,3 @@
 	}
 	return choice, v, nil
 }
-
-// remoteRegions returns the other regions in which a call may run, each as its
-// most recently seen instance describes it.
-func (g *Gateway) remoteRegions(c *call, team *deployment.Team, exclude map[string]bool) []placement.RegionView {
-	newest := map[string]placement.RegionView{}
-	lastSeen := map[string]time.Time{}
-	for _, m := range g.Members.Members() {
-		region := m.Region()
-		if !m.Reachable || !m.Heartbeat.GetReady() || region == g.Settings.Region || exclude[region] || !deployment.RegionAllowed(c.route, team, region) || m.LastSeen.Before(lastSeen[region]) {
-			continue
-		}
-		r := placement.RegionView{Name: region, RoundTrip: assumedRoundTrip}
-		for _, p := range m.Heartbeat.GetPools() {
-			if p.GetService() == c.service {
-				r.Delay = time.Duration(p.GetDelayMs()) * time.Millisecond
-				r.FreeSlots = int(p.GetCapacity()) - int(p.GetRunning())
-			}
-		}
-		newest[region], lastSeen[region] = r, m.LastSeen
-	}
-	out := make([]placement.RegionView, 0, len(newest))
-	for _, r := range newest {
-		out = append(out, r)
-	}
-	return out
-}
-
-// canRetry reports whether another attempt may be made after f. It then takes the
-// retry from the budget, unless no failed attempt was counted so far.
-func (g *Gateway) canRetry(ctx context.Context, c *call, d *delivery, f *failure) bool {
-	switch {
-	case ctx.Err() != nil || c.failedAttempts >= maxAttempts || f.err.Code == result.CallerTooSlow:
-		return false
-	case d.started && (!c.route.Resumable || !d.resumable):
-		return false
-	case c.forwarded && f.err.Ran == result.MayHaveRun:
-		// The forwarding instance counts the targets that may have run the request.
-		// It would not learn of a second one if this response were interrupted.
-		return false
-	case c.possibleRuns > 0 && (!c.route.Retryable() || c.possibleRuns >= c.route.MaxTargets):
-		return false
-	}
-	if awaitConfirmCrash(ctx, f); ctx.Err() != nil {
-		return false
-	}
-	if f.err.Ran == result.MayHaveRun && g.Crashes.Suspected(c.suspects()) {
-		f.err.Message += "; not sent again, as a part of its prompt was lost in several crashes"
-		return false
-	}
-	return c.failedAttempts == 0 || g.RetryBudget.AllowRetry(c.service)
-}
-
-// finishFailed ends a call that gets no further attempt. It passes on the 5xx
-// response of a target if there is one. Otherwise it returns err, changed so that
-// it holds for all attempts together: it does not say "not run" if an earlier
-// attempt may have run.
-func (g *Gateway) finishFailed(c *call, d *delivery, last *failure, err error) error {
-	if b := d.fallback; b != nil && !d.started {
-		d.started, d.target = true, b.target
-		if err := d.sink.Head(b.status, b.header, int64(b.body.Len()), b.target); err != nil {
-			return sinkError{err}
-		}
-		if err := b.body.Each(d.sink.Data); err != nil {
-			return sinkError{err}
-		}
-		return nil
-	}
-	e := *result.FromError(err)
-	if c.possibleRuns > 0 && e.Ran == result.NotRun {
-		e = *last.err
-		if e.Ran == result.NotRun {
-			e = *result.New(result.TargetFailed, result.MayHaveRun, "an earlier attempt may have run")
-		}
-	}
-	if e.Ran == result.NotRun && e.RetryAfter == 0 && e.Code == result.NoTarget {
-		e.RetryAfter = notReadyRetryAfter
-	}
-	return &e
-}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -26,21 +26,13 @@
 	// nothing; they are longer than the timeouts that configurations allow callers.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
-	// defaultMaxHeader bounds the header of a request, and defaultMaxBody its body
-	// if the configuration sets no limit, both in bytes.
+	// defaultMaxHeader bounds the header of a request, in bytes.
 	defaultMaxHeader = 64 << 10
-	defaultMaxBody   = 4 << 20
-	// bodyMemoryFraction is the fraction of the instance's memory that the bodies
-	// of all requests together may take.
-	bodyMemoryFraction = 0.3
 	// defaultTimeout applies to requests for which the caller sets no timeout.
 	defaultTimeout = 30 * time.Second
 	// writeMargin is the time after the deadline in which the last bytes of a
 	// response may be written.
 	writeMargin = 500 * time.Millisecond
-	// initialBodyBuffer bounds the memory that is allocated for a body before it
-	// arrives, in bytes: Content-Length alone must not reserve more.
-	initialBodyBuffer = 64 << 10
 )
 
 // NewServer returns the HTTP server for callers.
@@ -127,59 +119,6 @@
 	return c, g.readBody(w, r, c, v.Config.Limits)
 }
 
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limits deployment.Limits) error {
-	limit := limits.MaxBody
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	tooLarge := result.New(result.BodyTooLarge, result.NotRun, "the body exceeds %d bytes", limit)
-	if r.ContentLength > limit {
-		return tooLarge
-	}
-	expectedSize := r.ContentLength
-	if expectedSize < 0 {
-		expectedSize = initialBodyBuffer
-	}
-	if float64(g.bufferedBodies.Load()+expectedSize) > bodyMemoryFraction*float64(g.Settings.MemoryBytes) {
-		return result.New(result.MemoryLimitReached, result.NotRun, "request bodies fill the memory for them").WithRetryAfter(notReadyRetryAfter)
-	}
-	if expectedSize == 0 {
-		return nil
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(c.deadline)
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), min(expectedSize, initialBodyBuffer))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	c.body = body
-	g.bufferedBodies.Add(int64(cap(body)))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return tooLarge
-	case err != nil && r.Context().Err() == nil && time.Now().After(c.deadline):
-		return result.New(result.CallerTooSlow, result.NotRun, "the body did not arrive in time")
-	case err != nil:
-		return result.New(result.BadRequest, result.NotRun, "the body could not be read: %v", err)
-	}
-	return nil
-}
-
-func readAll(r io.Reader, initialSize int64) ([]byte, error) {
-	body := make([]byte, 0, initialSize+1)
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
-	}
-}
-
 func stripPort(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		return h
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -7,22 +7,13 @@
 )
 
 const (
-	// firstEventSteps is the approximate number of decoding steps before the first
-	// event of a new request arrives: an event of a stream may contain several tokens.
-	firstEventSteps = 5
 	// maxDelayFraction is the fraction of the objective above which the expected
 	// delay causes a refusal: a request that would be late takes capacity from
 	// those that can still meet the objective.
 	maxDelayFraction = 0.8
-	// oldestWaitFraction times the wait of the oldest request at a target is the
-	// least delay expected for a new one.
-	oldestWaitFraction = 0.7
 	// localDelayFraction is the fraction of the objective up to which the local
 	// region is chosen without considering others.
 	localDelayFraction = 0.45
-	// remoteMargin is how much less the delay of another region must be than that
-	// of the local one.
-	remoteMargin = 150 * time.Millisecond
 	// cachedBonus is the additional delay accepted at a target that has the shared
 	// prefix cached, compared to one that must prefill it, as a fraction of the
 	// prefill time. It is the hysteresis of prefix ownership.
@@ -34,9 +25,6 @@
 	minRetryFraction = 0.25
 	retryJitter      = 0.6
 	maxRetryFraction = 0.3
-	// ownerDelayFraction is the fraction of the objective up to which a request goes
-	// to the prefix owner region.
-	ownerDelayFraction = 0.5
 	// fetchCost is the additional delay accepted at a target that has the shared
 	// prefix cached, compared to one that can fetch it. A fetch takes only a few
 	// milliseconds, but the transfer is charged for and evicts other parts.
@@ -99,17 +87,6 @@
 	Leaving bool
 }
 
-// RegionView is the reported state of another region.
-type RegionView struct {
-	Name string
-	// Delay is the delay that its instances expect at their best target; FreeSlots
-	// is the number of further requests that its targets can take.
-	Delay     time.Duration
-	FreeSlots int
-	// RoundTrip is the network round-trip time to the region.
-	RoundTrip time.Duration
-}
-
 // Choice is a placement decision: a target, another region, or a refusal with the
 // time after which capacity is expected.
 type Choice struct {
@@ -128,47 +105,6 @@
 	Reason     string
 }
 
-// LatencyModel holds the expected times of a service's targets.
-type LatencyModel struct {
-	// TokensPerMS is the prefill speed.
-	TokensPerMS float64
-	// StepMS is the time of a decoding step, and StepPerRequestMS what each request
-	// in the batch adds to it.
-	StepMS, StepPerRequestMS float64
-	// ServiceTimeMS is the processing time of one request at a plain service.
-	ServiceTimeMS float64
-	// FetchTokensPerMS is the speed at which a target copies prompt parts from
-	// another target; 0 if it cannot.
-	FetchTokensPerMS float64
-}
-
-// Delay returns the expected time to the first byte at t. fetch is set if t copies
-// the shared prefix from another target.
-func (m *LatencyModel) Delay(q *Query, t *TargetView, fetch bool) time.Duration {
-	var ms float64
-	if t.Engine {
-		tokens := q.PromptTokens + t.PendingTokens
-		switch shared := min(q.PrefixTokens, q.PromptTokens); {
-		case t.Cached:
-			tokens -= shared
-		case fetch:
-			tokens -= shared
-			ms += float64(shared) / m.FetchTokensPerMS
-		}
-		ms += float64(tokens)/m.TokensPerMS + firstEventSteps*(m.StepMS+m.StepPerRequestMS*float64(min(t.Running, t.Slots)))
-		if ahead := t.Running + 1 - t.Slots; ahead > 0 {
-			ms += float64(ahead) * float64(t.HoldTime.Milliseconds()) / float64(max(t.Slots, 1))
-		}
-	} else {
-		queued := max(t.Running+1-t.Slots, 0)
-		ms = m.ServiceTimeMS * (1 + float64(queued)/float64(max(t.Slots, 1)))
-		// Targets slow down slightly with each running request. The term also
-		// distributes light load over the targets.
-		ms += 0.2 * m.ServiceTimeMS * float64(t.Running) / float64(max(t.Slots, 1))
-	}
-	return max(time.Duration(ms*max(t.Slowdown, 0.05)*float64(time.Millisecond)), time.Duration(oldestWaitFraction*float64(t.OldestWait)))
-}
-
 // Choose returns where the request should run.
 func Choose(q *Query, targets []TargetView, regions []RegionView, m *LatencyModel) Choice {
 	if r := prefixOwnerRegion(q, targets, regions); r != nil {
@@ -194,26 +130,6 @@
 	return Choice{Delay: local.Delay, RetryAfter: retryAfter(q, local.Delay, q.Jitter), Reason: "no place in time"}
 }
 
-// prefixOwnerRegion returns the region of the prefix owner if it has free slots and
-// an acceptable delay, and if no local target that may be used has the prefix cached.
-func prefixOwnerRegion(q *Query, targets []TargetView, regions []RegionView) *RegionView {
-	if q.PrefixOwnerRegion == "" {
-		return nil
-	}
-	for i := range targets {
-		if targets[i].Cached && !targets[i].Full && q.LocalAllowed {
-			return nil
-		}
-	}
-	for i := range regions {
-		r := &regions[i]
-		if r.Name == q.PrefixOwnerRegion && r.FreeSlots > 0 && r.Delay+r.RoundTrip < time.Duration(ownerDelayFraction*float64(q.Objective)) {
-			return r
-		}
-	}
-	return nil
-}
-
 // retryAfter returns the delay after which a refused request should be retried: when
 // the requests ahead of it are expected to be done, but no sooner than a fraction of
 // the objective, since an immediate retry meets the same queue. jitter, from 0 to 1,
@@ -266,11 +182,6 @@
 	return best
 }
 
-// prefillTime returns the time to prefill the shared prefix.
-func prefillTime(q *Query, m *LatencyModel) time.Duration {
-	return time.Duration(float64(q.PrefixTokens) / m.TokensPerMS * float64(time.Millisecond))
-}
-
 // lastCached returns the target that has used the shared prefix most recently;
 // empty if none is known to have it cached.
 func lastCached(targets []TargetView) string {
@@ -301,14 +212,3 @@
 	}
 	return owner
 }
-
-func bestRegion(regions []RegionView) *RegionView {
-	var best *RegionView
-	for i := range regions {
-		r := &regions[i]
-		if r.FreeSlots > 0 && (best == nil || r.Delay+r.RoundTrip < best.Delay+best.RoundTrip) {
-			best = r
-		}
-	}
-	return best
-}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -10,12 +10,6 @@
 )
 
 const (
-	// defaultTokensPerMS, defaultStepMS and defaultStepPerRequestMS describe a typical
-	// engine. The slowdown of each target corrects them.
-	defaultTokensPerMS      = 30
-	defaultStepMS           = 5.0
-	defaultStepPerRequestMS = 0.15
-	defaultServiceTimeMS    = 30
 	// plainCapacityFactor is the capacity of a plain target as a multiple of its
 	// slots: a second batch keeps the target busy, a third would only wait.
 	plainCapacityFactor = 2
@@ -146,15 +140,6 @@
 	return defaultHoldTime
 }
 
-// LatencyModelOf returns the latency model of a service.
-func LatencyModelOf(s *deployment.Service) *LatencyModel {
-	m := &LatencyModel{TokensPerMS: defaultTokensPerMS, StepMS: defaultStepMS, StepPerRequestMS: defaultStepPerRequestMS, ServiceTimeMS: defaultServiceTimeMS}
-	if s.Engine != nil && s.Engine.KVBytesPerToken > 0 && s.Engine.LinkBytesPerSecond > 0 {
-		m.FetchTokensPerMS = s.Engine.LinkBytesPerSecond / s.Engine.KVBytesPerToken / 1000
-	}
-	return m
-}
-
 // SharedPrefix returns the key and the tokens of the shared prefix of a prompt: all
 // parts except the last, which is specific to the request. The key is the ID of the
 // largest part. It returns "" and 0 if the prefix is too short.
