--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,7 +207,7 @@
 		regions = g.remoteRegions(c, team, exclude)
 		q.PrefixOwnerRegion = g.Tracker.PrefixOwnerRegion(v, c.service, q.PrefixKey, func(region string) bool { return deployment.RegionAllowed(c.route, team, region) })
 	}
-	choice := placement.Choose(q, targets, regions, placement.LatencyModelOf(v.Config.Services[c.service]))
+	choice := placement.Choose(q, targets, regions, g.Tracker.Model(v.Config.Services[c.service]))
 	if choice.Target == "" && choice.Region == "" {
 		return choice, v, result.New(result.NoSlot, result.NotRun, "no place in time: %d targets here, %d other regions, expected delay %s",
 			len(targets), len(regions), choice.Delay.Round(time.Millisecond)).WithRetryAfter(choice.RetryAfter)
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -160,7 +160,7 @@
 		}
 	}
 	if p.Capacity > 0 {
-		p.DelayMs = uint32(bestTarget(&Query{LocalAllowed: true}, targets, LatencyModelOf(s)).Delay.Milliseconds())
+		p.DelayMs = uint32(bestTarget(&Query{LocalAllowed: true}, targets, t.Model(s)).Delay.Milliseconds())
 	}
 	return p
 }
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -38,6 +38,9 @@
 	FetchTokensPerMS float64
 }
 
+// Model returns the latency model of a service.
+func (t *Tracker) Model(s *deployment.Service) *LatencyModel { return LatencyModelOf(s) }
+
 // LatencyModelOf returns the latency model of a service.
 func LatencyModelOf(s *deployment.Service) *LatencyModel {
 	m := &LatencyModel{TokensPerMS: defaultTokensPerMS, StepMS: defaultStepMS, StepPerRequestMS: defaultStepPerRequestMS, ServiceTimeMS: defaultServiceTimeMS}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -289,7 +289,7 @@
 	}
 	running, pending := st.load()
 	view := TargetView{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Slowdown: 1, Cached: c.Cached}
-	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, expected: LatencyModelOf(s).Delay(q, &view, c.FetchFrom != "")}
+	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, expected: t.Model(s).Delay(q, &view, c.FetchFrom != "")}
 	if s.Engine != nil {
 		a.pending = q.PromptTokens
 		if c.Cached || c.FetchFrom != "" {
