--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -36,4 +36,5 @@
 	SettingsReloaded        = define(841, "settings reloaded", zapcore.InfoLevel, "the settings file changed; seeds apply now, other fields at the next start")
 	SettingsRejected        = define(842, "settings rejected", zapcore.ErrorLevel, "the settings file has errors; the settings in force stay")
 	ProcessResumed          = define(843, "process resumed", zapcore.WarnLevel, "the process was frozen or its machine suspended; targets count as warming up until their list has been read")
+	TargetConnectionStray   = define(880, "target sent stray bytes", zapcore.WarnLevel, "a target sent bytes that belong to no request on a connection that was kept for further requests; the connection was closed")
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,7 +105,7 @@
 
 // exchange sends a call to a target and passes the response on.
 func (g *Gateway) exchange(ctx context.Context, c *call, entry *catalog.Entry, v *catalog.View, d *delivery, fetchFrom string, tracked *placement.Attempt, onFirstByte func()) *failure {
-	resp, f := g.send(ctx, c, entry, v.Config.Teams[c.team], d.lastEventID, fetchFrom, tracked)
+	resp, f := g.send(ctx, c, entry, v, d.lastEventID, fetchFrom, tracked)
 	if f != nil {
 		return f
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -21,6 +23,14 @@
 // forwarded the request.
 const maxForwardDataBytes = 16 << 10
 
+// Names of headers that carry, to another instance, what need not be UTF-8 and
+// therefore does not always fit into the string field for it. No header of a caller
+// has such a name.
+const (
+	pathField        = ":path"
+	resumeAfterField = ":resume-after"
+)
+
 // forward sends a call to an instance of another region and waits for the head of
 // the response.
 func (g *Gateway) forward(ctx context.Context, c *call, region, lastEventID string) (*targetResponse, *failure) {
@@ -33,7 +43,7 @@
 	stream, err := g.Clients.Client(address).Forward(conn.trace(ctx), connect.NewRequest(g.forwardRequest(c, lastEventID)))
 	if err == nil {
 		var head *peerv1.Head
-		respBody := &forwardBody{stream: stream, requestID: c.ID, cancel: cancel}
+		respBody := &forwardBody{stream: stream, requestID: hopID(c), cancel: cancel}
 		if head, err = respBody.head(); err == nil {
 			h := http.Header{}
 			for _, p := range head.GetHeaders() {
@@ -52,10 +62,12 @@
 
 func (g *Gateway) forwardRequest(c *call, lastEventID string) *peerv1.ForwardRequest {
 	req := &peerv1.ForwardRequest{
-		From: g.Self, RequestId: c.ID, Hop: 1, Team: c.team, Method: c.method, Host: c.host, Path: c.path, Body: c.body,
+		From: g.Self, RequestId: hopID(c), Hop: 1, Team: c.team, Method: c.method, Host: c.host, Body: c.body,
 		RemainingMs: uint32(max(time.Until(c.deadline).Milliseconds(), 1)), Route: c.route.Name, Attempt: uint32(c.possibleRuns),
-		ResumeAfter: lastEventID,
 	}
+	// An instance of an earlier version finds no route for a path that is not UTF-8.
+	setText(req, &req.Path, pathField, c.path)
+	setText(req, &req.ResumeAfter, resumeAfterField, lastEventID)
 	for name, values := range c.header {
 		for _, v := range values {
 			req.Headers = append(req.Headers, &peerv1.Header{Name: name, Value: []byte(v)})
@@ -64,6 +76,27 @@
 	return req
 }
 
+// hopID returns the id by which the messages of the hop refer to a call.
+func hopID(c *call) string { return strings.ToValidUTF8(c.ID, "?") }
+
+// setText sets a field of req to value, or adds a header if value is not UTF-8.
+func setText(req *peerv1.ForwardRequest, field *string, header, value string) {
+	if utf8.ValidString(value) {
+		*field = value
+		return
+	}
+	req.Headers = append(req.Headers, &peerv1.Header{Name: header, Value: []byte(value)})
+}
+
+// takeText returns what setText has set, and removes the header from h.
+func takeText(h http.Header, field, header string) string {
+	if values := h[header]; len(values) > 0 {
+		field = values[0]
+		delete(h, header)
+	}
+	return field
+}
+
 // forwardStream is the receiving side of the response to a forwarded request.
 type forwardStream interface {
 	Receive() bool
@@ -175,9 +208,10 @@
 	for _, x := range msg.GetHeaders() {
 		h.Add(x.GetName(), string(x.GetValue()))
 	}
+	path, lastEventID := takeText(h, msg.GetPath(), pathField), takeText(h, msg.GetResumeAfter(), resumeAfterField)
 	now := time.Now()
 	c := &call{
-		Request: platform.ParseRequest(h), host: msg.GetHost(), method: msg.GetMethod(), path: msg.GetPath(), header: h, body: msg.GetBody(),
+		Request: platform.ParseRequest(h), host: msg.GetHost(), method: msg.GetMethod(), path: path, header: h, body: msg.GetBody(),
 		team: msg.GetTeam(), arrived: now, deadline: now.Add(time.Duration(msg.GetRemainingMs()) * time.Millisecond),
 		possibleRuns: int(msg.GetAttempt()), forwarded: true,
 	}
@@ -185,9 +219,9 @@
 	defer cancel()
 	ctx, stop := p.Gateway.untilCutoff(ctx)
 	defer stop()
-	d := &delivery{sink: &forwardSink{stream: stream, id: c.ID}}
+	d := &delivery{sink: &forwardSink{stream: stream, id: msg.GetRequestId()}}
 	defer d.close()
-	d.lastEventID = msg.GetResumeAfter()
+	d.lastEventID = lastEventID
 	tail := &peerv1.Tail{}
 	err := p.Gateway.refusal()
 	if err == nil {
@@ -195,11 +229,11 @@
 	}
 	if err != nil {
 		e := result.FromError(err)
-		tail = &peerv1.Tail{Code: uint32(e.Code), MayHaveRun: e.Ran == result.MayHaveRun, Message: e.Message, RetryAfterMs: uint32(e.RetryAfter.Milliseconds())}
+		tail = &peerv1.Tail{Code: uint32(e.Code), MayHaveRun: e.Ran == result.MayHaveRun, Message: strings.ToValidUTF8(e.Message, "?"), RetryAfterMs: uint32(e.RetryAfter.Milliseconds())}
 		p.Gateway.Log.Emit(failureEvent(e), zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.Stringer("ran", e.Ran),
 			zap.String("from", msg.GetFrom().GetInstance()), zap.String("reason", e.Message), zap.String("framing", string(d.framing)))
 	}
-	return stream.Send(&peerv1.ForwardResponse{RequestId: c.ID, Part: &peerv1.ForwardResponse_Tail{Tail: tail}})
+	return stream.Send(&peerv1.ForwardResponse{RequestId: msg.GetRequestId(), Part: &peerv1.ForwardResponse_Tail{Tail: tail}})
 }
 
 // FetchEdition implements peerv1connect.PeerHandler. The text of the response is a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/quota"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
+	"github.com/wigeonhill/wigeonhill/internal/targetconn"
 )
 
 const (
@@ -64,11 +65,12 @@
 // Gateway serves the requests of callers, and those that other instances forward.
 type Gateway struct {
 	Config
-	targetTransport http.RoundTripper
-	bufferedBodies  atomic.Int64 // capacity of the buffers for callers' request bodies, in bytes
-	responseMemory  *dispatch.MemoryBudget
-	draining        atomic.Bool
-	refusing        atomic.Bool // the last part of the drain, without new requests
+	targetConns    *targetconn.Pool
+	targetShare    connShare
+	bufferedBodies atomic.Int64 // capacity of the buffers for callers' request bodies, in bytes
+	responseMemory *dispatch.MemoryBudget
+	draining       atomic.Bool
+	refusing       atomic.Bool // the last part of the drain, without new requests
 	// cutoff ends shortly before the drain does.
 	cutoff          context.Context
 	cutOff          context.CancelFunc
@@ -78,7 +80,8 @@
 
 // New returns a Gateway that uses the settings and dependencies in cfg.
 func New(cfg Config) *Gateway {
-	g := &Gateway{Config: cfg, targetTransport: newTargetTransport()}
+	g := &Gateway{Config: cfg}
+	g.targetConns = g.newTargetConns()
 	g.responseMemory = dispatch.NewMemoryBudget(settings.Bounds{ProcessBuffer: int64(responseMemoryFraction * float64(cfg.Settings.MemoryBytes))})
 	g.cutoff, g.cutOff = context.WithCancel(context.Background())
 	return g
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,7 @@
 	responses     *prometheus.CounterVec
 	expectedDelay prometheus.Histogram
 	sendDelay     prometheus.Histogram
+	connections   *prometheus.CounterVec
 }
 
 // NewMetrics returns the metrics of requests, registered with r.
@@ -49,7 +50,8 @@
 		expectedDelay: prometheus.NewHistogram(histogram("expected_delay_seconds", "Delay that the choice of a place expected.")),
 		sendDelay:     prometheus.NewHistogram(histogram("send_delay_seconds", "Time from the choice of a target until the request was written to it.")),
 	}
-	r.MustRegister(m.requests, m.firstByte, m.fullResponse, m.streamGap, m.attempts, m.responses, m.expectedDelay, m.sendDelay)
+	m.connections = prometheus.NewCounterVec(counter("target_requests_total", "Requests sent to targets by connection: new or reused."), []string{"connection"})
+	r.MustRegister(m.connections, m.requests, m.firstByte, m.fullResponse, m.streamGap, m.attempts, m.responses, m.expectedDelay, m.sendDelay)
 	return m
 }
 
@@ -91,6 +93,15 @@
 	m.expectedDelay.Observe(expected.Seconds())
 }
 
+// recordConnection records on which kind of connection a request is sent to a target.
+func (m *Metrics) recordConnection(reused bool) {
+	kind := "new"
+	if reused {
+		kind = "reused"
+	}
+	m.connections.WithLabelValues(kind).Inc()
+}
+
 // recordResponse records a response that a target or another region had begun. f
 // is the failure to pass it on, nil if it is complete.
 func (m *Metrics) recordResponse(fr framing, f *failure) {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -48,9 +48,12 @@
 	}
 	e := *result.FromError(err)
 	if c.possibleRuns > 0 && e.Ran == result.NotRun {
-		e = *last.err
-		if e.Ran == result.NotRun {
-			e = *result.New(result.TargetFailed, result.MayHaveRun, "an earlier attempt may have run")
+		// There is no last failure if the attempt was made at the instance that
+		// forwarded the request.
+		if last != nil && last.err.Ran == result.MayHaveRun {
+			e = *last.err
+		} else {
+			e = *result.New(result.TargetFailed, result.MayHaveRun, "an earlier attempt may have run: %s", e.Message)
 		}
 	}
 	if e.Ran == result.NotRun && e.RetryAfter == 0 && e.Code == result.NoTarget {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -39,15 +39,29 @@
 func (g *Gateway) NewServer() *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
+	e.Pre(withPath)
 	e.RouteNotFound("/*", g.handleRequest)
 	return &http.Server{
 		Handler: httpframing.Handler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeader,
-		ConnContext: httpframing.ConnContext,
+		// OPTIONS for "*" has no route like every other request of that form.
+		DisableGeneralOptionsHandler: true,
+		ConnContext:                  httpframing.ConnContext,
 		// Errors of callers' connections would fill the log.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
 }
 
+// withPath gives echo a path for request targets without one, which it would answer
+// itself otherwise. handleRequest reads the target as it was sent.
+func withPath(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if u := c.Request().URL; !strings.HasPrefix(u.Path, "/") {
+			u.Path, u.RawPath = "/", ""
+		}
+		return next(c)
+	}
+}
+
 // Listen opens a TCP listener with keep-alive probes on its connections.
 func Listen(address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{KeepAliveConfig: keepAlive}).Listen(context.Background(), "tcp", address)
@@ -100,7 +114,7 @@
 func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request) (*call, error) {
 	now := time.Now()
 	c := &call{
-		Request: platform.ParseRequest(r.Header), host: stripPort(r.Host), method: r.Method, path: r.RequestURI,
+		Request: platform.ParseRequest(r.Header), host: stripPort(r.Host), method: r.Method, path: pathAndQuery(r.RequestURI),
 		header: platform.ForwardedRequestHeaders(r.Header), arrived: now,
 	}
 	c.keyHash, c.APIKey = hashAPIKey(c.APIKey), ""
@@ -119,6 +133,28 @@
 	return c, g.readBody(w, r, c, v.Config.Limits)
 }
 
+// pathAndQuery returns the path and query of a request target as the caller sent
+// them. The absolute form, which callers send to proxies, names the host too (RFC 9112,
+// 3.2.2). A target of another form ("*" or an authority) is returned unchanged and
+// has no route.
+func pathAndQuery(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	scheme, rest, ok := strings.Cut(target, "://")
+	if !ok || !strings.EqualFold(scheme, "http") && !strings.EqualFold(scheme, "https") {
+		return target
+	}
+	i := strings.IndexAny(rest, "/?")
+	switch {
+	case i < 0:
+		return "/"
+	case rest[i] == '?':
+		return "/" + rest[i:]
+	}
+	return rest[i:]
+}
+
 func stripPort(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		return h
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -1,14 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -19,9 +15,9 @@
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
-	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/targetconn"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
@@ -30,18 +26,53 @@
 	targetDialTimeout = 500 * time.Millisecond
 	// maxTargetHeadBytes bounds the head of a target's response.
 	maxTargetHeadBytes = 16 << 10
+	// defaultIdleTargetConns bounds the idle connections to all targets together, each
+	// of which takes about 5 KB. idleDescriptorDivisor is the fraction of the file
+	// descriptors that they may take at most.
+	defaultIdleTargetConns = 256
+	idleDescriptorDivisor  = 16
+	// connSharePeriod is how long the number of instances that share a target is used.
+	connSharePeriod = time.Second
 )
 
 // keepAlive detects a peer that lost its power or its link within about three
 // seconds, also while the connection is idle.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 700 * time.Millisecond, Count: 3}
 
-// newTargetTransport returns a transport that opens a connection for each request.
-// If a reused connection is closed by the target just as a request is sent, or
-// carries a late response to an earlier request, the outcome of the request would
-// be unknown for no reason.
-func newTargetTransport() *http.Transport {
-	return httpclient.NewTransport(httpclient.Config{ConnectTimeout: targetDialTimeout, KeepAlive: keepAlive, MaxHead: maxTargetHeadBytes})
+// newTargetConns returns the pool of connections to targets.
+func (g *Gateway) newTargetConns() *targetconn.Pool {
+	idle := defaultIdleTargetConns
+	if d := g.Settings.MaxDescriptors; d > 0 {
+		idle = min(idle, d/idleDescriptorDivisor)
+	}
+	return targetconn.New(targetconn.Config{
+		ConnectTimeout: targetDialTimeout, KeepAlive: keepAlive, MaxHead: maxTargetHeadBytes, MaxIdle: idle,
+		OnStray: func(address string) { g.Log.Emit(event.TargetConnectionStray, zap.String("address", address)) },
+	})
+}
+
+// connShare caches the number of instances of the local region.
+type connShare struct{ instances, expires atomic.Int64 }
+
+// maxKeptConns returns how many connections to a target of the service this instance
+// may have for one more to be kept: its share of half of the bound. The other half is
+// left to new connections and to instances that this one does not hear.
+func (g *Gateway) maxKeptConns(s *deployment.Service) int {
+	if s == nil || s.MaxConns <= 0 {
+		return 0
+	}
+	now := time.Now()
+	if now.UnixNano() >= g.targetShare.expires.Load() {
+		n := int64(1)
+		for _, m := range g.Members.Members() {
+			if m.Reachable && m.Region() == g.Settings.Region {
+				n++
+			}
+		}
+		g.targetShare.instances.Store(n)
+		g.targetShare.expires.Store(now.Add(connSharePeriod).UnixNano())
+	}
+	return s.MaxConns / 2 / int(g.targetShare.instances.Load())
 }
 
 // connTracker records whether a connection was obtained for a request, after which
@@ -52,35 +83,31 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.Store(true) }})
 }
 
-// traceSend returns a trace that records how long the request takes from now until
-// it is written, and tells tracked about that.
-func (g *Gateway) traceSend(tracked *placement.Attempt) *httptrace.ClientTrace {
-	chosenAt := time.Now()
-	return &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
-		g.Metrics.sendDelay.Observe(time.Since(chosenAt).Seconds())
-		tracked.Sent(time.Now())
-	}}
-}
-
 // send sends a call to a target and waits for the head of the response.
-func (g *Gateway) send(ctx context.Context, c *call, entry *catalog.Entry, team *deployment.Team, lastEventID, fetchFrom string, tracked *placement.Attempt) (*targetResponse, *failure) {
+func (g *Gateway) send(ctx context.Context, c *call, entry *catalog.Entry, v *catalog.View, lastEventID, fetchFrom string, tracked *placement.Attempt) (*targetResponse, *failure) {
 	var conn connTracker
-	ctx = httptrace.WithClientTrace(conn.trace(ctx), g.traceSend(tracked))
-	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+entry.Address, requestBody(c.body))
-	if err != nil {
-		return nil, notRunFailure(placement.Inconclusive, true, "the request cannot be passed on: %v", err)
+	chosenAt := time.Now()
+	trace := targetconn.Trace{
+		Sending: func(reused bool) {
+			conn.Store(true)
+			g.Metrics.recordConnection(reused)
+		},
+		Sent: func() {
+			g.Metrics.sendDelay.Observe(time.Since(chosenAt).Seconds())
+			tracked.Sent(time.Now())
+		},
 	}
-	path, query, hasQuery := strings.Cut(c.path, "?")
-	req.URL = &url.URL{Scheme: "http", Host: entry.Address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
-	req.Host = c.host
-	req.ContentLength = int64(len(c.body))
-	req.Header = c.header.Clone()
+	team := v.Config.Teams[c.team]
 	headers := platform.TargetHeaders{TargetID: entry.ID, Timeout: time.Until(c.deadline), Priority: c.route.PriorityFor(team), LastEventID: lastEventID, FetchFrom: fetchFrom}
 	if !c.route.Open {
 		headers.Team = c.team
 	}
-	platform.SetTargetHeaders(req.Header, headers)
-	resp, err := g.targetTransport.RoundTrip(req)
+	h := c.header.Clone()
+	platform.SetTargetHeaders(h, headers)
+	resp, err := g.targetConns.RoundTrip(ctx, entry.Address, &targetconn.Request{
+		Method: c.method, Target: c.path, Host: c.host, Header: h, Body: c.body, IDHeader: platform.RequestIDHeader,
+		MaxConns: g.maxKeptConns(v.Config.Services[c.service]),
+	}, trace)
 	if err != nil {
 		return nil, sendFailure(ctx, &conn, err)
 	}
@@ -94,23 +121,19 @@
 	return &targetResponse{status: resp.StatusCode, header: resp.Header, body: resp.Body, target: entry.ID, framing: framingOf(resp)}, nil
 }
 
-// requestBody returns a reader of b whose type net/http does not know, so that it
-// cannot replay the body and send the request again by itself.
-func requestBody(b []byte) io.Reader {
-	if len(b) == 0 {
-		return http.NoBody
-	}
-	return struct{ io.Reader }{bytes.NewReader(b)}
-}
-
 func sendFailure(ctx context.Context, conn *connTracker, err error) *failure {
 	switch {
 	case !conn.Load() && ctx.Err() != nil:
 		return notRunFailure(placement.Inconclusive, true, "no connection to the target: %v", context.Cause(ctx))
 	case !conn.Load() && errors.Is(err, syscall.ECONNREFUSED):
 		return notRunFailure(placement.Refused, true, "no connection to the target: %v", err)
+	case !conn.Load() && targetconn.OutOfDescriptors(err), errors.Is(err, targetconn.ErrInvalidRequest):
+		// This is about the instance or the request, not about the target.
+		return notRunFailure(placement.Inconclusive, true, "no connection to the target: %v", err)
 	case !conn.Load():
 		return notRunFailure(placement.Unreachable, true, "no connection to the target: %v", err)
+	case errors.Is(err, targetconn.ErrForeignResponse):
+		return mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "%v", err)
 	case ctx.Err() != nil:
 		return mayHaveRunFailure(placement.Inconclusive, result.TargetTimeout, "the target did not answer: %v", context.Cause(ctx))
 	}
--- a/internal/instance/endless_memory_test.go
+++ b/internal/instance/endless_memory_test.go
@@ -48,7 +48,7 @@
 const endlessHeaders = "X-Request-Id: %s\r\nX-Response-Signature: s\r\n"
 
 // newEndlessTarget starts a target that responds like the response number kind.
-func newEndlessTarget(t *testing.T, id string, kind int) *endlessTarget {
+func newEndlessTarget(t testing.TB, id string, kind int) *endlessTarget {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -122,7 +122,7 @@
 
 // memoryProcess is an instance whose memory is measured.
 type memoryProcess struct {
-	t        *testing.T
+	t        testing.TB
 	pid      int
 	address  string
 	baseline int64
@@ -340,7 +340,7 @@
 
 // sendEndlessRequest sends a request and waits for the end of the response. Every
 // second caller does not read it.
-func sendEndlessRequest(t *testing.T, address string, n int) {
+func sendEndlessRequest(t testing.TB, address string, n int) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Error(err)
--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -41,7 +41,7 @@
 	revision int64
 }
 
-func newFakeStore(t *testing.T) *fakeStore {
+func newFakeStore(t testing.TB) *fakeStore {
 	s := &fakeStore{items: map[string]string{}, changed: make(chan struct{}), revision: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.readRange)
@@ -154,7 +154,7 @@
 	handler func(w http.ResponseWriter, r *http.Request) bool
 }
 
-func newFakeTarget(t *testing.T, id string) *fakeTarget {
+func newFakeTarget(t testing.TB, id string) *fakeTarget {
 	target := &fakeTarget{id: id}
 	target.Server = httptest.NewServer(target)
 	t.Cleanup(target.Close)
@@ -213,7 +213,7 @@
 
 // testDeployment is a deployment on loopback addresses.
 type testDeployment struct {
-	t     *testing.T
+	t     testing.TB
 	store *fakeStore
 	port  int
 	// nextIP is the last byte of the next instance's IP address.
@@ -238,7 +238,7 @@
 // network and ports.
 var deploymentCount atomic.Int32
 
-func newTestDeployment(t *testing.T) *testDeployment {
+func newTestDeployment(t testing.TB) *testDeployment {
 	d := &testDeployment{t: t, store: newFakeStore(t), nextIP: 1, port: 21000 + 20*int(deploymentCount.Add(1)), memoryMB: 284}
 	return d
 }
@@ -375,7 +375,7 @@
 
 // eventually waits until check returns true. The test fails after 2000 calls of
 // check, 10 ms apart.
-func eventually(t *testing.T, what string, check func() bool) {
+func eventually(t testing.TB, what string, check func() bool) {
 	t.Helper()
 	for range 2000 {
 		if check() {
