--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -84,6 +84,7 @@
 	view  atomic.Pointer[View]
 	// refresh receives a value if the list of targets is to be read at once.
 	refresh chan struct{}
+	newer   newerState
 	mu      struct {
 		sync.Mutex
 		published, targets storeHealth
@@ -263,6 +264,9 @@
 		v.PublishedState, v.PublishedRevision = p, revision
 	})
 	m.logPublished(before, after)
+	if before.PublishedRevision != after.PublishedRevision {
+		m.notifyPublished()
+	}
 	if before.PublishedChange != after.PublishedChange {
 		m.peers.AnnounceChange()
 	}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,17 +42,21 @@
 }
 
 // pollPeers takes newer state from other instances while the store is
-// unreachable or enough other instances read it.
+// unreachable or enough other instances read it. Otherwise it takes it only if the
+// published state changed later than the store has confirmed it here: a call that the
+// store does not answer fails after seconds only, and until then this instance would
+// decide by an older version than others.
 func (m *Manager) pollPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerPollInterval)
-		if !m.stale() && !m.peers.EnoughReaders() {
-			continue
-		}
 		begun := m.now()
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
 		v := m.Current()
-		snapshot, from, err := m.peers.FetchSnapshot(call, ChangeRevisions{v.PublishedChange, v.TargetsChange})
+		have := ChangeRevisions{v.PublishedChange, v.TargetsChange}
+		if !m.stale() && !m.peers.EnoughReaders() {
+			have = ChangeRevisions{v.PublishedRevision, math.MaxInt64}
+		}
+		snapshot, from, err := m.peers.FetchSnapshot(call, have)
 		cancel()
 		switch {
 		case err != nil: // the next check retries, possibly at another peer
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -37,4 +37,5 @@
 	SettingsRejected        = define(842, "settings rejected", zapcore.ErrorLevel, "the settings file has errors; the settings in force stay")
 	ProcessResumed          = define(843, "process resumed", zapcore.WarnLevel, "the process was frozen or its machine suspended; targets count as warming up until their list has been read")
 	TargetConnectionStray   = define(880, "target sent stray bytes", zapcore.WarnLevel, "a target sent bytes that belong to no request on a connection that was kept for further requests; the connection was closed")
+	HopNeededNewerState     = define(885, "newer state needed for a hop", zapcore.InfoLevel, "the other instance of a hop decided by a later change to the published state than was known here; fields tell whether the state was received in time. Without it, a forwarded request is refused as not run")
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,7 +44,7 @@
 	defer cancel(nil)
 	if choice.Region != "" {
 		d.remoteRegion, d.expectedDelay, d.onResponding = choice.Region, choice.Delay, nil
-		resp, f := g.forward(ctx, c, choice.Region, d.lastEventID)
+		resp, f := g.forward(ctx, v, c, choice.Region, d.lastEventID)
 		if f != nil {
 			return f
 		}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -12,6 +13,8 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
@@ -29,18 +32,64 @@
 const (
 	pathField        = ":path"
 	resumeAfterField = ":resume-after"
+	// publishedChangeField is a header of a response: the store revision of the last
+	// change to the published state by which the request was decided, if the sender
+	// knew an earlier one only.
+	publishedChangeField = ":published-change"
+)
+
+const (
+	// maxHopInstances bounds the instances of a region that are asked to run a request
+	// in one attempt; each refusal costs a round trip.
+	maxHopInstances = 2
+	// maxHopPicks bounds the random picks for an instance other than the first one.
+	maxHopPicks = 8
 )
 
 // forward sends a call to an instance of another region and waits for the head of
-// the response.
-func (g *Gateway) forward(ctx context.Context, c *call, region, lastEventID string) (*targetResponse, *failure) {
-	address, ok := g.pickInstance(region)
-	if !ok {
-		return nil, notRunFailure(placement.Inconclusive, true, "no instance of region %s is reachable", region)
+// the response. If the instance refuses it, another one of the region is tried.
+func (g *Gateway) forward(ctx context.Context, v *catalog.View, c *call, region, lastEventID string) (*targetResponse, *failure) {
+	refusedBy := ""
+	var refusal *failure
+	for range maxHopInstances {
+		address, ok := g.pickOtherInstance(region, refusedBy)
+		if !ok {
+			break
+		}
+		resp, f := g.forwardTo(ctx, address, v, c, lastEventID)
+		if f == nil || !refusedByInstance(f) {
+			return resp, f
+		}
+		refusedBy, refusal = address, f
+	}
+	if refusal != nil {
+		return nil, refusal
 	}
+	return nil, notRunFailure(placement.Inconclusive, true, "no instance of region %s is reachable", region)
+}
+
+// pickOtherInstance returns the address of an instance of a region other than the one
+// given.
+func (g *Gateway) pickOtherInstance(region, except string) (address string, ok bool) {
+	for range maxHopPicks {
+		if address, ok = g.pickInstance(region); !ok || address != except {
+			return address, ok
+		}
+	}
+	return "", false
+}
+
+// refusedByInstance reports whether f is the refusal of another instance for a reason
+// of its own, so that another one of its region may run the request.
+func refusedByInstance(f *failure) bool {
+	return f.err.Ran == result.NotRun && (f.err.Code == result.HopRefused || f.err.Code == result.NotReady || f.err.Code == result.ShuttingDown)
+}
+
+// forwardTo sends a call to the instance at address.
+func (g *Gateway) forwardTo(ctx context.Context, address string, v *catalog.View, c *call, lastEventID string) (*targetResponse, *failure) {
 	ctx, cancel := context.WithCancel(ctx)
 	var conn connTracker
-	stream, err := g.Clients.Client(address).Forward(conn.trace(ctx), connect.NewRequest(g.forwardRequest(c, lastEventID)))
+	stream, err := g.Clients.Client(address).Forward(conn.trace(ctx), connect.NewRequest(g.forwardRequest(c, v, lastEventID)))
 	if err == nil {
 		var head *peerv1.Head
 		respBody := &forwardBody{stream: stream, requestID: hopID(c), cancel: cancel}
@@ -49,6 +98,7 @@
 			for _, p := range head.GetHeaders() {
 				h.Add(p.GetName(), string(p.GetValue()))
 			}
+			g.followInstance(address, takeText(h, "", publishedChangeField))
 			return &targetResponse{status: int(head.GetStatus()), header: h, body: respBody, target: head.GetTarget(), framing: tailFraming}, nil
 		}
 		_ = respBody.Close()
@@ -60,10 +110,42 @@
 	return nil, sendFailure(ctx, &conn, err)
 }
 
-func (g *Gateway) forwardRequest(c *call, lastEventID string) *peerv1.ForwardRequest {
+// followInstance fetches the published state of the instance at address in the
+// background if it has decided a forwarded request by a later change than is known
+// here. Otherwise the next request of the same caller could be decided by the older
+// version.
+func (g *Gateway) followInstance(address, publishedChange string) {
+	change, err := strconv.ParseInt(publishedChange, 10, 64)
+	if err != nil || g.Catalog.HasPublished(change) {
+		return
+	}
+	go g.ensurePublished(context.Background(), change, &peerv1.Identity{PeerAddress: address, Instance: address}, "")
+}
+
+// ensurePublished waits until the published state is current up to the change that
+// another instance has seen, and reports whether it is.
+func (g *Gateway) ensurePublished(ctx context.Context, change int64, from *peerv1.Identity, request string) bool {
+	if g.Catalog.HasPublished(change) {
+		return true
+	}
+	had, began := g.Catalog.Current().PublishedRevision, time.Now()
+	ok := g.Catalog.EnsurePublished(ctx, change, func(ctx context.Context) ([]byte, string, error) {
+		res, err := g.Clients.Client(from.GetPeerAddress()).FetchEdition(ctx, connect.NewRequest(&peerv1.FetchEditionRequest{}))
+		if err != nil {
+			return nil, from.GetInstance(), err
+		}
+		return res.Msg.GetText(), from.GetInstance(), nil
+	})
+	g.Log.Emit(event.HopNeededNewerState, zap.String("request", request), zap.String("from", from.GetInstance()), zap.Int64("change", change),
+		zap.Int64("had", had), zap.Duration("took", time.Since(began)), zap.Bool("received", ok))
+	return ok
+}
+
+func (g *Gateway) forwardRequest(c *call, v *catalog.View, lastEventID string) *peerv1.ForwardRequest {
 	req := &peerv1.ForwardRequest{
 		From: g.Self, RequestId: hopID(c), Hop: 1, Team: c.team, Method: c.method, Host: c.host, Body: c.body,
 		RemainingMs: uint32(max(time.Until(c.deadline).Milliseconds(), 1)), Route: c.route.Name, Attempt: uint32(c.possibleRuns),
+		PublishedChange: v.PublishedChange, WaitedMs: uint32(max(time.Since(c.arrived).Milliseconds(), 0)),
 	}
 	// An instance of an earlier version finds no route for a path that is not UTF-8.
 	setText(req, &req.Path, pathField, c.path)
@@ -190,9 +272,13 @@
 		e.Ran = result.MayHaveRun
 	}
 	e.RetryAfter = time.Duration(t.GetRetryAfterMs()) * time.Millisecond
-	return &failure{err: e, outcome: placement.Inconclusive, uncounted: e.Ran == result.NotRun && (e.Code == result.NoSlot || e.Code == result.ShuttingDown)}
+	return &failure{err: e, outcome: placement.Inconclusive, uncounted: e.Ran == result.NotRun && refusedWithoutTarget[e.Code]}
 }
 
+// refusedWithoutTarget are the codes with which an instance refuses a forwarded request
+// before it was sent to a target.
+var refusedWithoutTarget = map[result.Code]bool{result.NoSlot: true, result.ShuttingDown: true, result.HopRefused: true, result.NotReady: true}
+
 // PeerServer serves the protocol between instances.
 type PeerServer struct {
 	peerv1connect.UnimplementedPeerHandler
@@ -219,11 +305,16 @@
 	defer cancel()
 	ctx, stop := p.Gateway.untilCutoff(ctx)
 	defer stop()
-	d := &delivery{sink: &forwardSink{stream: stream, id: msg.GetRequestId()}}
+	d := &delivery{sink: &forwardSink{stream: stream, id: msg.GetRequestId(), catalog: p.Gateway.Catalog, senderChange: msg.GetPublishedChange()}}
 	defer d.close()
 	d.lastEventID = lastEventID
 	tail := &peerv1.Tail{}
 	err := p.Gateway.refusal()
+	// Senders of an earlier version do not tell by which change they decided.
+	if change := msg.GetPublishedChange(); err == nil && change > 0 && !p.Gateway.ensurePublished(ctx, change, msg.GetFrom(), c.ID) {
+		err = result.New(result.HopRefused, result.NotRun, "the sender decided by the change at revision %d, known here is revision %d",
+			change, p.Gateway.Catalog.Current().PublishedRevision).WithRetryAfter(notReadyRetryAfter)
+	}
 	if err == nil {
 		err = p.Gateway.serveCall(ctx, c, d)
 	}
@@ -254,8 +345,11 @@
 
 // forwardSink sends a response back to the instance that forwarded the request.
 type forwardSink struct {
-	stream *connect.ServerStream[peerv1.ForwardResponse]
-	id     string
+	stream  *connect.ServerStream[peerv1.ForwardResponse]
+	id      string
+	catalog *catalog.Manager
+	// senderChange is the change by which the sender decided; 0 if it does not say.
+	senderChange int64
 }
 
 // Head implements sink.
@@ -266,6 +360,9 @@
 			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: []byte(v)})
 		}
 	}
+	if change := s.catalog.Current().PublishedChange; s.senderChange > 0 && change > s.senderChange {
+		head.Headers = append(head.Headers, &peerv1.Header{Name: publishedChangeField, Value: strconv.AppendInt(nil, change, 10)})
+	}
 	return s.stream.Send(&peerv1.ForwardResponse{RequestId: s.id, Part: &peerv1.ForwardResponse_Head{Head: head}})
 }
 
--- a/internal/gateway/hop_bytes_test.go
+++ b/internal/gateway/hop_bytes_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/result"
@@ -18,7 +19,7 @@
 	g := newTestGateway()
 	for _, text := range []string{"plain", "caf\u00e9", "caf\xe9", "\xff\xfe"} {
 		c := &call{Request: deployment.Request{ID: text}, route: &deployment.Route{}, path: "/" + text, deadline: time.Now().Add(time.Second), header: http.Header{"X-Note": {text}}}
-		b, err := proto.Marshal(g.forwardRequest(c, text))
+		b, err := proto.Marshal(g.forwardRequest(c, &catalog.View{}, text))
 		if err != nil {
 			t.Errorf("%q: %v", text, err)
 			continue
--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -344,8 +344,9 @@
 	return path, ip
 }
 
-// startInstance runs a new instance in a failure domain until the test ends.
-func (d *testDeployment) startInstance(domain string) *testInstance {
+// startInstance runs a new instance in a failure domain until the test ends. change
+// modifies it first.
+func (d *testDeployment) startInstance(domain string, change ...func(*Instance)) *testInstance {
 	d.t.Helper()
 	path, ip := d.writeSettings(domain)
 	inst := &testInstance{ip: ip, done: make(chan error, 1), log: &bytes.Buffer{}}
@@ -356,6 +357,9 @@
 	if inst.Instance, err = New(path, log, lines); err != nil {
 		d.t.Fatal(err)
 	}
+	for _, f := range change {
+		f(inst.Instance)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	inst.cancel = cancel
 	go func() { inst.done <- inst.Run(ctx, nil) }()
