--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,6 +42,9 @@
 func (g *Gateway) attempt(ctx context.Context, v *catalog.View, c *call, choice placement.Choice, d *delivery) *failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if e := c.callerLeft(ctx); e != nil {
+		return &failure{err: e, outcome: placement.Inconclusive, uncounted: true}
+	}
 	if choice.Region != "" {
 		d.remoteRegion, d.expectedDelay, d.onResponding = choice.Region, choice.Delay, nil
 		resp, f := g.forward(ctx, v, c, choice.Region, d.lastEventID)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -27,9 +28,13 @@
 	body    []byte
 	keyHash string
 	// team is set by the forwarding instance, instead of a key, if forwarded is set.
-	team     string
+	team string
+	// arrived is when the request arrived, which may be before it was read; deadline
+	// counts from then.
 	arrived  time.Time
 	deadline time.Time
+	// conn is the connection of the caller; nil if the request was forwarded.
+	conn net.Conn
 
 	route   *deployment.Route
 	service string
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -113,9 +113,10 @@
 // the body is read. The call is never nil, also with an error.
 func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request) (*call, error) {
 	now := time.Now()
+	arrived := arrivalOf(r, now)
 	c := &call{
 		Request: platform.ParseRequest(r.Header), host: stripPort(r.Host), method: r.Method, path: pathAndQuery(r.RequestURI),
-		header: platform.ForwardedRequestHeaders(r.Header), arrived: now,
+		header: platform.ForwardedRequestHeaders(r.Header), arrived: arrived, conn: httpframing.Conn(r.Context()),
 	}
 	c.keyHash, c.APIKey = hashAPIKey(c.APIKey), ""
 	v := g.Catalog.Current()
@@ -126,10 +127,16 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	c.deadline = now.Add(timeout)
-	if t := now.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.deadline) {
+	c.deadline = arrived.Add(timeout)
+	if t := arrived.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.deadline) {
 		c.deadline = t
 	}
+	if !now.Before(c.deadline) {
+		return c, result.New(result.DeadlineTooNear, result.NotRun, "the request waited %s to be read", now.Sub(arrived).Round(time.Millisecond))
+	}
+	if e := c.callerLeft(r.Context()); e != nil {
+		return c, e
+	}
 	return c, g.readBody(w, r, c, v.Config.Limits)
 }
 
@@ -171,7 +178,7 @@
 	}
 	team = v.Config.Teams[c.team]
 	units = c.QuotaUnits(team)
-	decision := g.Quota.Admit(team, units, c.arrived)
+	decision := g.Quota.Admit(team, units, time.Now())
 	if decision.Admitted {
 		return team, units, nil
 	}
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -63,6 +63,9 @@
 	Member
 	lastSent time.Time // time of the last heartbeat sent to it
 	indirect bool      // known only through other instances
+	// replaced is the incarnation before the current one; late heartbeats of it are
+	// ignored whatever its start time is.
+	replaced uint64
 }
 
 // destination is an instance that gets a heartbeat.
@@ -129,10 +132,11 @@
 		m = &member{Member: Member{Heartbeat: hb}, indirect: !direct}
 		t.mu.members[id.GetPeerAddress()] = m
 		newIncarnation = true
-	case !newer(hb, m.Heartbeat), !direct && !m.indirect:
+	case !newer(hb, m.Heartbeat) && !(direct && t.restarted(hb, m)), !direct && !m.indirect, id.GetIncarnation() == m.replaced:
 		return false // what others tell of a member that is heard itself adds nothing
 	case m.Heartbeat.GetInstance().GetIncarnation() != id.GetIncarnation():
 		newIncarnation = true
+		m.replaced = m.Heartbeat.GetInstance().GetIncarnation()
 	}
 	if direct || newIncarnation {
 		m.Heartbeat = hb
@@ -153,6 +157,13 @@
 	return a.GetSequence() > b.GetSequence()
 }
 
+// restarted reports whether hb comes from a new incarnation of m that started at an
+// earlier time of day than the last one, because its clock was set back. The last one
+// must have been silent, so that its late heartbeats do not count.
+func (t *Table) restarted(hb *peerv1.FleetRow, m *member) bool {
+	return hb.GetInstance().GetIncarnation() != m.Heartbeat.GetInstance().GetIncarnation() && t.now().Sub(m.LastSeen) > t.timeout(m)
+}
+
 // Members returns the members that have sent a heartbeat themselves, sorted by
 // peer address, and removes those that have expired.
 func (t *Table) Members() []Member {
--- a/internal/heartbeat/table_test.go
+++ b/internal/heartbeat/table_test.go
@@ -52,6 +52,36 @@
 	}
 }
 
+// Guards against an instance that is ignored until it expires because it restarted with
+// an earlier time of day than at its last start, and against late heartbeats of the
+// incarnation before, which started later by its own clock.
+func TestRestartWithEarlierTimeOfDayIsNoticed(t *testing.T) {
+	clock := &virtualClock{time.Unix(100, 0)}
+	table := NewTable(identity("1", 1), clock.now)
+	before, after := identity("1", 2), identity("1", 2)
+	before.Incarnation, after.Incarnation = 9, 5 // heartbeatOf uses it as the start time
+	table.Merge(heartbeatOf(before, 50), true)
+	if table.Merge(heartbeatOf(after, 1), true) {
+		t.Error("an incarnation that started earlier replaces one that is heard")
+	}
+	clock.at = clock.at.Add(localTimeout + time.Second)
+	if table.Merge(heartbeatOf(after, 2), false) {
+		t.Error("an incarnation that others tell of replaces one that started later")
+	}
+	if !table.Merge(heartbeatOf(after, 2), true) {
+		t.Fatal("a restart with an earlier time of day is not noticed")
+	}
+	if m := table.Members(); len(m) != 1 || !m[0].Reachable || m[0].Heartbeat.GetInstance().GetIncarnation() != 5 {
+		t.Errorf("members: %+v", m)
+	}
+	clock.at = clock.at.Add(localTimeout + time.Second)
+	for _, direct := range []bool{true, false} {
+		if table.Merge(heartbeatOf(before, 60), direct) {
+			t.Errorf("a late heartbeat of the incarnation before counts (direct %t)", direct)
+		}
+	}
+}
+
 // Datagrams can arrive out of order, also across a restart of the sender. A late
 // heartbeat must replace neither a newer one nor that of a newer incarnation.
 func TestStaleHeartbeatsAreIgnored(t *testing.T) {
--- a/internal/httpframing/httpframing.go
+++ b/internal/httpframing/httpframing.go
@@ -18,11 +18,18 @@
 
 type connKey struct{}
 
-// ConnContext is a hook for http.Server.ConnContext. Handler needs it.
+// ConnContext is a hook for http.Server.ConnContext. Handler and Conn need it.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// Conn returns the connection on which a request arrived, from the request's context;
+// nil if it is not known.
+func Conn(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
 // Handler wraps next. A response to HTTP/1.0 without Content-Length ends with its
 // connection, so until next has returned, such a connection is reset when it is
 // closed, also by the end of the process.
