--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -106,7 +106,9 @@
 	platform.SetTargetHeaders(h, headers)
 	resp, err := g.targetConns.RoundTrip(ctx, entry.Address, &targetconn.Request{
 		Method: c.method, Target: c.path, Host: c.host, Header: h, Body: c.body, IDHeader: platform.RequestIDHeader,
-		MaxConns: g.maxKeptConns(v.Config.Services[c.service]),
+		// A request that may run once only must not meet a connection that its target
+		// is just closing.
+		Reuse: c.route.Retryable(), MaxConns: g.maxKeptConns(v.Config.Services[c.service]),
 	}, trace)
 	if err != nil {
 		return nil, sendFailure(ctx, &conn, err)
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,11 @@
 // carry the id of its request.
 var ErrForeignResponse = errors.New("the response on a kept connection is not one to this request")
 
+// ErrNotAcknowledged is returned if the other side of a kept connection has not
+// acknowledged the request in ackTimeout, as it does not if it has lost its link. A new
+// connection would not have been established either.
+var ErrNotAcknowledged = errors.New("the request on a kept connection is not acknowledged")
+
 // headBuffers holds buffers for the heads of requests.
 var headBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
@@ -44,7 +50,8 @@
 	if err := r.check(); err != nil {
 		return nil, err
 	}
-	c := p.take(address, r.keeps())
+	c := p.take(address, r.keeps() && len(r.Body) <= maxReuseBody)
+	keeps := r.keeps() && !p.isBarred(address)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
@@ -52,7 +59,7 @@
 			return nil, err
 		}
 	}
-	x := &exchange{pool: p, conn: c, request: r, ctx: ctx, wrote: make(chan struct{})}
+	x := &exchange{pool: p, conn: c, request: r, keeps: keeps, ctx: ctx, wrote: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := context.Cause(ctx); err != nil {
 		x.end(false)
@@ -61,10 +68,17 @@
 	if trace.Sending != nil {
 		trace.Sending(c.used)
 	}
+	if c.used {
+		t := time.AfterFunc(ackTimeout, x.checkAcknowledged)
+		defer t.Stop()
+	}
 	x.send(trace)
 	resp, err := x.readHead()
 	if err != nil {
 		x.end(false)
+		if x.notAcknowledged.Load() {
+			err = ErrNotAcknowledged
+		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -85,7 +99,9 @@
 	pool    *Pool
 	conn    *conn
 	request *Request
-	ctx     context.Context
+	// keeps is set if the connection may be used again after the request.
+	keeps bool
+	ctx   context.Context
 	// stop ends the closing of the connection with ctx.
 	stop func() bool
 	// wrote is closed when the writing of the request has ended; writeErr is set
@@ -97,13 +113,23 @@
 	keep bool
 	idle time.Duration
 	once sync.Once
+	// notAcknowledged is set if checkAcknowledged has closed the connection.
+	notAcknowledged atomic.Bool
+}
+
+// checkAcknowledged closes the connection if the request has not been acknowledged.
+func (x *exchange) checkAcknowledged() {
+	if x.pool.unacknowledged(x.conn.Conn) {
+		x.notAcknowledged.Store(true)
+		_ = x.conn.Close()
+	}
 }
 
 // send writes the request, in the background if it is long.
 func (x *exchange) send(trace Trace) {
 	head := headBuffers.Get().(*bytes.Buffer)
 	head.Reset()
-	x.request.writeHead(head)
+	x.request.writeHead(head, x.keeps)
 	small := head.Len()+len(x.request.Body) <= inlineBytes
 	write := func() {
 		defer close(x.wrote)
@@ -143,6 +169,7 @@
 		case resp.StatusCode < 200:
 			continue // informational
 		case c.used && !x.matches(resp):
+			x.pool.bar(c.address)
 			return nil, ErrForeignResponse
 		}
 		c.headLeft = -1
@@ -171,7 +198,7 @@
 // read whole.
 func (x *exchange) reusable(resp *http.Response) bool {
 	x.idle = idleTime(resp.Header)
-	return x.request.keeps() && resp.ProtoAtLeast(1, 1) && !resp.Close && !httpframing.EndsWithConnection(resp) && x.matches(resp) && x.idle > 0
+	return x.keeps && resp.ProtoAtLeast(1, 1) && !resp.Close && !httpframing.EndsWithConnection(resp) && x.matches(resp) && x.idle > 0
 }
 
 // Read implements io.Reader.
@@ -204,8 +231,8 @@
 			x.pool.release(x.conn.address, x.conn, x.idle, x.request.MaxConns)
 			return
 		}
-		if x.pool.cfg.OnStray != nil && reusable && stopped && x.conn.in.Buffered() > 0 {
-			x.pool.cfg.OnStray(x.conn.address)
+		if reusable && stopped && x.conn.in.Buffered() > 0 {
+			x.pool.bar(x.conn.address)
 		}
 		_ = x.conn.Close()
 		x.pool.release(x.conn.address, nil, 0, 0)
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -31,6 +31,16 @@
 	// be written whole: the target may have refused it before its end.
 	lateResponseTime = 50 * time.Millisecond
 	readBufferBytes  = 4 << 10
+	// barPeriod is how long no connection to an address is kept after its target sent
+	// bytes that belong to no request. Such a target costs one request each period.
+	barPeriod = time.Minute
+	// ackTimeout is how long the other side may take to acknowledge what was written on
+	// a kept connection. It is about as long as connecting may take and covers one lost
+	// packet, which is sent again after 200 ms and 600 ms.
+	ackTimeout = 650 * time.Millisecond
+	// maxReuseBody bounds the bodies that are sent on a kept connection: a longer one may
+	// be unacknowledged for other reasons, and a connection costs little beside it.
+	maxReuseBody = 64 << 10
 )
 
 // Config of a Pool.
@@ -44,7 +54,8 @@
 	// MaxIdle bounds the idle connections to all addresses together; 0 keeps none.
 	MaxIdle int
 	// OnStray is called when a target sent bytes on a connection that belong to no
-	// request, after which the connection is closed. Optional.
+	// request, after which the connection is closed
+	// and none to the address is kept for barPeriod. Optional.
 	OnStray func(address string)
 	// Dial replaces the dialer. Optional.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -53,9 +64,15 @@
 // Pool sends requests on new or kept connections. Lock order: Pool.mu is a leaf lock.
 type Pool struct {
 	cfg Config
-	mu  struct {
+	// unacknowledged reports whether the other side has not acknowledged all that was
+	// written on a connection; it is replaced in tests.
+	unacknowledged func(net.Conn) bool
+	mu             struct {
 		sync.Mutex
 		hosts map[string]*host
+		// barred holds when addresses that sent bytes of no request may be used again on
+		// kept connections.
+		barred map[string]time.Time
 		// idle is the number of idle connections to all addresses.
 		idle int
 		// sweeping is set while a sweep is scheduled.
@@ -79,8 +96,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.ConnectTimeout, KeepAliveConfig: cfg.KeepAlive}).DialContext
 	}
-	p := &Pool{cfg: cfg}
+	p := &Pool{cfg: cfg, unacknowledged: unacknowledged}
 	p.mu.hosts = map[string]*host{}
+	p.mu.barred = map[string]time.Time{}
 	return p
 }
 
@@ -160,6 +178,23 @@
 	return closed
 }
 
+// unacknowledged asks the kernel; it returns false if that does not tell.
+func unacknowledged(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var info *unix.TCPInfo
+	if ctlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); ctlErr != nil || err != nil {
+		return false
+	}
+	return info.Unacked > 0
+}
+
 // take returns an idle connection to the address, nil if there is none, and counts
 // the connection that is then used or opened.
 func (p *Pool) take(address string, reuse bool) *conn {
@@ -192,22 +227,59 @@
 // closeAll closes idle connections that were taken out of the pool.
 func (p *Pool) closeAll(conns []*conn) {
 	for _, c := range conns {
-		if p.cfg.OnStray != nil && c.state() == stray {
-			p.cfg.OnStray(c.address)
+		if c.state() == stray {
+			p.bar(c.address)
 		}
 		_ = c.Close()
 	}
 }
 
+// bar keeps no connections to an address for barPeriod, because its target sent bytes
+// that belong to no request.
+func (p *Pool) bar(address string) {
+	now := time.Now()
+	p.mu.Lock()
+	for a, until := range p.mu.barred {
+		if now.After(until) {
+			delete(p.mu.barred, a)
+		}
+	}
+	p.mu.barred[address] = now.Add(barPeriod)
+	var idle []*conn
+	if h := p.mu.hosts[address]; h != nil {
+		idle, h.idle = h.idle, nil
+		p.mu.idle -= len(idle)
+		if h.inUse == 0 {
+			delete(p.mu.hosts, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+	if p.cfg.OnStray != nil {
+		p.cfg.OnStray(address)
+	}
+}
+
+// isBarred reports whether no connections to the address are kept now.
+func (p *Pool) isBarred(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until, ok := p.mu.barred[address]
+	return ok && time.Now().Before(until)
+}
+
 // release ends the use of a connection to the address. If c is not nil, it is kept
 // for at most idle unless there are too many connections.
 func (p *Pool) release(address string, c *conn, idle time.Duration, maxConns int) {
 	p.mu.Lock()
 	h := p.mu.hosts[address]
 	h.inUse--
-	kept := c != nil && idle > 0 && h.inUse+len(h.idle) < maxConns && p.mu.idle < p.cfg.MaxIdle
+	now := time.Now()
+	kept := c != nil && idle > 0 && h.inUse+len(h.idle) < maxConns && p.mu.idle < p.cfg.MaxIdle && !now.Before(p.mu.barred[address])
 	if kept {
-		c.expires, c.used = time.Now().Add(idle), true
+		c.expires, c.used = now.Add(idle), true
 		h.idle = append(h.idle, c)
 		p.mu.idle++
 		if !p.mu.sweeping {
@@ -303,5 +375,3 @@
 	}
 	return min(idle, maxIdleTime)
 }
-
-var _ io.Reader = (*conn)(nil)
--- a/internal/targetconn/request.go
+++ b/internal/targetconn/request.go
@@ -86,8 +86,9 @@
 	return s != ""
 }
 
-// writeHead writes the head of the request to b.
-func (r *Request) writeHead(b *bytes.Buffer) {
+// writeHead writes the head of the request to b. keeps is set if the connection may be
+// used again.
+func (r *Request) writeHead(b *bytes.Buffer, keeps bool) {
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -99,7 +100,7 @@
 		b.WriteString(strconv.Itoa(len(r.Body)))
 		b.WriteString("\r\n")
 	}
-	if !r.keeps() {
+	if !keeps {
 		b.WriteString("Connection: close\r\n")
 	}
 	_ = r.Header.WriteSubset(b, connectionFields) // a bytes.Buffer returns no errors
