--- a/internal/gateway/hop_bytes_test.go
+++ b/internal/gateway/hop_bytes_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
@@ -48,3 +52,28 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// Guards against refusals of an instance that count as attempts at a target, and against
+// a request that is sent again after a refusal that does not say "not run".
+func TestRefusalByInstanceIsNoAttempt(t *testing.T) {
+	for _, in := range result.Table() {
+		refused := map[result.Code]bool{result.NoSlot: true, result.ShuttingDown: true, result.HopRefused: true, result.NotReady: true}[in.Code]
+		for _, mayHaveRun := range []bool{false, true} {
+			f := tailFailure(&peerv1.Tail{Code: uint32(in.Code), MayHaveRun: mayHaveRun})
+			if f.uncounted != (refused && !mayHaveRun) || refusedByInstance(f) != (f.uncounted && in.Code != result.NoSlot) {
+				t.Errorf("%s, may have run %t: uncounted %t, another instance %t", in.Name, mayHaveRun, f.uncounted, refusedByInstance(f))
+			}
+		}
+	}
+}
+
+// Guards against a sound target that is avoided because this instance lacks descriptors.
+func TestLackOfDescriptorsSaysNothingAboutTarget(t *testing.T) {
+	for err, want := range map[error]placement.Outcome{syscall.EMFILE: placement.Inconclusive, syscall.ENFILE: placement.Inconclusive,
+		syscall.EADDRNOTAVAIL: placement.Inconclusive, syscall.ECONNREFUSED: placement.Refused, syscall.EHOSTUNREACH: placement.Unreachable} {
+		f := sendFailure(t.Context(), &connTracker{}, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)})
+		if f.outcome != want || f.err.Ran != result.NotRun {
+			t.Errorf("%v: outcome %v, %v", err, f.outcome, f.err)
+		}
+	}
+}
--- a/internal/targetconn/pool_test.go
+++ b/internal/targetconn/pool_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -422,6 +424,27 @@
 	}
 }
 
+// If descriptors are short, idle connections are given up for new ones.
+func TestIdleConnectionsAreGivenUpForDescriptors(t *testing.T) {
+	target := newTestTarget(t, func(_ int, r *http.Request) (string, bool) { return answer(r, ""), false })
+	short := false
+	p := newTestPool(nil)
+	dial := p.cfg.Dial
+	p.cfg.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if short && p.IdleConns() > 0 {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+		}
+		return dial(ctx, network, address)
+	}
+	if _, _, err := get(t.Context(), p, target.Addr().String(), nil); err != nil || p.IdleConns() != 1 {
+		t.Fatalf("%v, %d idle connections", err, p.IdleConns())
+	}
+	short = true
+	if _, reused, err := get(t.Context(), p, target.Addr().String(), func(r *Request) { r.Reuse = false }); err != nil || reused || p.IdleConns() != 0 {
+		t.Errorf("%v, reused %t, %d idle connections", err, reused, p.IdleConns())
+	}
+}
+
 // Guards against requests that wait for a response until their time is up because the
 // link to their target was lost while the connection was idle. A target that is slow
 // acknowledges nevertheless and is waited for.
