--- a/internal/catalog/ensure_test.go
+++ b/internal/catalog/ensure_test.go
@@ -106,3 +106,30 @@
 		}
 	})
 }
+
+// Guards against instances that fetch from each other what they know already, because
+// they have read the same state at different revisions, as after each restart; and
+// against a removed key that is taken for no change.
+func TestReadersAgreeOnRevisionOfChange(t *testing.T) {
+	early, _ := newManager()
+	late, _ := newManager()
+	p := published(3, "d")
+	p.ChangedAt = 10
+	early.applyPublished(p, 12, early.changeOf(&p, 12))
+	late.applyPublished(p, 5000, late.changeOf(&p, 5000))
+	if e, l := early.Current().PublishedChange, late.Current().PublishedChange; e != 10 || l != 10 || !early.HasPublished(l) {
+		t.Errorf("the change is one at revision %d and %d, want 10", e, l)
+	}
+	ended := published(3) // read as a range: the removal of the key has no revision
+	ended.ChangedAt = 9
+	if got := early.changeOf(&ended, 20); got != 20 {
+		t.Errorf("the end of an evacuation is a change at revision %d, want 20", got)
+	}
+	for changedAt, want := range map[int64]int64{0: 30, 31: 30, 25: 25} {
+		next := published(4, "d")
+		next.ChangedAt = changedAt
+		if got := early.changeOf(&next, 30); got != want {
+			t.Errorf("changed at %d, read at 30: a change at %d, want %d", changedAt, got, want)
+		}
+	}
+}
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -177,7 +177,7 @@
 			return err
 		}
 		m.logFaults(event.ConfigRejected, faults)
-		m.applyPublished(p, revision, revision)
+		m.applyPublished(p, revision, m.changeOf(&p, revision))
 		if m.peers.EnoughReaders() {
 			return nil
 		}
@@ -272,6 +272,18 @@
 	}
 }
 
+// changeOf returns the revision of the last change that led to p, which was read at
+// revision. Instances that read the same state at different revisions agree on it, so
+// that none fetches from another what it knows already. If the items of p do not tell,
+// as they do not of a key that was removed before, it is the revision of the reading.
+func (m *Manager) changeOf(p *deployment.PublishedState, revision int64) int64 {
+	v := m.Current()
+	if p.ChangedAt <= 0 || p.ChangedAt > revision || p.ChangedAt <= v.PublishedChange && publishedDiffer(&v.PublishedState, p) {
+		return revision
+	}
+	return p.ChangedAt
+}
+
 // isOlder reports whether c is older than have. Versions are compared in addition
 // to revisions, so that neither the store nor a peer can bring an older
 // configuration back.
--- a/internal/deployment/published.go
+++ b/internal/deployment/published.go
@@ -7,4 +7,7 @@
 	Config *Config
 	// Evacuated is the set of failure domains whose targets must get no requests.
 	Evacuated map[string]bool
+	// ChangedAt is the highest store revision of a change that is part of the state; 0
+	// if not known. The removal of a key counts only if it was seen to happen.
+	ChangedAt int64 `json:",omitempty"`
 }
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -31,20 +31,21 @@
 	sinceData time.Duration
 }
 
-// arrivalOf returns when the head of a request that is read at now arrived. It may have
-// waited since: for the connection to be accepted, behind another request on the
-// connection, or for processor time. If more data of the caller arrived since, the time
-// is later than that of the head.
-func arrivalOf(r *http.Request, now time.Time) time.Time {
+// arrivalOf returns when the head of a request that is read at now arrived, and whether
+// the caller has closed the connection since. The request may have waited: for the
+// connection to be accepted, behind another request on the connection, or for processor
+// time. If more data of the caller arrived since, the time is later than that of the
+// head.
+func arrivalOf(r *http.Request, now time.Time) (arrived time.Time, left bool) {
 	conn := httpframing.Conn(r.Context())
 	if conn == nil {
-		return now
+		return now, false
 	}
 	state, ok := readCallerConn(conn)
 	if !ok || state.sinceData < minArrivalDelay || state.sinceData > maxArrivalDelay {
-		return now
+		return now, ok && state.closed
 	}
-	return now.Add(-state.sinceData)
+	return now.Add(-state.sinceData), state.closed
 }
 
 // callerLeft returns an error if the caller of a request has disconnected. It asks the
@@ -59,6 +60,10 @@
 			return nil
 		}
 	}
+	return errCallerLeft()
+}
+
+func errCallerLeft() *result.Error {
 	return result.New(result.CallerTooSlow, result.NotRun, "the caller has disconnected or its time has passed")
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -113,7 +113,7 @@
 // the body is read. The call is never nil, also with an error.
 func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request) (*call, error) {
 	now := time.Now()
-	arrived := arrivalOf(r, now)
+	arrived, left := arrivalOf(r, now)
 	c := &call{
 		Request: platform.ParseRequest(r.Header), host: stripPort(r.Host), method: r.Method, path: pathAndQuery(r.RequestURI),
 		header: platform.ForwardedRequestHeaders(r.Header), arrived: arrived, conn: httpframing.Conn(r.Context()),
@@ -134,8 +134,8 @@
 	if !now.Before(c.deadline) {
 		return c, result.New(result.DeadlineTooNear, result.NotRun, "the request waited %s to be read", now.Sub(arrived).Round(time.Millisecond))
 	}
-	if e := c.callerLeft(r.Context()); e != nil {
-		return c, e
+	if left {
+		return c, errCallerLeft()
 	}
 	return c, g.readBody(w, r, c, v.Config.Limits)
 }
