--- a/internal/heartbeat/manager.go
+++ b/internal/heartbeat/manager.go
@@ -128,7 +128,7 @@
 		Instance: hb.GetInstance(), Sequence: hb.GetSequence(), CallersAddress: hb.GetCallersAddress(), Ready: hb.GetReady(),
 		Leaving: hb.GetLeaving(), PublishedChange: hb.GetPublishedChange(), TargetsChange: hb.GetTargetsChange(),
 		StoreAnswers: hb.GetStoreAnswers(), Teams: hb.GetTeams(), Pools: hb.GetPools(), StartedMs: hb.GetStartedMs(),
-		CrashBlocks: hb.GetCrashBlocks(), Relays: hb.GetRelays(),
+		CrashBlocks: hb.GetCrashBlocks(), Relays: hb.GetRelays(), Load: hb.GetLoad(),
 	}
 }
 
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -46,8 +46,14 @@
 	// Late is set as soon as one heartbeat is overdue, long before the member
 	// counts as unreachable, as a single datagram may get lost.
 	Late bool
+	// Interval is the time between two heartbeats of the member.
+	Interval time.Duration
 }
 
+// Silent reports whether at least two heartbeats of the member are overdue: it may be
+// frozen, cut off or overloaded.
+func (m *Member) Silent(now time.Time) bool { return now.Sub(m.LastSeen) > 2*m.Interval+lateMargin }
+
 func (m *Member) Name() string { return m.Heartbeat.GetInstance().GetInstance() }
 
 func (m *Member) Region() string { return m.Heartbeat.GetInstance().GetRegion() }
@@ -172,6 +178,7 @@
 		}
 		m.Reachable = sinceLastSeen < t.timeout(m)
 		m.Late = t.late(m, now)
+		m.Interval = t.interval(m)
 		out = append(out, m.Member)
 	}
 	slices.SortFunc(out, func(a, b Member) int {
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -1,11 +1,15 @@
 package instance
 
 import (
+	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/wigeonhill/wigeonhill/internal/balance"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/platform"
@@ -19,6 +23,14 @@
 	// maxAddresses bounds the addresses in a directory response; callers read
 	// no more than these.
 	maxAddresses = 64
+	// silentHealth is the health of an instance whose last heartbeats are missing, and
+	// for silentRest after: it may be frozen, or overloaded by its callers.
+	silentHealth = 0.25
+	silentRest   = 5 * time.Second
+	// keepPlace is the time for which an unreachable instance keeps its place in the
+	// order of instances. While it has one, the responses without it do not change; it
+	// covers a restart.
+	keepPlace = 30 * time.Second
 	// readHeaderTimeout applies to the directory, readiness and metrics
 	// servers.
 	readHeaderTimeout = 5 * time.Second
@@ -44,7 +56,8 @@
 func (i *Instance) directoryServer() *http.Server {
 	return newGETServer(platform.DirectoryPath, func(c echo.Context) error {
 		location := platform.ParseCallerLocation(c.QueryParams())
-		addresses := addressesFor(location, i.readyInstances(), allowedRegionsOf(i.catalog.Current().Config, platform.ParseDirectoryHost(c.QueryParams())))
+		callerIP, _, _ := net.SplitHostPort(c.Request().RemoteAddr) // an address of the listener is valid
+		addresses := addressesFor(location, callerIP, i.directoryEntries(time.Now()), allowedRegionsOf(i.catalog.Current().Config, platform.ParseDirectoryHost(c.QueryParams())))
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
@@ -56,22 +69,72 @@
 	})
 }
 
-// readyInstance is an instance that the directory may name to callers.
-type readyInstance struct{ address, region, domain string }
+// directoryEntry is an instance that the directory may name to callers.
+type directoryEntry struct {
+	balance.Instance
+	region, domain string
+}
 
-// readyInstances returns the instances that accept requests from callers,
-// including this one.
-func (i *Instance) readyInstances() []readyInstance {
-	var out []readyInstance
+// directoryEntries returns the instances that accept requests from callers, including
+// this one, and with a health of 0 those that did until shortly before now.
+func (i *Instance) directoryEntries(now time.Time) []directoryEntry {
+	i.directoryCache.mu.Lock()
+	defer i.directoryCache.mu.Unlock()
+	c := &i.directoryCache.mu
+	if c.entries == nil || now.Sub(c.at) >= heartbeatReadInterval {
+		c.entries, c.at = make([]directoryEntry, 1, len(c.entries)+1), now
+		for _, m := range i.heartbeats.Members() {
+			c.entries = i.directoryCache.appendMember(c.entries, &m, now)
+		}
+	}
+	load := i.meter.Load()
+	own := directoryEntry{balance.Instance{Address: i.settings.Listen.Callers, Capacity: balance.Capacity(load)}, i.settings.Region, i.settings.Domain}
 	if i.gateway.Ready() {
-		out = append(out, readyInstance{i.settings.Listen.Callers, i.settings.Region, i.settings.Domain})
+		own.Health = balance.Health(load)
+	}
+	entries := slices.Clone(c.entries)
+	entries[0] = own
+	return entries
+}
+
+// directoryCache holds what the heartbeats say of the instances that may be named, as
+// each caller asks for them every second.
+type directoryCache struct {
+	mu struct {
+		sync.Mutex
+		at      time.Time
+		entries []directoryEntry // the first one stands for this instance
+		// silentUntil is until when instances count as silent, by peer address.
+		silentUntil map[string]time.Time
+	}
+}
+
+// appendMember appends the entry of a member, if it has one. The caller holds c.mu.
+func (c *directoryCache) appendMember(entries []directoryEntry, m *heartbeat.Member, now time.Time) []directoryEntry {
+	hb := m.Heartbeat
+	e := directoryEntry{balance.Instance{Address: hb.GetCallersAddress(), Capacity: balance.Capacity(hb.GetLoad())}, m.Region(), hb.GetInstance().GetDomain()}
+	if c.mu.silentUntil == nil {
+		c.mu.silentUntil = map[string]time.Time{}
+	}
+	silent := m.Silent(now)
+	switch until, known := c.mu.silentUntil[m.Address()]; {
+	case silent:
+		c.mu.silentUntil[m.Address()] = now.Add(silentRest)
+	case known && now.Before(until):
+		silent = true
+	case known:
+		delete(c.mu.silentUntil, m.Address())
 	}
-	for _, m := range i.heartbeats.Members() {
-		if acceptsCallers(&m) {
-			out = append(out, readyInstance{m.Heartbeat.GetCallersAddress(), m.Region(), m.Heartbeat.GetInstance().GetDomain()})
+	switch {
+	case acceptsCallers(m):
+		e.Health = balance.Health(hb.GetLoad())
+		if silent && e.Capacity > 0 {
+			e.Health = min(e.Health, silentHealth)
 		}
+	case hb.GetCallersAddress() == "" || now.Sub(m.LastSeen) > keepPlace && !m.Reachable:
+		return entries
 	}
-	return out
+	return append(entries, e)
 }
 
 func acceptsCallers(m *heartbeat.Member) bool {
@@ -104,24 +167,24 @@
 	return regions
 }
 
-// addressesFor returns the addresses of the instances in the caller's failure
-// domain, or else in its region, or else in allowedRegions, or else of all
-// instances. Callers stay in their region if it has an instance, because a
+// addressesFor returns the addresses for a caller, identified by its IP address, of the
+// instances in its failure domain, or else in its region, or else in allowedRegions, or
+// else of all instances. Callers stay in their region if it has an instance, because a
 // request that is restricted to a region must not enter through a third one.
-func addressesFor(location platform.CallerLocation, instances []readyInstance, allowedRegions map[string]bool) []string {
-	for _, matches := range []func(readyInstance) bool{
-		func(e readyInstance) bool { return e.domain == location.Domain },
-		func(e readyInstance) bool { return e.region == location.Region },
-		func(e readyInstance) bool { return allowedRegions[e.region] },
-		func(readyInstance) bool { return true },
+func addressesFor(location platform.CallerLocation, callerIP string, entries []directoryEntry, allowedRegions map[string]bool) []string {
+	for _, matches := range []func(*directoryEntry) bool{
+		func(e *directoryEntry) bool { return e.domain == location.Domain },
+		func(e *directoryEntry) bool { return e.region == location.Region },
+		func(e *directoryEntry) bool { return allowedRegions[e.region] },
+		func(*directoryEntry) bool { return true },
 	} {
-		var out []string
-		for _, e := range instances {
-			if matches(e) && len(out) < maxAddresses {
-				out = append(out, e.address)
+		var matching []balance.Instance
+		for i := range entries {
+			if e := &entries[i]; matches(e) {
+				matching = append(matching, e.Instance)
 			}
 		}
-		if len(out) > 0 {
+		if out := balance.Subset(matching, callerIP, maxAddresses); len(out) > 0 {
 			return out
 		}
 	}
--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -345,6 +345,16 @@
 }
 
 // startInstance runs a new instance in a failure domain until the test ends.
+// readyInstances returns what the directory of the instance may name.
+func (inst *testInstance) readyInstances() (out []directoryEntry) {
+	for _, e := range inst.directoryEntries(time.Now()) {
+		if e.Health > 0 {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 func (d *testDeployment) startInstance(domain string) *testInstance {
 	d.t.Helper()
 	path, ip := d.writeSettings(domain)
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -26,6 +26,7 @@
 		hb.Teams = append(hb.Teams, &peerv1.TeamUse{Team: team, Spent: usage.Spent, Demand: float32(usage.Demand)})
 	}
 	hb.Targets, hb.Parts = i.tracker.TargetUses(), i.tracker.CachedParts(now)
+	hb.Load = i.meter.Load()
 	hb.CrashBlocks = i.crashes.Digest()
 	hb.DomainMembers, hb.HasWarmupShare = i.roster.State()
 	if view.Config != nil {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/balance"
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/clock"
 	"github.com/wigeonhill/wigeonhill/internal/crash"
@@ -61,6 +62,9 @@
 	crashes     *crash.Tracker
 	gateway     *gateway.Gateway
 	prober      *prober
+	meter       *balance.Meter
+
+	directoryCache directoryCache
 
 	callers, ready, directory, control, metrics *http.Server
 	listeners                                   map[*http.Server]net.Listener
@@ -113,6 +117,7 @@
 	i.quota = quota.New(s.Domain, domains)
 	i.retryBudget = gateway.NewRetryBudget(s.Bounds, time.Now)
 	i.crashes = crash.New(crash.Config{Clock: systemClock, OnBlock: crash.LogChanges(i.log)})
+	i.meter = balance.NewMeter(s)
 	i.prober = newProber(i.catalog, i.tracker, i.log)
 	registry, metrics := i.newMetrics()
 	i.metrics = i.metricsServer(registry)
@@ -166,6 +171,7 @@
 	add(i.catalog.Run)
 	add(i.heartbeats.Run)
 	add(i.applyHeartbeats)
+	add(i.measureLoad)
 	add(i.prober.Run)
 	add(func(ctx context.Context) error { return i.watchSettings(ctx, reloads) })
 	for server, listener := range i.listeners {
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/wigeonhill/wigeonhill/internal/balance"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/platform"
@@ -93,22 +94,25 @@
 // Guards against a request that is restricted to certain regions entering
 // through another one because the directory named an instance there.
 func TestDirectoryPrefersAllowedRegions(t *testing.T) {
-	all := []readyInstance{{"10.1.0.1:80", "east", "a"}, {"10.1.0.2:80", "east", "a2"}, {"10.2.0.1:80", "west", "b"}, {"10.3.0.1:80", "south", "c"}}
+	ready := func(address, region, domain string) directoryEntry {
+		return directoryEntry{balance.Instance{Address: address, Health: 1}, region, domain}
+	}
+	all := []directoryEntry{ready("10.1.0.1:80", "east", "a"), ready("10.1.0.2:80", "east", "a2"), ready("10.2.0.1:80", "west", "b"), ready("10.3.0.1:80", "south", "c")}
 	allowed := map[string]bool{"east": true, "west": true}
 	for _, c := range []struct {
 		name, region, domain string
-		instances            []readyInstance
+		instances            []directoryEntry
 		allowed              map[string]bool
 		want                 string
 	}{
 		{"failure domain of the caller", "east", "a", all, allowed, "10.1.0.1:80"},
 		{"region of the caller", "east", "a3", all, allowed, "10.1.0.1:80 10.1.0.2:80"},
 		{"region of the caller is not allowed", "south", "c", all, allowed, "10.3.0.1:80"},
-		{"no instance in the region of the caller", "west", "b", []readyInstance{all[0], all[3]}, allowed, "10.1.0.1:80"},
-		{"no instance in any allowed region", "west", "b", []readyInstance{all[3]}, allowed, "10.3.0.1:80"},
-		{"no allowed regions", "west", "b", []readyInstance{all[0], all[3]}, nil, "10.1.0.1:80 10.3.0.1:80"},
+		{"no instance in the region of the caller", "west", "b", []directoryEntry{all[0], all[3]}, allowed, "10.1.0.1:80"},
+		{"no instance in any allowed region", "west", "b", []directoryEntry{all[3]}, allowed, "10.3.0.1:80"},
+		{"no allowed regions", "west", "b", []directoryEntry{all[0], all[3]}, nil, "10.1.0.1:80 10.3.0.1:80"},
 	} {
-		if got := strings.Join(addressesFor(callerLocation(c.region, c.domain), c.instances, c.allowed), " "); got != c.want {
+		if got := strings.Join(addressesFor(callerLocation(c.region, c.domain), "10.1.9.9", c.instances, c.allowed), " "); got != c.want {
 			t.Errorf("%s: %s, want %s", c.name, got, c.want)
 		}
 	}
