--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -344,6 +344,16 @@
 	return path, ip
 }
 
+// readyInstances returns what the directory of the instance may name.
+func (inst *testInstance) readyInstances() (out []directoryEntry) {
+	for _, e := range inst.directoryEntries(time.Now()) {
+		if e.Health > 0 {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // startInstance runs a new instance in a failure domain until the test ends. change
 // modifies it first.
 func (d *testDeployment) startInstance(domain string, change ...func(*Instance)) *testInstance {
