--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -36,4 +36,8 @@
 	SettingsReloaded        = define(841, "settings reloaded", zapcore.InfoLevel, "the settings file changed; seeds apply now, other fields at the next start")
 	SettingsRejected        = define(842, "settings rejected", zapcore.ErrorLevel, "the settings file has errors; the settings in force stay")
 	ProcessResumed          = define(843, "process resumed", zapcore.WarnLevel, "the process was frozen or its machine suspended; targets count as warming up until their list has been read")
+	TargetPaced             = define(875, "target paced", zapcore.InfoLevel, "a target has started, come back, or become slow; the requests in flight there are limited over all instances until it has answered enough in time. cause says why, window is the first limit")
+	TargetFullLoad          = define(876, "target has its full load again", zapcore.InfoLevel, "the limit on a target has ended; lasted is the time that this took")
+	TargetListUnconfirmed   = define(877, "list of targets unconfirmed", zapcore.WarnLevel, "neither the store nor an instance that it answers has confirmed the list of targets; targets of services with a warm-up get requests only if health checks show that they are warm, and the rate of a warm-up otherwise")
+	TargetListConfirmed     = define(878, "list of targets confirmed", zapcore.InfoLevel, "the list of targets is confirmed again; lasted is the time without it")
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,7 +61,7 @@
 	}
 	tracked := g.Tracker.Begin(v, entry, v.Config.Services[c.service], q, choice, time.Now())
 	if tracked == nil {
-		return notRunFailure(placement.Inconclusive, true, "the target is warming up and has got its requests")
+		return notRunFailure(placement.Inconclusive, true, "the target is warming up or paced and has got its requests")
 	}
 	running, _ := g.Crashes.Begin(entry.ID, c.service, c.suspects(), true)
 	d.onResponding = running.Responding
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -49,6 +49,7 @@
 	gauge("targets_age_seconds", "Time since the store confirmed the list of targets.", func() float64 { _, t := i.catalog.Ages(); return t.Seconds() })
 	gauge("targets_listed", "Targets in the list, of all regions.", func() float64 { return float64(len(i.catalog.Current().Targets)) })
 	gauge("targets_down", "Targets of the own region that are avoided until a health check succeeds.", func() float64 { return float64(len(i.tracker.DownTargets(time.Now()))) })
+	gauge("targets_paced", "Targets of the own region whose requests in flight are limited because they have started, come back or become slow.", func() float64 { return float64(i.tracker.PacedTargets()) })
 	gauge("requests_running", "Requests in progress, those of other instances included.", func() float64 { return float64(i.gateway.RunningRequests()) })
 	gauge("request_memory_bytes", "Memory held for the bodies of requests.", func() float64 { return float64(i.gateway.BufferedBodyBytes()) })
 	gauge("response_memory_bytes", "Memory held for responses until they are passed on.", func() float64 { return float64(i.gateway.BufferedResponseBytes()) })
--- a/internal/instance/prober.go
+++ b/internal/instance/prober.go
@@ -123,3 +123,14 @@
 	var op *net.OpError
 	return errors.As(err, &op) || errors.Is(err, io.EOF) || errors.Is(err, context.Canceled) || os.IsTimeout(err)
 }
+
+// logPacing logs the targets whose pacing has begun or ended.
+func (i *Instance) logPacing() {
+	for _, c := range i.tracker.PaceChanges() {
+		if c.Ended {
+			i.log.Emit(event.TargetFullLoad, zap.String("target", c.Target), zap.String("cause", string(c.Cause)), zap.Duration("lasted", c.Lasted))
+		} else {
+			i.log.Emit(event.TargetPaced, zap.String("target", c.Target), zap.String("cause", string(c.Cause)), zap.Int("window", c.Size))
+		}
+	}
+}
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -78,6 +78,7 @@
 		unreliable := avoidsMostTargets(hb, len(t.mu.targets))
 		for _, u := range hb.GetTargets() {
 			if s := t.mu.targets[u.GetTarget()]; s != nil {
+				t.mu.windows.Merge(peer, u, now)
 				s.peerLoads[peer] = peerLoad{int(u.GetRunning()), int(u.GetPendingTokens()), u.GetAvoided() && !unreliable}
 				if u.GetAvoided() {
 					r := reports[s]
@@ -95,6 +96,10 @@
 			s.restartSuspectedUntil = now.Add(restartSuspicionPeriod)
 		}
 	}
+	for id, s := range t.mu.targets {
+		s.sumPeerLoads()
+		t.mu.windows.Adopt(id, s.startedMS, s.slots, now)
+	}
 }
 
 // downReports counts the instances that found a target down: all, those to which it
@@ -134,10 +139,13 @@
 func (t *Tracker) TargetUses() []*peerv1.TargetUse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.mu.lastNow
 	var out []*peerv1.TargetUse
 	for id, s := range t.mu.targets {
-		if s.running > 0 || s.health.down {
-			out = append(out, &peerv1.TargetUse{Target: id, Running: uint32(max(s.running, 0)), PendingTokens: uint32(max(s.pending, 0)), Avoided: s.health.down, Refuses: s.health.refuses})
+		if s.running > 0 || s.health.down || t.mu.windows.Reported(id, now) {
+			u := &peerv1.TargetUse{Target: id, Running: uint32(max(s.running, 0)), PendingTokens: uint32(max(s.pending, 0)), Avoided: s.health.down, Refuses: s.health.refuses}
+			t.mu.windows.Fill(u, now)
+			out = append(out, u)
 		}
 	}
 	return out
--- a/internal/placement/leaving.go
+++ b/internal/placement/leaving.go
@@ -59,6 +59,7 @@
 			s.listedAt = now
 		case s.running <= 0 && (s.leavingSince.IsZero() || now.Sub(s.listedAt) > leavingRetention):
 			delete(t.mu.targets, id)
+			t.mu.windows.Forget(id)
 		}
 	}
 }
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/pace"
 	"github.com/wigeonhill/wigeonhill/internal/rendezvous"
 )
 
@@ -56,7 +57,10 @@
 		partUpdates  []partUpdate             // parts that targets have cached, newest last
 		lastSequence map[string]uint64        // sequence number of the last heartbeat, by peer address
 		lastElapsed  time.Duration            // at the last call of noteTime
+		lastNow      time.Time                // of the last call of noteTime
 		awakeSince   time.Time                // end of the last freeze
+		windows      *pace.Windows
+		linkFaultAt  time.Time // when most targets were last down at once
 	}
 }
 
@@ -64,6 +68,7 @@
 type targetState struct {
 	startedMS   int64
 	service     string
+	slots       int
 	running     int
 	pending     int
 	prefixCache prefixCache
@@ -81,9 +86,15 @@
 	// leavingSince is when a response of this incarnation first said that it leaves;
 	// zero if none did. listedAt is when the target was last listed.
 	leavingSince, listedAt time.Time
+	// wasWarmingUp and wasSlow say whether the target was warming up, or slow, when it
+	// was last looked at; see package pace.
+	wasWarmingUp, wasSlow bool
 	// awaitingFirstByte holds the start times of attempts without a first byte.
 	awaitingFirstByte map[*Attempt]time.Time
 	peerLoads         map[string]peerLoad
+	// peerRunning and peerPending are the sums over peerLoads: each decision needs
+	// them for all targets.
+	peerRunning, peerPending int
 }
 
 // peerLoad is the load that another instance reports for a target.
@@ -102,25 +113,32 @@
 	t.mu.slowdowns = map[string]*slowdown{}
 	t.mu.holdTimes = map[string]time.Duration{}
 	t.mu.lastSequence = map[string]uint64{}
+	t.mu.windows = pace.New()
 	return t
 }
 
-func (t *Tracker) stateOf(e *catalog.Entry) *targetState {
+func (t *Tracker) stateOf(e *catalog.Entry, now time.Time) *targetState {
 	s := t.mu.targets[e.ID]
+	known := s != nil
 	switch {
 	case s == nil:
-		s = &targetState{startedMS: e.StartedMS, service: e.Service, awaitingFirstByte: map[*Attempt]time.Time{}}
+		s = &targetState{startedMS: e.StartedMS, service: e.Service, slots: e.Slots, awaitingFirstByte: map[*Attempt]time.Time{}}
 		t.mu.targets[e.ID] = s
 	case s.startedMS == e.StartedMS:
 		return s
 	}
 	// Attempts at an earlier incarnation go on counting until they end, and what was
 	// sent to it may have reached this one.
-	s.startedMS, s.service = e.StartedMS, e.Service
+	s.startedMS, s.service, s.slots = e.StartedMS, e.Service, e.Slots
 	s.prefixCache, s.peerLoads = prefixCache{}, map[string]peerLoad{}
+	s.sumPeerLoads()
 	s.slowdown = t.serviceSlowdown(e.Service).initial()
 	s.health = health{warmupUntil: s.health.warmupUntil}
 	s.leavingSince, s.restartSuspectedUntil = time.Time{}, time.Time{}
+	s.wasWarmingUp, s.wasSlow = false, false
+	if known {
+		t.mu.windows.Recovering(e.ID, e.StartedMS, e.Slots, pace.Restarted, now)
+	}
 	return s
 }
 
@@ -173,7 +191,7 @@
 		if e.Service != service || t.regionByDomain[e.Domain] != t.region || v.Evacuated[e.Domain] || exclude[e.ID] || e.Leaving {
 			continue
 		}
-		st := t.stateOf(e)
+		st := t.stateOf(e, now)
 		if !st.health.usable(now) {
 			continue
 		}
@@ -230,6 +248,8 @@
 	if view.WarmingUp = t.warmingUp(v, e, st, now); view.WarmingUp {
 		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now)
 	}
+	t.paceWarmup(v, e, st, now)
+	view.Full = view.Full || t.paced(e.ID, 0, now)
 	return view
 }
 
@@ -255,11 +275,15 @@
 }
 
 func (s *targetState) load() (running, pending int) {
-	running, pending = s.running, s.pending
+	return s.running + s.peerRunning, s.pending + s.peerPending
+}
+
+// sumPeerLoads must be called after each change of peerLoads.
+func (s *targetState) sumPeerLoads() {
+	s.peerRunning, s.peerPending = 0, 0
 	for _, o := range s.peerLoads {
-		running, pending = running+o.running, pending+o.pending
+		s.peerRunning, s.peerPending = s.peerRunning+o.running, s.peerPending+o.pending
 	}
-	return running, pending
 }
 
 // Attempt is a request that was sent to a target.
@@ -272,24 +296,26 @@
 	prefix       deployment.PromptPart // shared prefix; without an ID if there is none
 	startedAt    time.Time
 	expected     time.Duration // time to first byte without slowdown
+	objective    time.Duration
+	window       uint64 // under which the request was sent; see package pace
 	sent         bool
 	gotFirstByte bool
 	ended        bool
 }
 
 // Begin records that a request is sent to the target e as chosen by c, unless the
-// target is warming up and requests that were chosen at the same time have used this
-// instance's share; it returns nil then. The caller must call End on the Attempt.
+// target is warming up or paced and requests that were chosen at the same time have
+// used this instance's share; it returns nil then. The caller must call End on the Attempt.
 func (t *Tracker) Begin(v *catalog.View, e *catalog.Entry, s *deployment.Service, q *Query, c Choice, now time.Time) *Attempt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	st := t.stateOf(e)
-	if t.warmingUp(v, e, st, now) && st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now) {
+	st := t.stateOf(e, now)
+	if t.warmingUp(v, e, st, now) && st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now) || t.paced(e.ID, 1, now) {
 		return nil
 	}
 	running, pending := st.load()
 	view := TargetView{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Slowdown: 1, Cached: c.Cached}
-	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, expected: t.Model(s).Delay(q, &view, c.FetchFrom != "")}
+	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, objective: q.Objective, window: t.mu.windows.Begin(e.ID), expected: t.Model(s).Delay(q, &view, c.FetchFrom != "")}
 	if s.Engine != nil {
 		a.pending = q.PromptTokens
 		if c.Cached || c.FetchFrom != "" {
@@ -321,6 +347,7 @@
 	}
 	a.tracker.recordCachedPart(a.target, a.prefix, now)
 	a.state.slowdown.observe(float64(now.Sub(a.startedAt))/float64(max(a.expected, time.Millisecond)), now, a.tracker.serviceSlowdown(a.state.service))
+	a.pace(now)
 }
 
 // End records the outcome and reports whether the target is avoided from now on. Only
@@ -340,6 +367,7 @@
 	delete(a.state.awaitingFirstByte, a)
 	a.state.running--
 	a.state.pending -= a.pending
+	a.tracker.mu.windows.End(a.target, a.window)
 	if a.incarnation != a.state.startedMS {
 		return false // the outcome says nothing about the present incarnation
 	}
@@ -350,7 +378,10 @@
 		h := a.tracker.holdTime(a.state.service)
 		a.tracker.mu.holdTimes[a.state.service] = h + time.Duration(holdTimeGain*float64(now.Sub(a.startedAt)-h))
 	}
-	return a.state.health.recordOutcome(o, a.state.avoidedByPeer(), now)
+	a.paceOutcome(o, now)
+	avoided = a.state.health.recordOutcome(o, a.state.avoidedByPeer(), now)
+	a.tracker.paceAvoided(a.target, a.state, avoided, now)
+	return avoided
 }
 
 // SetRefused records that a target refused a connection, and reports whether it is
@@ -359,7 +390,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.mu.targets[id]
-	return s != nil && s.health.recordOutcome(Refused, true, now)
+	if s == nil {
+		return false
+	}
+	avoided = s.health.recordOutcome(Refused, true, now)
+	t.paceAvoided(id, s, avoided, now)
+	return avoided
 }
 
 // SetHealthy makes a target that passed a health check usable again. The target
@@ -368,6 +404,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.mu.targets[id]; s != nil {
+		if s.health.down {
+			t.paceReturned(id, s, now)
+		}
 		s.health.markUp(now, warmup)
 	}
 }
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -55,7 +55,7 @@
 		t.mu.awakeSince = now
 		t.onWake(elapsed - t.mu.lastElapsed)
 	}
-	t.mu.lastElapsed = elapsed
+	t.mu.lastElapsed, t.mu.lastNow = elapsed, now
 }
 
 // warmupLimit returns the number of requests that this instance may send to a target
