--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -40,4 +40,5 @@
 	TargetFullLoad          = define(876, "target has its full load again", zapcore.InfoLevel, "the limit on a target has ended; lasted is the time that this took")
 	TargetListUnconfirmed   = define(877, "list of targets unconfirmed", zapcore.WarnLevel, "neither the store nor an instance that it answers has confirmed the list of targets; targets of services with a warm-up get requests only if health checks show that they are warm, and the rate of a warm-up otherwise")
 	TargetListConfirmed     = define(878, "list of targets confirmed", zapcore.InfoLevel, "the list of targets is confirmed again; lasted is the time without it")
+	TargetFoundCold         = define(879, "target found cold", zapcore.InfoLevel, "a health check shows a warm-up that the list of targets, which is unconfirmed, does not show")
 )
--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -152,6 +152,8 @@
 	paths      []string
 	// handler reports whether it has written a response.
 	handler func(w http.ResponseWriter, r *http.Request) bool
+	// warmupMS is the remaining warm-up that health checks report.
+	warmupMS atomic.Int64
 }
 
 func newFakeTarget(t *testing.T, id string) *fakeTarget {
@@ -164,6 +166,9 @@
 func (target *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
 		w.Header().Set("X-Instance-Id", target.id)
+		if left := target.warmupMS.Load(); left > 0 {
+			w.Header().Set("X-Warmup-Ms", strconv.FormatInt(left, 10))
+		}
 		return
 	}
 	if r.Header.Get("X-Expect-Instance") != target.id {
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -65,6 +65,7 @@
 		i.roster.Update(members, time.Now())
 		i.gateway.SyncBlocks(members, time.Now())
 		i.tracker.SetPeerHeartbeats(sameRegion, time.Now())
+		i.noteListAge(members)
 		i.logPacing()
 		i.tracker.Prune(i.catalog.Current().Targets, time.Now())
 		i.retryBudget.SetInstances(max(len(members)+1, 3*len(i.settings.RegionByDomain)))
--- a/internal/instance/prober.go
+++ b/internal/instance/prober.go
@@ -14,6 +14,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/platform"
@@ -24,6 +25,9 @@
 	probeTimeout = 700 * time.Millisecond
 	// maxProbeHeadBytes bounds the head of the response to a health check.
 	maxProbeHeadBytes = 8 << 10
+	// unconfirmedCheckInterval is the interval between looks for targets that are to be
+	// checked because the list of targets is unconfirmed.
+	unconfirmedCheckInterval = 50 * time.Millisecond
 )
 
 // probeClientConfig is for health checks. Their bodies are not read.
@@ -50,8 +54,12 @@
 	}
 }
 
-// Run checks the targets that are down until ctx is done.
+// Run checks the targets that are down until ctx is done, and others while the list of
+// targets is unconfirmed.
 func (p *prober) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { p.checkUnconfirmed(ctx) })
 	runProbes(ctx, p.tracker.DownTargets, p.wakeup, p.check)
 	return nil
 }
@@ -85,36 +93,71 @@
 }
 
 func (p *prober) check(ctx context.Context, id string) {
+	health, ok := p.healthOf(ctx, id)
+	if !ok || !health.Healthy {
+		return // still down
+	}
+	p.tracker.SetHealthy(id, health.WarmupLeft, time.Now())
+	p.log.Emit(event.TargetRecovered, zap.String("target", id), zap.Duration("warmup_left", health.WarmupLeft))
+}
+
+// checkUnconfirmed checks the targets that the tracker asks for while the list of
+// targets is unconfirmed, until ctx is done.
+func (p *prober) checkUnconfirmed(ctx context.Context) {
+	tick := time.NewTicker(unconfirmedCheckInterval)
+	defer tick.Stop()
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		// None is due again before it has ended, which bounds those in flight.
+		for _, id := range p.tracker.ChecksDue(p.catalog.Current(), time.Now()) {
+			checks.Go(func() { p.checkWarm(ctx, id) })
+		}
+	}
+}
+
+// checkWarm checks whether a target is warming up.
+func (p *prober) checkWarm(ctx context.Context, id string) {
+	startedAt := time.Now()
+	health, ok := p.healthOf(ctx, id)
+	if p.tracker.SetChecked(id, ok && health.Healthy, health.WarmupLeft, startedAt, time.Now()) {
+		p.log.Emit(event.TargetFoundCold, zap.String("target", id), zap.Duration("warmup_left", health.WarmupLeft))
+	}
+}
+
+// healthOf makes a health check. ok is false if the target did not answer it.
+func (p *prober) healthOf(ctx context.Context, id string) (health platform.Health, ok bool) {
 	view := p.catalog.Current()
 	entry := view.Targets[id]
 	if entry == nil || view.Config == nil || view.Config.Services[entry.Service] == nil {
-		return
+		return health, false
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.Address+view.Config.Services[entry.Service].HealthPath, nil)
 	if err != nil {
 		p.log.Emit(event.TargetEntryInvalid, zap.String("target", id), zap.Error(err))
-		return
+		return health, false
 	}
 	res, err := p.client.Do(req)
 	if err != nil {
 		if !isConnectionError(err) {
 			p.log.Emit(event.HealthCheckInvalid, zap.String("target", id), zap.Error(err))
 		}
-		return // still down
+		return health, false
 	}
 	_ = res.Body.Close()
-	health := platform.ParseHealth(res.StatusCode, res.Header)
+	health = platform.ParseHealth(res.StatusCode, res.Header)
 	if health.TargetID != id {
-		return
+		return health, false
 	}
 	if health.Leaving && p.tracker.SetLeaving(id, time.Now()) {
 		p.log.Emit(event.TargetSaysLeaving, zap.String("target", id), zap.Int("status", res.StatusCode), zap.Bool("listed_leaving", entry.Leaving))
 	}
-	if !health.Healthy {
-		return
-	}
-	p.tracker.SetHealthy(id, health.WarmupLeft, time.Now())
-	p.log.Emit(event.TargetRecovered, zap.String("target", id), zap.Duration("warmup_left", health.WarmupLeft))
+	return health, true
 }
 
 // isConnectionError reports whether a call got no response at all, as is usual with
@@ -134,3 +177,25 @@
 		}
 	}
 }
+
+// noteListAge passes on when the store last confirmed the list of targets, to this
+// instance or to another that it answers. When it does so again, the list is read at
+// once, since it may have changed meanwhile.
+func (i *Instance) noteListAge(members []heartbeat.Member) {
+	_, age := i.catalog.Ages()
+	confirmedAt := time.Now().Add(-age)
+	for _, m := range members {
+		if storeAnswers(m) && m.LastSeen.After(confirmedAt) {
+			confirmedAt = m.LastSeen
+		}
+	}
+	changed, confirmed, lasted := i.tracker.SetListConfirmed(confirmedAt, time.Now())
+	switch {
+	case !changed:
+	case confirmed:
+		i.catalog.Refresh()
+		i.log.Emit(event.TargetListConfirmed, zap.Duration("lasted", lasted))
+	default:
+		i.log.Emit(event.TargetListUnconfirmed)
+	}
+}
--- a/internal/placement/pacing_test.go
+++ b/internal/placement/pacing_test.go
@@ -30,6 +30,10 @@
 	hears     func(i, j int) bool
 	objective time.Duration
 	refused   int
+	// cut is set while the store answers no instance, checks counts the health checks
+	// that were made because of it, if any.
+	cut    bool
+	checks int
 	// started is called when a request was sent to a target; it may be nil.
 	started func(in *simInstance, target string)
 }
@@ -42,6 +46,7 @@
 	members map[string]heartbeat.Member
 	// skew is the error of its clock, and frozenUntil the end of a freeze.
 	skew        time.Duration
+	confirmedAt time.Time
 	frozenUntil time.Time
 	// phase is when in an interval it sends heartbeats.
 	phase time.Duration
@@ -53,6 +58,8 @@
 	// slower multiplies the time of a request; down loses all connections.
 	slower float64
 	down   bool
+	// coldUntil is the end of a warm-up that only health checks show.
+	coldUntil time.Time
 	// arrivals and done are the times of requests and their ends; late counts answers
 	// after the objective since the last reset.
 	arrivals, done           []time.Time
@@ -158,6 +165,9 @@
 			r.events = r.events[1:]
 			e.do()
 		}
+		if r.now.UnixNano()%int64(50*time.Millisecond) == 0 {
+			r.checkUnconfirmed()
+		}
 		if r.now.UnixNano()%int64(100*time.Millisecond) == 0 {
 			r.applyHeartbeats(false)
 			for _, in := range r.instances {
@@ -172,6 +182,25 @@
 	}
 }
 
+// checkUnconfirmed makes the health checks that instances ask for while the list of
+// targets is unconfirmed. The answer takes 3 ms.
+func (r *simRegion) checkUnconfirmed() {
+	for _, in := range r.instances {
+		if !r.cut {
+			in.confirmedAt = r.clock(in)
+		}
+		in.tracker.SetListConfirmed(in.confirmedAt, r.clock(in))
+		for _, id := range in.tracker.ChecksDue(r.view, r.clock(in)) {
+			r.checks++
+			startedAt := r.clock(in)
+			r.after(time.Millisecond, func() {
+				warmup := r.targets[id].coldUntil.Sub(r.now)
+				r.after(2*time.Millisecond, func() { in.tracker.SetChecked(id, true, max(0, warmup), startedAt, r.clock(in)) })
+			})
+		}
+	}
+}
+
 // check makes the health checks of one instance.
 func (r *simRegion) check(in *simInstance) {
 	if r.frozen(in) || r.now.UnixNano()/int64(100*time.Millisecond)%4 != 0 {
@@ -327,6 +356,63 @@
 	}
 }
 
+// The region is cut off from the store. A failure domain is evacuated and taken back
+// meanwhile, which the instances do not learn, and its targets are cold. Guards
+// against sending them what warm ones bear; case 5 of the review.
+func TestWarmupBoundHoldsWhileListIsUnconfirmed(t *testing.T) {
+	for _, c := range []struct {
+		instances, all, targets int
+		perSecond               float64
+	}{{4, 4, 5, 150}, {25, 74, 8, 250}, {78, 233, 8, 250}} {
+		for seed := range uint64(5) {
+			r := newSimRegion(c.instances, c.all, c.targets, seed)
+			r.run(2*time.Second, c.perSecond)
+			r.cut = true
+			r.run(5500*time.Millisecond, c.perSecond)
+			cold := []string{"t-0", "t-1", "t-2"}
+			turned := r.now
+			for _, id := range cold {
+				r.targets[id].coldUntil = r.now.Add(r.service.Warmup)
+			}
+			r.run(2*time.Second, c.perSecond)
+			allowed := r.service.WarmupRate*1.5 + 3
+			for _, id := range cold {
+				arrivals := r.targets[id].arrivals
+				most := mostInOneSecond(arrivals[len(arrivals)-count(arrivals, turned, time.Hour):])
+				if float64(most) > allowed {
+					t.Errorf("%d instances, seed %d: %s got %d requests in a second while it was cold, allowed %.1f", c.all, seed, id, most, allowed)
+				}
+			}
+		}
+	}
+}
+
+// The store does not answer, and no target restarts. Guards against instances that
+// treat all targets as cold because of that.
+func TestOutageOfStoreAloneDoesNotThrottle(t *testing.T) {
+	for _, c := range []struct {
+		instances, all, targets int
+		perSecond               float64
+	}{{4, 4, 5, 150}, {25, 74, 8, 250}, {78, 233, 8, 250}} {
+		r := newSimRegion(c.instances, c.all, c.targets, 1)
+		r.run(2*time.Second, c.perSecond)
+		r.cut = true
+		r.run(3*time.Second, c.perSecond)
+		r.refused, r.checks = 0, 0
+		from := r.now
+		r.run(5*time.Second, c.perSecond)
+		answered, late := 0, 0
+		for _, target := range r.targets {
+			answered += count(target.done, from, time.Hour)
+			late += target.late
+		}
+		t.Logf("%d of %d instances: in 5 s %d answers, %d late, %d refused, %d health checks", c.instances, c.all, answered, late, r.refused, r.checks)
+		if r.refused*50 > answered {
+			t.Errorf("%d instances: %d refused, %d answered", c.all, r.refused, answered)
+		}
+	}
+}
+
 // Instances restart, freeze, lose each other, in one direction too, and have wrong
 // clocks, while a target recovers again and again. Guards against shares that together
 // exceed the window: no instance may count on being heard.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -42,6 +42,7 @@
 // Tracker estimates the state of the targets of the local region. Lock order: Tracker.mu,
 // then those behind warmupShares, elapsed and onWake, which are leaf locks.
 type Tracker struct {
+	instance       string
 	regionByDomain map[string]string
 	region         string
 	bounds         deployment.Bounds
@@ -60,6 +61,7 @@
 		lastNow      time.Time                // of the last call of noteTime
 		awakeSince   time.Time                // end of the last freeze
 		windows      *pace.Windows
+		list         listState
 		linkFaultAt  time.Time // when most targets were last down at once
 	}
 }
@@ -79,6 +81,7 @@
 	// restartSuspectedUntil is when the list will show whether the target has
 	// restarted, after other instances found it down; see downReports.
 	restartSuspectedUntil time.Time
+	vouch                 vouching
 	// recentSends are the times of requests written within warmupWindow, oldest first;
 	// unsent counts those that are yet to be written.
 	recentSends []time.Time
@@ -107,7 +110,7 @@
 // time since some start, including that in which the process was frozen or its machine
 // suspended. onWake is called after a freeze; it must not block.
 func NewTracker(s *deployment.Settings, shares WarmupShares, now time.Time, elapsed func() time.Duration, onWake func(frozen time.Duration)) *Tracker {
-	t := &Tracker{regionByDomain: s.RegionByDomain, region: s.Region, bounds: s.Bounds, started: now, warmupShares: shares, elapsed: elapsed, onWake: onWake}
+	t := &Tracker{instance: s.Instance, regionByDomain: s.RegionByDomain, region: s.Region, bounds: s.Bounds, started: now, warmupShares: shares, elapsed: elapsed, onWake: onWake}
 	t.mu.lastElapsed = elapsed()
 	t.mu.targets = map[string]*targetState{}
 	t.mu.slowdowns = map[string]*slowdown{}
@@ -246,7 +249,9 @@
 	}
 	view.Full = running >= view.Capacity || st.health.probing && st.running > 0
 	if view.WarmingUp = t.warmingUp(v, e, st, now); view.WarmingUp {
-		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now)
+		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(v, s, e.ID, now)
+	} else if t.vouchUsed(v, s, e.ID, st, now) {
+		view.Full = true
 	}
 	t.paceWarmup(v, e, st, now)
 	view.Full = view.Full || t.paced(e.ID, 0, now)
@@ -310,7 +315,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.stateOf(e, now)
-	if t.warmingUp(v, e, st, now) && st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now) || t.paced(e.ID, 1, now) {
+	switch {
+	case t.warmingUp(v, e, st, now):
+		if st.countRecentSends(now) >= t.warmupLimit(v, s, e.ID, now) {
+			return nil
+		}
+	case t.vouchUsed(v, s, e.ID, st, now):
+		return nil
+	}
+	if t.paced(e.ID, 1, now) {
 		return nil
 	}
 	running, pending := st.load()
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -36,7 +36,7 @@
 
 // warmingUp reports whether a target may be warming up.
 func (t *Tracker) warmingUp(v *catalog.View, e *catalog.Entry, st *targetState, now time.Time) bool {
-	return t.missedRestarts(v, e, now) || v.WarmingUp(e, now) || now.Before(st.health.warmupUntil) || now.Before(st.restartSuspectedUntil)
+	return t.missedRestarts(v, e, now) || t.mayHaveTurnedCold(v, v.Config.Services[e.Service], e.ID, st, now) || v.WarmingUp(e, now) || now.Before(st.health.warmupUntil) || now.Before(st.restartSuspectedUntil)
 }
 
 // missedRestarts reports whether the target may have restarted while this process was
@@ -60,14 +60,22 @@
 
 // warmupLimit returns the number of requests that this instance may send to a target
 // that is warming up in one window.
-func (t *Tracker) warmupLimit(s *deployment.Service, target string, now time.Time) int {
+func (t *Tracker) warmupLimit(v *catalog.View, s *deployment.Service, target string, now time.Time) int {
+	if t.unconfirmed(v, now) {
+		return t.coldShare(s, target, unconfirmedFraction, now)
+	}
+	return t.coldShare(s, target, 1, now)
+}
+
+// coldShare returns this instance's share of a fraction of the warm-up bound.
+func (t *Tracker) coldShare(s *deployment.Service, target string, fraction float64, now time.Time) int {
 	if s.WarmupRate <= 0 {
 		return 1 << 30
 	}
 	if now.Sub(t.started) < startupPeriod {
 		return 0
 	}
-	return t.warmupShares.Share(int(warmupBoundFraction*(s.WarmupRate*t.bounds.WarmupRateFactor+t.bounds.WarmupSlack)), target)
+	return t.warmupShares.Share(int(fraction*warmupBoundFraction*(s.WarmupRate*t.bounds.WarmupRateFactor+t.bounds.WarmupSlack)), target)
 }
 
 // countRecentSends returns the number of requests that were written within
