--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -15,6 +15,10 @@
 	"github.com/wigeonhill/wigeonhill/internal/quota"
 )
 
+// profilePeriod is the time in seconds of which one second's heartbeats carry the
+// learnt profiles. Only instances that have just started need them.
+const profilePeriod = 4
+
 // fillHeartbeat fills in the state of this instance.
 func (i *Instance) fillHeartbeat(hb *peerv1.FleetRow) {
 	now := time.Now()
@@ -26,6 +30,10 @@
 		hb.Teams = append(hb.Teams, &peerv1.TeamUse{Team: team, Spent: usage.Spent, Demand: float32(usage.Demand)})
 	}
 	hb.Targets, hb.Parts = i.tracker.TargetUses(), i.tracker.CachedParts(now)
+	hb.Profiles = i.tracker.SlowTargets()
+	if now.Unix()%profilePeriod == 0 {
+		hb.Profiles = append(hb.Profiles, i.tracker.Profiles()...)
+	}
 	hb.CrashBlocks = i.crashes.Digest()
 	hb.DomainMembers, hb.HasWarmupShare = i.roster.State()
 	if view.Config != nil {
@@ -55,6 +63,9 @@
 			id := m.Heartbeat.GetInstance()
 			if m.Reachable && m.Region() == i.settings.Region {
 				sameRegion[id.GetPeerAddress()] = m.Heartbeat
+				for _, p := range m.Heartbeat.GetProfiles() {
+					i.tracker.MergeProfile(id.GetPeerAddress(), p)
+				}
 			}
 			usage := make(map[string]quota.Usage, len(m.Heartbeat.GetTeams()))
 			for _, t := range m.Heartbeat.GetTeams() {
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/wigeonhill/wigeonhill/internal/gateway"
+	"github.com/wigeonhill/wigeonhill/internal/placement"
 )
 
 const (
@@ -49,6 +50,16 @@
 	gauge("targets_age_seconds", "Time since the store confirmed the list of targets.", func() float64 { _, t := i.catalog.Ages(); return t.Seconds() })
 	gauge("targets_listed", "Targets in the list, of all regions.", func() float64 { return float64(len(i.catalog.Current().Targets)) })
 	gauge("targets_down", "Targets of the own region that are avoided until a health check succeeds.", func() float64 { return float64(len(i.tracker.DownTargets(time.Now()))) })
+	delayRatio := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "wigeonhill", Name: "expected_delay_ratio",
+		Help: "Time to the first byte at a target of the own region, divided by the time that the placement expected.", Buckets: []float64{0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.5, 2, 3, 5, 10}}, []string{"prompt", "cached"})
+	r.MustRegister(delayRatio)
+	i.tracker.ObserveDelayErrors(func(e placement.DelayError) {
+		prompt := "short"
+		if e.Long {
+			prompt = "long"
+		}
+		delayRatio.WithLabelValues(prompt, strconv.FormatBool(e.Cached)).Observe(e.Ratio)
+	})
 	gauge("targets_paced", "Targets of the own region whose requests in flight are limited because they have started, come back or become slow.", func() float64 { return float64(i.tracker.PacedTargets()) })
 	gauge("requests_running", "Requests in progress, those of other instances included.", func() float64 { return float64(i.gateway.RunningRequests()) })
 	gauge("request_memory_bytes", "Memory held for the bodies of requests.", func() float64 { return float64(i.gateway.BufferedBodyBytes()) })
--- a/internal/placement/estimates.go
+++ b/internal/placement/estimates.go
@@ -9,10 +9,15 @@
 const (
 	// slowdownGain is the weight of a new sample in the moving average of a
 	// target's slowdown, and serviceSlowdownGain that in the average of its service.
+	// After slowdownRetention without a response the first ones have a higher weight:
+	// at a large region an instance gets few responses of each target.
 	slowdownGain        = 0.2
 	serviceSlowdownGain = 0.02
-	minSlowdown         = 0.1
-	maxSlowdown         = 10
+	// maxSlowdownStep bounds the ratio of one response relative to the average so far,
+	// since a lost packet or a stalled process delays one response by any time.
+	maxSlowdownStep = 3
+	minSlowdown     = 0.1
+	maxSlowdown     = 10
 	// slowdownRetention is how long a target's slowdown stays in use without a
 	// request. Over the same time after that, it returns to the slowdown of the
 	// service, so that a target that was slow is tried again.
@@ -24,13 +29,23 @@
 type slowdown struct {
 	value   float64
 	updated time.Time
+	// recent counts the responses since the last pause of slowdownRetention.
+	recent int
+	// last and previous are the ratios of the two latest responses.
+	last, previous float64
 }
 
 func (s *slowdown) initial() slowdown { return slowdown{value: s.value} }
 
 func (s *slowdown) observe(ratio float64, now time.Time, service *slowdown) {
 	ratio = min(max(ratio, minSlowdown), maxSlowdown)
-	s.value, s.updated = s.at(now, service)*(1-slowdownGain)+ratio*slowdownGain, now
+	if now.Sub(s.updated) > slowdownRetention {
+		s.recent = 0
+	}
+	gain, before := max(slowdownGain, 1/float64(s.recent+2)), s.at(now, service)
+	s.recent = min(s.recent+1, 1/slowdownGain)
+	s.last, s.previous = ratio, s.last
+	s.value, s.updated = before*(1-gain)+min(ratio, maxSlowdownStep*max(before, service.value))*gain, now
 	service.value = service.value*(1-serviceSlowdownGain) + min(ratio, 2*service.value)*serviceSlowdownGain
 }
 
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -96,6 +96,7 @@
 			s.restartSuspectedUntil = now.Add(restartSuspicionPeriod)
 		}
 	}
+	t.mergeSlowTargets(heartbeats)
 	for id, s := range t.mu.targets {
 		s.sumPeerLoads()
 		t.mu.windows.Adopt(id, s.startedMS, s.slots, now)
--- a/internal/placement/pacing.go
+++ b/internal/placement/pacing.go
@@ -11,8 +11,10 @@
 	// slowRatio is the slowdown of a target, relative to that of its service, from
 	// which on it is paced, and slowEndRatio the one below which it may be paced for
 	// that again. Between them targets of one service differ without a fault.
-	slowRatio    = 3.0
-	slowEndRatio = 2.0
+	slowRatio = 3.0
+	// minSlowResponses is the number of recent responses that this takes.
+	slowEndRatio     = 2.0
+	minSlowResponses = 3
 	// linkFaultPeriod is how long after most targets were down at once this instance
 	// paces none that returns: its own links were at fault, and the other instances
 	// would pace the whole region because of it.
@@ -85,8 +87,7 @@
 		w.Served(a.target, now)
 	}
 	s := a.state
-	service := max(a.tracker.serviceSlowdown(s.service).value, minSlowdown)
-	if ratio := s.slowdown.value / service; ratio >= slowRatio && !s.wasSlow {
+	if ratio := s.slowdown.value / a.tracker.usualSlowdown(s.service); ratio >= slowRatio && s.slowdown.recent >= minSlowResponses && !s.wasSlow {
 		s.wasSlow = true
 		w.Recovering(a.target, s.startedMS, s.slots, pace.Slow, now)
 	} else if ratio < slowEndRatio {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
@@ -50,7 +51,10 @@
 	warmupShares   WarmupShares
 	elapsed        func() time.Duration
 	onWake         func(frozen time.Duration)
-	mu             struct {
+	onDelayError   func(DelayError) // may be nil
+	// profiles are the learnt profiles in force, by service.
+	profiles atomic.Pointer[map[string]profile]
+	mu       struct {
 		sync.Mutex
 		targets      map[string]*targetState
 		slowdowns    map[string]*slowdown     // by service
@@ -62,7 +66,8 @@
 		awakeSince   time.Time                // end of the last freeze
 		windows      *pace.Windows
 		list         listState
-		linkFaultAt  time.Time // when most targets were last down at once
+		learners     map[string]*learner // by service
+		linkFaultAt  time.Time           // when most targets were last down at once
 	}
 }
 
@@ -77,7 +82,10 @@
 	// cacheTokens is the size of the KV cache estimated to hold shared prefixes.
 	cacheTokens int
 	slowdown    slowdown
-	health      health
+	// reportedSlowdown is the slowdown relative to the service that other instances
+	// report; 0 if too few do.
+	reportedSlowdown float64
+	health           health
 	// restartSuspectedUntil is when the list will show whether the target has
 	// restarted, after other instances found it down; see downReports.
 	restartSuspectedUntil time.Time
@@ -117,6 +125,8 @@
 	t.mu.holdTimes = map[string]time.Duration{}
 	t.mu.lastSequence = map[string]uint64{}
 	t.mu.windows = pace.New()
+	t.mu.learners = map[string]*learner{}
+	t.profiles.Store(&map[string]profile{})
 	return t
 }
 
@@ -236,7 +246,7 @@
 	running, pending := st.load()
 	view := TargetView{
 		ID: e.ID, Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending,
-		Cached: st.prefixCache.contains(prefixKey, now), CacheUsedAt: st.prefixCache.lastUsed(prefixKey), OldestWait: st.oldestWait(now), Slowdown: st.slowdown.at(now, t.serviceSlowdown(s.Name)),
+		Cached: st.prefixCache.contains(prefixKey, now), CacheUsedAt: st.prefixCache.lastUsed(prefixKey), OldestWait: st.oldestWait(now), Slowdown: t.slowdownOf(st, now),
 	}
 	view.Capacity = e.Slots * plainCapacityFactor
 	if s.Engine != nil {
@@ -301,6 +311,9 @@
 	prefix       deployment.PromptPart // shared prefix; without an ID if there is none
 	startedAt    time.Time
 	expected     time.Duration // time to first byte without slowdown
+	chosenDelay  time.Duration // that the placement expected
+	cached       bool
+	sample       sample
 	objective    time.Duration
 	window       uint64 // under which the request was sent; see package pace
 	sent         bool
@@ -329,6 +342,13 @@
 	running, pending := st.load()
 	view := TargetView{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Slowdown: 1, Cached: c.Cached}
 	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, objective: q.Objective, window: t.mu.windows.Begin(e.ID), expected: t.Model(s).Delay(q, &view, c.FetchFrom != "")}
+	a.chosenDelay, a.cached = c.Delay, c.Cached
+	if c.FetchFrom == "" { // the time of a fetch is not known
+		a.sample = sample{engine: s.Engine != nil, tokens: q.PromptTokens, ahead: pending, running: running, slots: e.Slots}
+		if c.Cached {
+			a.sample.tokens -= min(q.PrefixTokens, q.PromptTokens)
+		}
+	}
 	if s.Engine != nil {
 		a.pending = q.PromptTokens
 		if c.Cached || c.FetchFrom != "" {
@@ -359,7 +379,11 @@
 		return
 	}
 	a.tracker.recordCachedPart(a.target, a.prefix, now)
+	if observe := a.tracker.onDelayError; observe != nil && a.chosenDelay > 0 {
+		observe(DelayError{Ratio: float64(now.Sub(a.startedAt)) / float64(a.chosenDelay), Long: a.prefix.ID != "", Cached: a.cached})
+	}
 	a.state.slowdown.observe(float64(now.Sub(a.startedAt))/float64(max(a.expected, time.Millisecond)), now, a.tracker.serviceSlowdown(a.state.service))
+	a.learn(now)
 	a.pace(now)
 }
 
