--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -266,6 +266,19 @@
 	}
 }
 
+// Suspected begins a window for a target that other instances find down, unless this
+// one has evidence of its own that it is sound. The window does not grow by time while
+// this is called.
+func (w *Windows) Suspected(target string, incarnation int64, slots int, now time.Time) {
+	t := w.state(target)
+	switch {
+	case t.active && t.sound+t.faulty == 0:
+		t.size, t.lastResult = t.grown(now), now
+	case !t.active && now.Sub(t.lastSound) >= ownEvidence:
+		w.begin(target, t, incarnation, slots, Reported, now)
+	}
+}
+
 // Suspend ends the window of a target that gets no request until Recovering is called.
 func (w *Windows) Suspend(target string, now time.Time) {
 	if t := w.targets[target]; t != nil && t.active {
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -146,3 +146,24 @@
 		t.Errorf("%d running", w.Running("x"))
 	}
 }
+
+// Guards against instances that sent nothing to a target while it was down, so that
+// they send all at once when it is back.
+func TestTargetThatOthersFindDownIsPaced(t *testing.T) {
+	w := New()
+	w.Served("x", start)
+	if w.Suspected("x", 1, 8, start.Add(time.Second)); w.Active() != 0 {
+		t.Error("paced although it has just answered here")
+	}
+	if w.Suspected("x", 1, 8, start.Add(ownEvidence)); limit(t, w, start.Add(ownEvidence)) != 1 {
+		t.Error("not paced")
+	}
+	now := start.Add(ownEvidence)
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		w.Suspected("x", 1, 8, now)
+	}
+	if limit(t, w, now) != 1 {
+		t.Errorf("window %d while others find the target down", limit(t, w, now))
+	}
+}
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -83,7 +83,7 @@
 				if u.GetAvoided() {
 					r := reports[s]
 					if r == nil {
-						r = &downReports{}
+						r = &downReports{target: u.GetTarget()}
 						reports[s] = r
 					}
 					r.add(u.GetRefuses(), unreliable)
@@ -94,6 +94,9 @@
 	for s, r := range reports {
 		if r.suggestRestart() {
 			s.restartSuspectedUntil = now.Add(restartSuspicionPeriod)
+			if !s.health.down {
+				t.mu.windows.Suspected(r.target, s.startedMS, s.slots, now)
+			}
 		}
 	}
 	t.mergeSlowTargets(heartbeats)
@@ -105,7 +108,10 @@
 
 // downReports counts the instances that found a target down: all, those to which it
 // refused connections, and those of the latter that are reliable.
-type downReports struct{ all, refused, reliablyRefused int }
+type downReports struct {
+	target                        string
+	all, refused, reliablyRefused int
+}
 
 func (r *downReports) add(refused, unreliable bool) {
 	r.all++
--- a/internal/placement/pacing.go
+++ b/internal/placement/pacing.go
@@ -9,16 +9,19 @@
 
 const (
 	// slowRatio is the slowdown of a target, relative to that of its service, from
-	// which on it is paced, and slowEndRatio the one below which it may be paced for
-	// that again. Between them targets of one service differ without a fault.
-	slowRatio = 3.0
-	// minSlowResponses is the number of recent responses that this takes.
+	// which on it is paced if it rests on minSlowResponses recent responses, and
+	// slowEndRatio the one below which it may be paced for that again. Between them
+	// targets of one service differ without a fault.
+	slowRatio        = 3.0
 	slowEndRatio     = 2.0
 	minSlowResponses = 3
 	// linkFaultPeriod is how long after most targets were down at once this instance
 	// paces none that returns: its own links were at fault, and the other instances
 	// would pace the whole region because of it.
 	linkFaultPeriod = 10 * time.Second
+	// addedPeriod is how long a target counts as having just been listed. Lists are
+	// read every second.
+	addedPeriod = 3 * time.Second
 	// minLinkFaultTargets is the number of targets from which on most of them being
 	// down says something about the instance's own links.
 	minLinkFaultTargets = 3
@@ -32,6 +35,21 @@
 	return limited && t.mu.windows.Running(id) >= max(least, t.warmupShares.Share(window, id))
 }
 
+// addedLater reports whether a target has just been listed for the first time while
+// others of its service had been listed before; at the start of this instance all are
+// new. The caller holds t.mu.
+func (t *Tracker) addedLater(e *catalog.Entry, now time.Time) bool {
+	if e.FirstListed.IsZero() || now.Sub(e.FirstListed) > addedPeriod {
+		return false
+	}
+	for _, s := range t.mu.targets {
+		if s.service == e.Service && !s.firstListed.IsZero() && e.FirstListed.Sub(s.firstListed) > addedPeriod {
+			return true
+		}
+	}
+	return false
+}
+
 // paceWarmup begins a window when a target begins to warm up. The caller holds t.mu.
 func (t *Tracker) paceWarmup(v *catalog.View, e *catalog.Entry, st *targetState, now time.Time) {
 	warmingUp := v.WarmingUp(e, now)
--- a/internal/placement/pacing_test.go
+++ b/internal/placement/pacing_test.go
@@ -497,6 +497,47 @@
 	}
 }
 
+// Guards against a new target that gets all requests at once because its listing shows
+// no warm-up, and against an instance that paces all targets when it starts.
+func TestTargetThatIsAddedIsPaced(t *testing.T) {
+	c := newCluster(1, 4)
+	tr := c.trackers[0]
+	for _, e := range c.view.Targets {
+		e.FirstListed = c.now
+	}
+	tr.Targets(c.view, "model", "", nil, c.now)
+	if n := tr.PacedTargets(); n != 0 {
+		t.Errorf("%d targets paced at the start", n)
+	}
+	c.now = c.now.Add(time.Minute)
+	added := *c.view.Targets["t-0"]
+	added.ID, added.FirstListed = "t-9", c.now
+	c.view.Targets["t-9"] = &added
+	tr.Targets(c.view, "model", "", nil, c.now)
+	if _, limited := tr.mu.windows.Limit("t-9", c.now); !limited || tr.PacedTargets() != 1 {
+		t.Errorf("paced %v, %d targets in all", limited, tr.PacedTargets())
+	}
+}
+
+// Guards against an instance with a faulty link of its own that makes the others pace
+// all targets, and against one that paces none that comes back alone.
+func TestInstanceWithFaultyLinksPacesNone(t *testing.T) {
+	for down, want := range map[int]int{1: 1, 4: 0} {
+		c := newCluster(1, 4)
+		tr := c.trackers[0]
+		tr.Targets(c.view, "model", "", nil, c.now)
+		for i := range down {
+			tr.Begin(c.view, c.view.Targets[fmt.Sprint("t-", i)], c.service, &Query{}, Choice{}, c.now).End(Unreachable, c.now)
+		}
+		for i := range down {
+			tr.SetHealthy(fmt.Sprint("t-", i), 0, c.now.Add(time.Second))
+		}
+		if got := tr.PacedTargets(); got != want {
+			t.Errorf("%d of 4 targets were down: %d paced, want %d", down, got, want)
+		}
+	}
+}
+
 type windowAt struct {
 	at   time.Time
 	size int
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -97,6 +97,8 @@
 	// leavingSince is when a response of this incarnation first said that it leaves;
 	// zero if none did. listedAt is when the target was last listed.
 	leavingSince, listedAt time.Time
+	// firstListed is when the target was first listed here.
+	firstListed time.Time
 	// wasWarmingUp and wasSlow say whether the target was warming up, or slow, when it
 	// was last looked at; see package pace.
 	wasWarmingUp, wasSlow bool
@@ -135,7 +137,7 @@
 	known := s != nil
 	switch {
 	case s == nil:
-		s = &targetState{startedMS: e.StartedMS, service: e.Service, slots: e.Slots, awaitingFirstByte: map[*Attempt]time.Time{}}
+		s = &targetState{startedMS: e.StartedMS, service: e.Service, slots: e.Slots, firstListed: e.FirstListed, awaitingFirstByte: map[*Attempt]time.Time{}}
 		t.mu.targets[e.ID] = s
 	case s.startedMS == e.StartedMS:
 		return s
@@ -149,8 +151,11 @@
 	s.health = health{warmupUntil: s.health.warmupUntil}
 	s.leavingSince, s.restartSuspectedUntil = time.Time{}, time.Time{}
 	s.wasWarmingUp, s.wasSlow = false, false
-	if known {
+	switch {
+	case known:
 		t.mu.windows.Recovering(e.ID, e.StartedMS, e.Slots, pace.Restarted, now)
+	case t.addedLater(e, now):
+		t.mu.windows.Recovering(e.ID, e.StartedMS, e.Slots, pace.Started, now)
 	}
 	return s
 }
