--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -78,11 +78,12 @@
 		unreliable := avoidsMostTargets(hb, len(t.mu.targets))
 		for _, u := range hb.GetTargets() {
 			if s := t.mu.targets[u.GetTarget()]; s != nil {
+				t.mu.windows.Merge(peer, u, now)
 				s.peerLoads[peer] = peerLoad{int(u.GetRunning()), int(u.GetPendingTokens()), u.GetAvoided() && !unreliable}
 				if u.GetAvoided() {
 					r := reports[s]
 					if r == nil {
-						r = &downReports{}
+						r = &downReports{target: u.GetTarget()}
 						reports[s] = r
 					}
 					r.add(u.GetRefuses(), unreliable)
@@ -93,13 +94,24 @@
 	for s, r := range reports {
 		if r.suggestRestart() {
 			s.restartSuspectedUntil = now.Add(restartSuspicionPeriod)
+			if !s.health.down {
+				t.mu.windows.Suspected(r.target, s.startedMS, s.slots, now)
+			}
 		}
 	}
+	t.mergeSlowTargets(heartbeats)
+	for id, s := range t.mu.targets {
+		s.sumPeerLoads()
+		t.mu.windows.Adopt(id, s.startedMS, s.slots, now)
+	}
 }
 
 // downReports counts the instances that found a target down: all, those to which it
 // refused connections, and those of the latter that are reliable.
-type downReports struct{ all, refused, reliablyRefused int }
+type downReports struct {
+	target                        string
+	all, refused, reliablyRefused int
+}
 
 func (r *downReports) add(refused, unreliable bool) {
 	r.all++
@@ -134,10 +146,13 @@
 func (t *Tracker) TargetUses() []*peerv1.TargetUse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.mu.lastNow
 	var out []*peerv1.TargetUse
 	for id, s := range t.mu.targets {
-		if s.running > 0 || s.health.down {
-			out = append(out, &peerv1.TargetUse{Target: id, Running: uint32(max(s.running, 0)), PendingTokens: uint32(max(s.pending, 0)), Avoided: s.health.down, Refuses: s.health.refuses})
+		if s.running > 0 || s.health.down || t.mu.windows.Reported(id, now) {
+			u := &peerv1.TargetUse{Target: id, Running: uint32(max(s.running, 0)), PendingTokens: uint32(max(s.pending, 0)), Avoided: s.health.down, Refuses: s.health.refuses}
+			t.mu.windows.Fill(u, now)
+			out = append(out, u)
 		}
 	}
 	return out
