--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -80,6 +80,16 @@
 		t.Skip("starts processes")
 	}
 	t.Parallel()
+	return startAlone(t, change)
+}
+
+// startAlone is start without t.Parallel, for tests that measure memory and
+// descriptors.
+func startAlone(t *testing.T, change func(*fleet.Spec)) *harness {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
 	fleetSlots <- struct{}{}
 	t.Cleanup(func() { <-fleetSlots })
 	spec := fleet.DemoSpec(bin, t.TempDir())
--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -225,6 +225,9 @@
 	storeProxyAddress string
 	// memoryMB is the memory of an instance according to its settings.
 	memoryMB int
+	// maxDescriptors bounds the descriptors of an instance in its settings; 0 for no
+	// bound.
+	maxDescriptors int
 }
 
 func (d *testDeployment) storeAddress() string {
@@ -289,12 +292,16 @@
 	log    *bytes.Buffer
 }
 
+// loopbackNetwork is the second byte of the instances' addresses. It depends on the
+// process because two runs of the tests at the same time would share addresses.
+var loopbackNetwork = 16 + os.Getpid()%200
+
 var regionByDomain = map[string]string{"a": "east", "b": "west", "c": "south"}
 
 // writeSettings writes the settings file of a new instance in a failure domain.
 func (d *testDeployment) writeSettings(domain string) (path, ip string) {
 	d.t.Helper()
-	ip = fmt.Sprintf("127.7.%d.%d", (d.port-21000)/20, d.nextIP)
+	ip = fmt.Sprintf("127.%d.%d.%d", loopbackNetwork, (d.port-21000)/20, d.nextIP)
 	d.nextIP++
 	control := fmt.Sprintf("%s:%d", ip, d.port+3)
 	if len(d.seeds) == 0 {
@@ -321,6 +328,7 @@
 [limits]
 cpu_share = 0.4
 memory_mb = %d
+max_fds = %d
 [bounds]
 addr_reuse_s = 2
 drain_ms = 3000
@@ -336,7 +344,7 @@
 [platform]
 address = %q
 `, domain, d.nextIP, ip, domain, regionByDomain[domain], d.port+8, d.port+15, seeds, ip, d.port, ip, d.port+1, control, ip, d.port+2,
-		d.memoryMB, d.storeAddress())
+		d.memoryMB, d.maxDescriptors, d.storeAddress())
 	path = filepath.Join(d.t.TempDir(), "node.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
