--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -142,7 +142,9 @@
 func TestMessagesOutsideTheLimits(t *testing.T) {
 	c := newCrowdTest(t)
 	url := "http://" + c.in.PeerAddress + peerv1connect.PeerForwardProcedure
-	c.run("messages of instances without end", func(ctx context.Context) { standin.MessageCrowd(ctx, newPeerTransport, url, crowdClients, crowdMaxBody) })
+	c.run("messages of instances without end", func(ctx context.Context) {
+		standin.MessageCrowd(ctx, newPeerTransport, url, crowdClients, crowdMaxBody)
+	})
 }
 
 // Guards against responses that stay in memory because their callers stop reading.
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -36,4 +36,9 @@
 	SettingsReloaded        = define(841, "settings reloaded", zapcore.InfoLevel, "the settings file changed; seeds apply now, other fields at the next start")
 	SettingsRejected        = define(842, "settings rejected", zapcore.ErrorLevel, "the settings file has errors; the settings in force stay")
 	ProcessResumed          = define(843, "process resumed", zapcore.WarnLevel, "the process was frozen or its machine suspended; targets count as warming up until their list has been read")
+
+	IntakeMemoryUsedUp      = define(850, "intake memory used up", zapcore.WarnLevel, "request heads, bodies or messages found no memory, or stopped arriving while it was short; they were refused and have not run. Events 850 to 853 have at most one line a second for each port; count is the number since the line before")
+	IntakeConnectionsUsedUp = define(851, "intake connections used up", zapcore.WarnLevel, "a port has its largest number of connections; new ones took the place of slow or idle ones, or were closed")
+	IntakeClientSlow        = define(852, "intake client slow", zapcore.InfoLevel, "request heads or bodies did not arrive in time; their connections were closed or the requests refused")
+	IntakeHeadTooLong       = define(853, "intake head too long", zapcore.InfoLevel, "request heads exceeded the limit; they were refused")
 )
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
@@ -15,63 +15,42 @@
 	// defaultMaxBody bounds the body of a request if the configuration sets no limit,
 	// in bytes.
 	defaultMaxBody = 4 << 20
-	// bodyMemoryFraction is the fraction of the instance's memory that the bodies
-	// of all requests together may take.
-	bodyMemoryFraction = 0.3
-	// initialBodyBuffer bounds the memory that is allocated for a body before it
-	// arrives, in bytes: Content-Length alone must not reserve more.
-	initialBodyBuffer = 64 << 10
+	// intakeMemoryFraction is the fraction of the instance's memory that heads, bodies
+	// and messages of other instances together may take.
+	intakeMemoryFraction = 0.3
 )
 
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limits deployment.Limits) error {
+// NewIntakeBudget returns the memory for what clients send to an instance.
+func NewIntakeBudget(s *deployment.Settings) *intake.Budget {
+	return intake.NewBudget(int64(intakeMemoryFraction * float64(s.MemoryBytes)))
+}
+
+// readBody reads the body of c, which the caller of readBody releases.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call, limits deployment.Limits) (intake.Body, error) {
 	limit := limits.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	tooLarge := result.New(result.BodyTooLarge, result.NotRun, "the body exceeds %d bytes", limit)
-	if r.ContentLength > limit {
-		return tooLarge
-	}
-	expectedSize := r.ContentLength
-	if expectedSize < 0 {
-		expectedSize = initialBodyBuffer
-	}
-	if float64(g.bufferedBodies.Load()+expectedSize) > bodyMemoryFraction*float64(g.Settings.MemoryBytes) {
-		return result.New(result.MemoryLimitReached, result.NotRun, "request bodies fill the memory for them").WithRetryAfter(notReadyRetryAfter)
+	if r.ContentLength == 0 {
+		return intake.Body{}, nil
 	}
-	if expectedSize == 0 {
-		return nil
+	if !intake.SetDeadline(r.Body, c.deadline) {
+		rc := http.NewResponseController(w)
+		_ = rc.SetReadDeadline(c.deadline)
+		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(c.deadline)
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), min(expectedSize, initialBodyBuffer))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	c.body = body
-	g.bufferedBodies.Add(int64(cap(body)))
-	var large *http.MaxBytesError
+	body, err := intake.ReadBody(r.Body, r.ContentLength, limit, g.Intake)
+	c.body = body.Bytes
 	switch {
-	case errors.As(err, &large):
-		return tooLarge
-	case err != nil && r.Context().Err() == nil && time.Now().After(c.deadline):
-		return result.New(result.CallerTooSlow, result.NotRun, "the body did not arrive in time")
-	case err != nil:
-		return result.New(result.BadRequest, result.NotRun, "the body could not be read: %v", err)
-	}
-	return nil
-}
-
-func readAll(r io.Reader, initialSize int64) ([]byte, error) {
-	body := make([]byte, 0, initialSize+1)
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
+	case err == nil:
+		return body, nil
+	case errors.Is(err, intake.ErrTooLarge):
+		w.Header().Set("Connection", "close")
+		return body, result.New(result.BodyTooLarge, result.NotRun, "the body exceeds %d bytes", limit)
+	case errors.Is(err, intake.ErrNoMemory):
+		return body, result.New(result.MemoryLimitReached, result.NotRun, "request bodies fill the memory for them").WithRetryAfter(notReadyRetryAfter)
+	case errors.Is(err, intake.ErrTooSlow), r.Context().Err() == nil && time.Now().After(c.deadline):
+		return body, result.New(result.CallerTooSlow, result.NotRun, "the body did not arrive in time")
 	}
+	return body, result.New(result.BadRequest, result.NotRun, "the body could not be read: %v", err)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
@@ -58,14 +59,15 @@
 	// unreachable, its connection broke, or another target has its address.
 	OnTargetDown func(target string)
 	Metrics      *Metrics
-	Log          *event.Logger
+	// Intake is the memory for bodies; nil for a budget of its own.
+	Intake *intake.Budget
+	Log    *event.Logger
 }
 
 // Gateway serves the requests of callers, and those that other instances forward.
 type Gateway struct {
 	Config
 	targetTransport http.RoundTripper
-	bufferedBodies  atomic.Int64 // capacity of the buffers for callers' request bodies, in bytes
 	responseMemory  *dispatch.MemoryBudget
 	draining        atomic.Bool
 	refusing        atomic.Bool // the last part of the drain, without new requests
@@ -79,14 +81,17 @@
 // New returns a Gateway that uses the settings and dependencies in cfg.
 func New(cfg Config) *Gateway {
 	g := &Gateway{Config: cfg, targetTransport: newTargetTransport()}
+	if g.Intake == nil {
+		g.Intake = NewIntakeBudget(cfg.Settings)
+	}
 	g.responseMemory = dispatch.NewMemoryBudget(settings.Bounds{ProcessBuffer: int64(responseMemoryFraction * float64(cfg.Settings.MemoryBytes))})
 	g.cutoff, g.cutOff = context.WithCancel(context.Background())
 	return g
 }
 
-// BufferedBodyBytes returns the memory in use for the bodies of callers' requests,
-// in bytes. Bodies of forwarded requests are not included.
-func (g *Gateway) BufferedBodyBytes() int64 { return g.bufferedBodies.Load() }
+// BufferedBodyBytes returns the memory reserved for request bodies and heads, in bytes,
+// those of forwarded requests included.
+func (g *Gateway) BufferedBodyBytes() int64 { return g.Intake.Used() }
 
 // BufferedResponseBytes returns the memory reserved for responses that are held until
 // they are passed on, in bytes.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/httpframing"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
@@ -62,8 +63,8 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, err := g.readRequest(w, r)
-	defer func() { g.bufferedBodies.Add(-int64(cap(c.body))) }()
+	c, body, err := g.readRequest(w, r)
+	defer body.Release()
 	if err == nil {
 		err = g.refusal()
 	}
@@ -96,8 +97,9 @@
 }
 
 // readRequest decodes a request and reads its body. The API key is checked before
-// the body is read. The call is never nil, also with an error.
-func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request) (*call, error) {
+// the body is read; the caller of readRequest releases it. The call is never nil, also
+// with an error.
+func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request) (*call, intake.Body, error) {
 	now := time.Now()
 	c := &call{
 		Request: platform.ParseRequest(r.Header), host: stripPort(r.Host), method: r.Method, path: r.RequestURI,
@@ -106,7 +108,7 @@
 	c.keyHash, c.APIKey = hashAPIKey(c.APIKey), ""
 	v := g.Catalog.Current()
 	if err := c.resolve(v); err != nil {
-		return c, err
+		return c, intake.Body{}, err
 	}
 	timeout := c.CallerTimeout
 	if timeout <= 0 {
@@ -116,7 +118,8 @@
 	if t := now.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.deadline) {
 		c.deadline = t
 	}
-	return c, g.readBody(w, r, c, v.Config.Limits)
+	body, err := g.readBody(w, r, c, v.Config.Limits)
+	return c, body, err
 }
 
 func stripPort(host string) string {
@@ -171,7 +174,8 @@
 func (g *Gateway) writeErrorResponse(w http.ResponseWriter, r *http.Request, c *call, err error) {
 	e := result.FromError(err)
 	g.logFailure(c, e)
-	if r.Context().Err() != nil {
+	// A body that is not waited for ends the context, too, but its caller is there.
+	if r.Context().Err() != nil && e.Code != result.MemoryLimitReached && e.Code != result.CallerTooSlow {
 		panic(http.ErrAbortHandler) // the caller closed the connection
 	}
 	platform.SetErrorHeaders(w.Header(), c.ID, e.RetryAfter)
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -29,7 +29,7 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.GET(path, handler)
-	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: 10 * readHeaderTimeout}
+	return newSmallServer(e)
 }
 
 func (i *Instance) readyServer() *http.Server {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -21,6 +21,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/gateway"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
@@ -64,6 +65,7 @@
 
 	callers, ready, directory, control, metrics *http.Server
 	listeners                                   map[*http.Server]net.Listener
+	intake                                      intakePorts
 }
 
 // New creates an instance from the settings file at path and opens its
@@ -116,9 +118,12 @@
 	i.prober = newProber(i.catalog, i.tracker, i.log)
 	registry, metrics := i.newMetrics()
 	i.metrics = i.metricsServer(registry)
+	budget := gateway.NewIntakeBudget(s)
+	i.intake = i.newIntakePorts(budget)
+	intake.Register(registry, budget, i.intake.callers, i.intake.ready, i.intake.directory, i.intake.control, i.intake.metrics)
 	i.gateway = gateway.New(gateway.Config{
-		Metrics: metrics,
-		Self:    i.self, Settings: s, Catalog: i.catalog, Members: i.heartbeats, Clients: i.clients, Tracker: i.tracker,
+		Metrics: metrics, Intake: budget,
+		Self: i.self, Settings: s, Catalog: i.catalog, Members: i.heartbeats, Clients: i.clients, Tracker: i.tracker,
 		Quota: i.quota, RetryBudget: i.retryBudget, Crashes: i.crashes, OnTargetDown: i.prober.wake, Log: i.log,
 	})
 	i.registerGauges(registry)
@@ -144,10 +149,17 @@
 	for _, binding := range []struct {
 		server  *http.Server
 		address string
-	}{{i.callers, addresses.Callers}, {i.ready, addresses.Ready}, {i.directory, addresses.Directory}, {i.control, addresses.Control}, {i.metrics, i.metricsAddress()}} {
-		if i.listeners[binding.server], err = gateway.Listen(binding.address); err != nil {
+		port    *intake.Port
+	}{
+		{i.callers, addresses.Callers, i.intake.callers}, {i.ready, addresses.Ready, i.intake.ready}, {i.directory, addresses.Directory, i.intake.directory},
+		{i.control, addresses.Control, i.intake.control}, {i.metrics, i.metricsAddress(), i.intake.metrics},
+	} {
+		l, err := gateway.Listen(binding.address)
+		if err != nil {
 			return err
 		}
+		binding.port.Configure(binding.server)
+		i.listeners[binding.server] = binding.port.Listen(l)
 	}
 	return nil
 }
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -24,7 +24,7 @@
 func (i *Instance) metricsServer(r *prometheus.Registry) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: 10 * readHeaderTimeout}
+	return newSmallServer(mux)
 }
 
 func (i *Instance) metricsAddress() string {
--- /dev/null
+++ b/internal/intake/conn.go
@@ -0,0 +1,145 @@
+package intake
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Phases of a connection.
+const (
+	phaseHead    int32 = iota // a request head is arriving, or the first is waited for
+	phaseBody                 // the body of a request is arriving
+	phaseServing              // a request is being served
+	phaseIdle
+	phaseClosed // closed, or about to be; no request may begin
+)
+
+const (
+	// headSlack is what is read of a connection beyond a head before the request
+	// begins: net/http reads 4 KiB at a time.
+	headSlack = 4 << 10
+	// A parsed head takes headByteCost bytes for each byte and headLineCost for each
+	// line; the latter is the cost of an entry in the map of headers. Up to
+	// freeHeadCost nothing is reserved; ordinary heads stay below it.
+	headByteCost, headLineCost = 2, 200
+	freeHeadCost               = 16 << 10
+
+	headTooLongResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// headDrainTime is how long the rest of a head that is too long is read, up to
+	// drainStep: closing a connection with unread bytes would lose the response.
+	headDrainTime = 100 * time.Millisecond
+)
+
+// conn is a connection of a port.
+type conn struct {
+	*net.TCPConn
+	port  *Port
+	phase atomic.Int32
+	// since is the time since the start of the port at which the phase began.
+	since atomic.Int64
+	// body is the body that is arriving, if any.
+	body atomic.Pointer[trackedBody]
+	// headBytes and headLines count what has arrived of a head, and reserved is what
+	// is reserved for it. They are used by the goroutine that reads.
+	headBytes, headLines int
+	reserved             int64
+}
+
+// Read implements net.Conn. It counts the bytes of heads.
+func (c *conn) Read(q []byte) (int, error) {
+	if c.phase.Load() == phaseClosed {
+		return 0, net.ErrClosed
+	}
+	n, err := c.TCPConn.Read(q)
+	if n <= 0 || c.port.http2Only {
+		return n, err
+	}
+	if c.phase.CompareAndSwap(phaseIdle, phaseHead) {
+		c.since.Store(int64(time.Since(c.port.start)))
+	}
+	if c.phase.Load() == phaseHead {
+		if headErr := c.countHead(q[:n]); headErr != nil {
+			return 0, headErr
+		}
+	}
+	return n, err
+}
+
+// countHead counts a part of a head and reserves memory for it.
+func (c *conn) countHead(part []byte) error {
+	c.headBytes += len(part)
+	c.headLines += bytes.Count(part, []byte{'\n'})
+	cost := int64(headByteCost*c.headBytes + headLineCost*c.headLines)
+	if cost <= freeHeadCost {
+		return nil
+	}
+	if limit := c.port.limits().MaxHeadBytes; limit > 0 && c.headBytes > limit+headSlack {
+		c.port.count(refusedTooLong)
+		// The response to an earlier request is complete while a head arrives.
+		_ = c.SetWriteDeadline(time.Now().Add(stallTime))
+		// These fail only if the client has closed the connection.
+		_, _ = io.WriteString(c.TCPConn, headTooLongResponse)
+		_ = c.CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(headDrainTime))
+		_, _ = io.CopyN(io.Discard, c.TCPConn, drainStep)
+		return net.ErrClosed
+	}
+	if more := cost - c.reserved; more > 0 {
+		if !c.port.budget.take(more, more) {
+			c.port.count(refusedMemory)
+			return net.ErrClosed
+		}
+		c.reserved = cost
+	}
+	return nil
+}
+
+func (c *conn) forgetHead() {
+	c.headBytes, c.headLines = 0, 0
+	if c.reserved > 0 {
+		c.port.budget.put(c.reserved)
+		c.reserved = 0
+	}
+}
+
+// begin marks the start of a request. It reports false if the connection was closed in
+// the meantime.
+func (c *conn) begin(hasBody bool) bool {
+	phase := phaseServing
+	if hasBody {
+		phase = phaseBody
+	}
+	return c.phase.CompareAndSwap(phaseHead, phase) || c.phase.CompareAndSwap(phaseIdle, phase) || c.phase.CompareAndSwap(phaseHead, phase)
+}
+
+// stalled reports whether nothing of the body has arrived for stallTime.
+func (c *conn) stalled(now time.Duration) bool {
+	b := c.body.Load()
+	return b != nil && now-time.Duration(b.progress.Load()) > stallTime
+}
+
+// onState is called by the server when the state of the connection changes.
+func (c *conn) onState(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		// HTTP/1.1 connections become active after a head was read; see begin.
+		if c.port.http2Only && !c.phase.CompareAndSwap(phaseIdle, phaseServing) {
+			c.phase.CompareAndSwap(phaseHead, phaseServing)
+		}
+	case http.StateIdle:
+		c.forgetHead()
+		c.since.Store(int64(time.Since(c.port.start)))
+		if c.phase.Load() != phaseClosed {
+			c.phase.CompareAndSwap(phaseServing, phaseIdle)
+			c.phase.CompareAndSwap(phaseBody, phaseIdle)
+		}
+	case http.StateClosed, http.StateHijacked:
+		c.forgetHead()
+		c.port.remove(c)
+	case http.StateNew:
+	}
+}
--- /dev/null
+++ b/internal/intake/port.go
@@ -0,0 +1,557 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/event"
+)
+
+// ErrTooSlow is returned for a body that did not arrive in time.
+var ErrTooSlow = errors.New("the body did not arrive in time")
+
+const (
+	// sweepInterval is the interval at which connections and bodies that are over
+	// their time are looked for.
+	sweepInterval = 250 * time.Millisecond
+	// reportInterval is the interval at which what was refused is logged, one line for
+	// each reason and port.
+	reportInterval = time.Second
+	// stallTime is the time without a byte after which a body counts as stalled, and
+	// the age from which on a head counts as slow. Stalled bodies and slow heads go
+	// first when memory or connections run out.
+	stallTime = time.Second
+	// drainBytes bounds what is read and dropped of a body that was refused: a client
+	// that reads nothing before it has sent everything would lose the response if the
+	// connection were closed before. Each drainStep must arrive within stallTime.
+	drainBytes = 4 << 20
+	drainStep  = 64 << 10
+	// missedSweep is the time between two sweeps from which on the process counts as
+	// having been paused; what clients have sent meanwhile was not read.
+	missedSweep = 2 * time.Second
+)
+
+// Limits bound what the clients of a port may take.
+type Limits struct {
+	// MaxConns is the number of open connections. When it is reached, slow heads,
+	// stalled bodies and the connection that is idle longest are closed, in this
+	// order. A connection on which a request is served is never closed.
+	MaxConns int
+	// MaxHeadBytes bounds a request head in bytes.
+	MaxHeadBytes int
+	// HeadTimeout is the time in which a head must have arrived, from its first byte or
+	// from the start of the connection, and BodyTimeout that of a body.
+	HeadTimeout, BodyTimeout time.Duration
+	// IdleTimeout is the time after which an idle connection is closed.
+	IdleTimeout time.Duration
+}
+
+// reason says why something was refused or closed.
+type reason int
+
+const (
+	refusedMemory  reason = iota // a body or head without memory
+	refusedConn                  // a connection over the bound, or one closed in its place
+	refusedSlow                  // a head or body that did not arrive in time
+	refusedTooLong               // a head over its limit
+	reasons
+)
+
+var reasonNames = [reasons]string{"memory", "connections", "slow", "head_too_long"}
+
+var reasonEvents = [reasons]event.Event{event.IntakeMemoryUsedUp, event.IntakeConnectionsUsedUp, event.IntakeClientSlow, event.IntakeHeadTooLong}
+
+// Port is the intake of the connections of one listener.
+type Port struct {
+	name   string
+	limits func() Limits
+	budget *Budget
+	log    *event.Logger
+	start  time.Time
+	// sinceStart is the time since start at the last sweep.
+	sinceStart atomic.Int64
+	// http2Only is set if all connections use HTTP/2; net/http bounds their heads.
+	http2Only bool
+	// requestBytes is reserved for each request, and messageFactor times the bytes of
+	// its body while it runs, for servers that read bodies themselves.
+	requestBytes, messageFactor int64
+
+	connMu sync.Mutex
+	conns  map[*conn]struct{}
+	bodyMu sync.Mutex
+	bodies trackedBody // head of a ring
+
+	refused  [reasons]atomic.Int64
+	reported [reasons]int64
+}
+
+// NewPort returns the intake for the port with the given name, which is used in events
+// and metrics. limits is called often.
+func NewPort(name string, limits func() Limits, b *Budget, log *event.Logger) *Port {
+	p := &Port{name: name, limits: limits, budget: b, log: log, start: time.Now(), conns: map[*conn]struct{}{}}
+	p.bodies.next, p.bodies.prev = &p.bodies, &p.bodies
+	return p
+}
+
+// ReserveMessages makes the port reserve memory for requests whose bodies the handler
+// decodes itself: perRequest bytes for each and factor times the bytes of its body.
+func (p *Port) ReserveMessages(perRequest, factor int64) {
+	p.requestBytes, p.messageFactor = perRequest, factor
+}
+
+// Configure makes s a server of this port. Call it once, after the handler and hooks
+// of s are set and before s serves.
+func (p *Port) Configure(s *http.Server) {
+	next, connContext, connState := s.Handler, s.ConnContext, s.ConnState
+	s.Handler = p.handler(next)
+	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, nc)
+		}
+		if c := unwrap(nc); c != nil {
+			ctx = context.WithValue(ctx, connKey{}, c)
+		}
+		return ctx
+	}
+	p.http2Only = s.Protocols != nil && !s.Protocols.HTTP1()
+	s.ConnState = func(nc net.Conn, state http.ConnState) {
+		if connState != nil {
+			connState(nc, state)
+		}
+		if c := unwrap(nc); c != nil {
+			c.onState(state)
+		}
+	}
+}
+
+type connKey struct{}
+
+func unwrap(nc net.Conn) *conn {
+	if t, ok := nc.(interface{ NetConn() net.Conn }); ok { // TLS
+		nc = t.NetConn()
+	}
+	c, _ := nc.(*conn)
+	return c
+}
+
+// Listen returns a listener whose connections are those of l within the limits.
+func (p *Port) Listen(l net.Listener) net.Listener {
+	w := &listener{Listener: l, port: p, closed: make(chan struct{})}
+	go p.sweepUntil(w.closed)
+	return w
+}
+
+type listener struct {
+	net.Listener
+	port   *Port
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Close stops listening. Connections that are open are still swept.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := nc.(*net.TCPConn)
+		if !ok {
+			return nc, nil
+		}
+		if c := l.port.admit(tcp); c != nil {
+			return c, nil
+		}
+		_ = tcp.Close()
+	}
+}
+
+// admit returns the connection for tcp, or nil if the limit is reached and no other
+// connection can be closed in its place.
+func (p *Port) admit(tcp *net.TCPConn) *conn {
+	limit := p.limits().MaxConns
+	c := &conn{TCPConn: tcp, port: p}
+	c.since.Store(int64(time.Since(p.start)))
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	if limit > 0 && len(p.conns) >= limit {
+		p.count(refusedConn)
+		victim := p.victim()
+		if victim == nil {
+			return nil
+		}
+		delete(p.conns, victim)
+		_ = victim.TCPConn.Close()
+	}
+	p.conns[c] = struct{}{}
+	return c
+}
+
+// victim marks a connection as closed and returns it: one with a slow head, a stalled
+// body, the one that is idle longest, or one with any head, in this order. connMu is
+// held.
+func (p *Port) victim() *conn {
+	now := time.Since(p.start)
+	for range 3 { // the state of the one chosen may change at the same moment
+		var best *conn
+		bestRank, bestSince := 0, int64(0)
+		for c := range p.conns {
+			rank, since := 0, c.since.Load()
+			switch phase := c.phase.Load(); {
+			case phase == phaseHead && now-time.Duration(since) > stallTime:
+				rank = 4
+			case phase == phaseBody && c.stalled(now):
+				rank = 3
+			case phase == phaseIdle:
+				rank = 2
+			case phase == phaseHead:
+				rank = 1
+			}
+			if rank > bestRank || rank > 0 && rank == bestRank && since < bestSince {
+				best, bestRank, bestSince = c, rank, since
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		phase := [...]int32{phaseClosed, phaseHead, phaseIdle, phaseBody, phaseHead}[bestRank]
+		if best.phase.CompareAndSwap(phase, phaseClosed) {
+			return best
+		}
+	}
+	return nil
+}
+
+func (p *Port) remove(c *conn) {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	delete(p.conns, c)
+}
+
+// Connections returns the number of open connections.
+func (p *Port) Connections() int {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	return len(p.conns)
+}
+
+func (p *Port) count(r reason) { p.refused[r].Add(1) }
+
+func (p *Port) sweepUntil(closed <-chan struct{}) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	last, lastReport := time.Now(), time.Now()
+	for open := true; open || p.Connections() > 0; {
+		select {
+		case <-closed:
+			open, closed = false, nil
+		case <-tick.C:
+		}
+		now := time.Now()
+		p.sinceStart.Store(int64(now.Sub(p.start)))
+		if now.Sub(last) < missedSweep {
+			p.sweep(now.Sub(p.start))
+		} else {
+			p.forgive(now.Sub(last))
+		}
+		last = now
+		if now.Sub(lastReport) >= reportInterval {
+			lastReport = now
+			p.report()
+		}
+	}
+	p.report()
+}
+
+// sweep closes connections and refuses bodies that are over their time.
+func (p *Port) sweep(now time.Duration) {
+	limits := p.limits()
+	var late []*conn
+	p.connMu.Lock()
+	for c := range p.conns {
+		age, phase := now-time.Duration(c.since.Load()), c.phase.Load()
+		slow := phase == phaseHead && limits.HeadTimeout > 0 && age > limits.HeadTimeout
+		if slow || phase == phaseIdle && limits.IdleTimeout > 0 && age > limits.IdleTimeout {
+			if c.phase.CompareAndSwap(phase, phaseClosed) {
+				delete(p.conns, c)
+				late = append(late, c)
+				if slow {
+					p.count(refusedSlow)
+				}
+			}
+		}
+	}
+	p.connMu.Unlock()
+	for _, c := range late {
+		_ = c.TCPConn.Close()
+	}
+	pressed := p.budget.underPressure()
+	var ended []*trackedBody
+	p.bodyMu.Lock()
+	for b := p.bodies.next; b != &p.bodies; b = b.next {
+		deadline := b.deadline.Load()
+		switch {
+		case limits.BodyTimeout > 0 && now-b.begun > limits.BodyTimeout, deadline > 0 && int64(now) > deadline:
+			if b.refusal.CompareAndSwap(0, int32(refusedSlow)+1) {
+				p.count(refusedSlow)
+			}
+			ended = append(ended, b)
+		case pressed && now-time.Duration(b.progress.Load()) > stallTime:
+			if b.refusal.CompareAndSwap(0, int32(refusedMemory)+1) {
+				p.count(refusedMemory)
+			}
+			ended = append(ended, b)
+		}
+	}
+	p.bodyMu.Unlock()
+	for _, b := range ended {
+		b.interrupt()
+	}
+	p.budget.exhausted.Store(false)
+}
+
+// forgive leaves out a time in which the process was paused.
+func (p *Port) forgive(pause time.Duration) {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	for c := range p.conns {
+		c.since.Add(int64(pause))
+	}
+	p.bodyMu.Lock()
+	defer p.bodyMu.Unlock()
+	for b := p.bodies.next; b != &p.bodies; b = b.next {
+		b.begun += pause
+		b.progress.Add(int64(pause))
+	}
+}
+
+func (p *Port) report() {
+	for r := range reasons {
+		if n := p.refused[r].Load(); n > p.reported[r] {
+			p.log.Emit(reasonEvents[r], zap.String("port", p.name), zap.Int64("count", n-p.reported[r]),
+				zap.Int("connections", p.Connections()), zap.Int64("reserved", p.budget.Used()), zap.Int64("budget", p.budget.Limit()))
+			p.reported[r] = n
+		}
+	}
+}
+
+// handler wraps the handler of a server of the port.
+func (p *Port) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if r.ProtoMajor > 1 {
+			c = nil // the state of the connection is not that of the request
+		}
+		hasBody := r.Body != nil && r.Body != http.NoBody
+		if c != nil && !c.begin(hasBody) {
+			panic(http.ErrAbortHandler) // the connection was closed before the request began
+		}
+		if !hasBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		b := p.track(w, r, c)
+		defer b.end()
+		// net/http decides by the type of its own request's body whether the connection
+		// can be used again.
+		r = withBody(r, b)
+		if n := p.requestBytes; n > 0 && !b.reserve(n) {
+			b.refusal.Store(int32(refusedMemory) + 1)
+			p.count(refusedMemory)
+		}
+		next.ServeHTTP(w, r)
+		if c != nil && !b.complete.Load() {
+			b.drain(w, r)
+		}
+	})
+}
+
+func withBody(r *http.Request, b io.ReadCloser) *http.Request {
+	shallow := *r
+	shallow.Body = b
+	return &shallow
+}
+
+// trackedBody is the body of a request that has not arrived whole.
+type trackedBody struct {
+	io.ReadCloser
+	port *Port
+	conn *conn // nil for HTTP/2
+	w    http.ResponseWriter
+	// begun, progress and deadline are times since the start of the port; deadline is
+	// 0 if none was set. begun is guarded by bodyMu.
+	begun              time.Duration
+	progress, deadline atomic.Int64
+	// refusal is 1 more than the reason for which the rest is not waited for.
+	refusal  atomic.Int32
+	complete atomic.Bool
+	// needed and reserved are bytes of memory for a message.
+	needed, reserved int64
+	next, prev       *trackedBody // guarded by bodyMu
+
+	mu sync.Mutex
+	// ended is set when the handler has returned; w must not be used then.
+	ended bool
+}
+
+func (p *Port) track(w http.ResponseWriter, r *http.Request, c *conn) *trackedBody {
+	b := &trackedBody{ReadCloser: r.Body, port: p, conn: c, w: w, begun: time.Since(p.start)}
+	b.progress.Store(int64(b.begun))
+	if c != nil {
+		c.body.Store(b)
+	}
+	p.bodyMu.Lock()
+	defer p.bodyMu.Unlock()
+	last := p.bodies.prev
+	b.next, b.prev = &p.bodies, last
+	last.next, p.bodies.prev = b, b
+	return b
+}
+
+func (b *trackedBody) untrack() {
+	b.port.bodyMu.Lock()
+	defer b.port.bodyMu.Unlock()
+	if b.next != nil {
+		b.prev.next, b.next.prev = b.next, b.prev
+		b.next, b.prev = nil, nil
+	}
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(q []byte) (int, error) {
+	if b.port.messageFactor > 0 && b.refusal.Load() != 0 {
+		return 0, b.refusalError()
+	}
+	n, err := b.ReadCloser.Read(q)
+	if n > 0 {
+		b.progress.Store(max(b.port.sinceStart.Load(), b.progress.Load()))
+		if f := b.port.messageFactor; f > 0 && !b.reserve(int64(n)*f) {
+			b.refusal.Store(int32(refusedMemory) + 1)
+			b.port.count(refusedMemory)
+			return 0, ErrNoMemory
+		}
+	}
+	switch {
+	case err == io.EOF:
+		b.mu.Lock() // interrupt must not set a deadline from here on
+		b.complete.Store(true)
+		b.mu.Unlock()
+		b.untrack()
+		if b.conn != nil {
+			b.conn.phase.CompareAndSwap(phaseBody, phaseServing)
+		}
+	case err != nil:
+		if refusal := b.refusalError(); refusal != nil {
+			return n, refusal
+		}
+	}
+	return n, err
+}
+
+func (b *trackedBody) refusalError() error {
+	switch reason(b.refusal.Load() - 1) {
+	case refusedMemory:
+		return ErrNoMemory
+	case refusedSlow:
+		return ErrTooSlow
+	}
+	return nil
+}
+
+// messageStep is the size in bytes of the reservations for messages.
+const messageStep = 16 << 10
+
+func (b *trackedBody) reserve(n int64) bool {
+	b.needed += n
+	if b.needed <= b.reserved {
+		return true
+	}
+	step := max(messageStep, b.needed-b.reserved)
+	if !b.port.budget.take(step, b.reserved+step) {
+		return false
+	}
+	b.reserved += step
+	return true
+}
+
+// SetDeadline sets the time until which body, the body of a request, must have
+// arrived. It reports whether body is one of a port.
+func SetDeadline(body io.Reader, t time.Time) bool {
+	b, ok := body.(*trackedBody)
+	if ok {
+		b.deadline.Store(int64(t.Sub(b.port.start)))
+	}
+	return ok
+}
+
+// expired is a deadline that ends reads at once.
+var expired = time.Unix(1, 0)
+
+// interrupt ends the reads of the body.
+func (b *trackedBody) interrupt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended || b.complete.Load() {
+		return
+	}
+	if b.conn != nil {
+		_ = b.conn.TCPConn.SetReadDeadline(expired)
+		return
+	}
+	_ = http.NewResponseController(b.w).SetReadDeadline(expired)
+}
+
+// drain sends the response to a request whose body the handler has refused, and reads
+// a part of the rest. If the body does not end with it, net/http closes the connection.
+func (b *trackedBody) drain(w http.ResponseWriter, r *http.Request) {
+	tcp := b.conn.TCPConn
+	if b.refusal.Load() == 0 && r.Header.Get("Expect") == "" {
+		rc := http.NewResponseController(w)
+		// Without it, net/http reads up to 256 KiB of the body before it sends anything.
+		_ = rc.EnableFullDuplex() // HTTP/1.1 servers support it
+		_ = rc.Flush()            // fails only if the connection failed, as the reads do then
+		steps := drainBytes / drainStep
+		if r.ContentLength > drainBytes {
+			steps = 1 // such a client knows that it is over every limit
+		}
+		for range steps {
+			_ = tcp.SetReadDeadline(time.Now().Add(stallTime))
+			if _, err := io.CopyN(io.Discard, b, drainStep); err != nil {
+				break
+			}
+		}
+		if b.complete.Load() {
+			_ = tcp.SetReadDeadline(time.Time{})
+			return
+		}
+	}
+	_ = tcp.SetReadDeadline(expired)
+	// What is left of the body must not be taken for a request.
+	b.conn.phase.Store(phaseClosed)
+}
+
+func (b *trackedBody) end() {
+	b.untrack()
+	b.mu.Lock()
+	b.ended = true
+	b.mu.Unlock()
+	b.port.budget.put(b.reserved)
+	if b.conn != nil {
+		b.conn.body.Store(nil)
+		b.conn.phase.CompareAndSwap(phaseBody, phaseServing)
+	}
+}
