--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -38,6 +38,8 @@
 stream_buffer = 256KiB
 team_buffer = 16MiB
 process_buffer = 16MiB
+intake_buffer = 16MiB
+max_peer_connections = 128
 `
 )
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -19,13 +19,11 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
-const (
-	requestIDBytes = 12
-	bodyReadSize   = 32 << 10
-)
+const requestIDBytes = 12
 
 // exchange is one request of a caller and the response to it.
 type exchange struct {
@@ -195,8 +193,10 @@
 		h.Set("Connection", "close")
 	}
 	x.setWriteDeadline()
+	body := append(x.errorBody(e), '\n')
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(e.Code.Status())
-	_, _ = x.w.Write(append(x.errorBody(e), '\n'))
+	_, _ = x.w.Write(body)
 }
 
 func (x *exchange) errorBody(e *result.Error) []byte {
@@ -231,43 +231,31 @@
 // readBody reads the whole body within the limits on size, memory and time.
 func (x *exchange) readBody(team string) ([]byte, error) {
 	limit := x.s.Bounds.MaxBody
-	tooLarge := result.New(result.BodyTooLarge, result.NotRun, "the body exceeds the bound of %d bytes", limit)
-	if limit > 0 && x.r.ContentLength > limit {
-		x.discardBody(limit)
-		return nil, tooLarge
+	if limit <= 0 {
+		limit = math.MaxInt64 - 1
 	}
 	x.bodyMemory = x.s.MemoryBudget.NewReservation(team)
-	var body []byte
-	buf := make([]byte, bodyReadSize)
-	for {
-		n, err := x.r.Body.Read(buf)
-		if n > 0 {
-			if err := x.bodyMemory.Reserve(int64(n), result.NotRun); err != nil {
-				return nil, err
-			}
-			if body = append(body, buf[:n]...); limit > 0 && int64(len(body)) > limit {
-				x.discardBody(limit)
-				return nil, tooLarge
-			}
-		}
-		switch {
-		case err == io.EOF:
-			// The read deadline must not end the request while its response is written.
-			_ = x.rc.SetReadDeadline(time.Time{})
-			return body, nil
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, result.New(result.CallerTooSlow, result.NotRun, "the request was not received in time")
-		case err != nil:
-			return nil, result.New(result.BadRequest, result.NotRun, "the body could not be read")
-		}
+	var r io.Reader = x.r.Body
+	if r != http.NoBody {
+		r = reservingReader{r, x.bodyMemory}
 	}
-}
-
-// discardBody reads and drops up to limit bytes of a body that is too large.
-// Many callers read the refusal only after they have sent the body; closing the
-// connection before that would reset it and lose the refusal.
-func (x *exchange) discardBody(limit int64) {
-	if x.r.Header.Get("Expect") == "" {
-		_, _ = io.CopyN(io.Discard, x.r.Body, limit)
+	body, err := intake.ReadBody(r, x.r.ContentLength, limit, x.s.Intake)
+	// Once it is whole, the body is held from the memory of its team.
+	body.Release()
+	var refused *result.Error
+	switch {
+	case err == nil:
+		// The read deadline must not end the request while its response is written.
+		_ = x.rc.SetReadDeadline(time.Time{})
+		return body.Bytes, nil
+	case errors.As(err, &refused):
+		return nil, refused
+	case errors.Is(err, intake.ErrTooLarge):
+		return nil, result.New(result.BodyTooLarge, result.NotRun, "the body exceeds the bound of %d bytes", limit)
+	case errors.Is(err, intake.ErrNoMemory):
+		return nil, result.New(result.MemoryLimitReached, result.NotRun, "requests that arrive fill the memory for them").WithRetryAfter(time.Second)
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, intake.ErrTooSlow):
+		return nil, result.New(result.CallerTooSlow, result.NotRun, "the request was not received in time")
 	}
+	return nil, result.New(result.BadRequest, result.NotRun, "the body could not be read")
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/httpframing"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
 )
@@ -65,9 +66,11 @@
 	Dispatcher   Dispatcher
 	Directory    Directory
 	MemoryBudget *dispatch.MemoryBudget
-	Requests     audit.RequestRecorder
-	Observer     Observer
-	Log          *event.Logger
+	// Intake is the memory for requests that arrive; nil for a budget of its own.
+	Intake   *intake.Budget
+	Requests audit.RequestRecorder
+	Observer Observer
+	Log      *event.Logger
 }
 
 // Server serves callers.
@@ -75,30 +78,42 @@
 	Config
 	http    *http.Server
 	streams atomic.Int64
-	conns   *connLimiter
+	port    *intake.Port
 }
 
 // New returns a Server. Serve must be called once.
 func New(cfg Config) *Server {
-	s := &Server{Config: cfg, conns: newConnLimiter(connectionLimit(cfg.Bounds))}
+	if cfg.Intake == nil {
+		cfg.Intake = intake.NewBudget(cfg.Bounds.IntakeBuffer)
+	}
+	// The other timeouts are those of the HTTP server.
+	limits := intake.Limits{MaxConns: connectionLimit(cfg.Bounds), MaxHeadBytes: cfg.Bounds.MaxHeader, BodyTimeout: cfg.Bounds.ReadTimeout}
+	s := &Server{Config: cfg, port: intake.NewPort("callers", func() intake.Limits { return limits }, cfg.Intake, cfg.Log)}
 	s.http = &http.Server{
 		Handler:           httpframing.Handler(s.routes()),
 		ReadHeaderTimeout: cfg.Bounds.ReadTimeout,
 		IdleTimeout:       cfg.Bounds.IdleTimeout,
 		MaxHeaderBytes:    cfg.Bounds.MaxHeader,
-		ConnState:         s.conns.onStateChange,
 		ConnContext:       httpframing.ConnContext,
 		// Errors of single connections are not logged, because their text can
 		// contain anything that the caller has sent.
 		ErrorLog: discardLogger(),
 	}
+	s.port.Configure(s.http)
 	return s
 }
 
-// connectionLimit returns the largest number of caller connections: each request
-// in progress may have an idle connection besides its own, plus some spare ones.
+// Port returns the intake of callers.
+func (s *Server) Port() *intake.Port { return s.port }
+
+// connectionLimit returns the largest number of caller connections. Without a setting,
+// each request in progress may have an idle connection besides its own, plus some spare
+// ones.
 func connectionLimit(b settings.Bounds) int {
 	const spare = 64
+	if b.MaxConns > 0 {
+		return b.MaxConns
+	}
 	if b.MaxStreams <= 0 {
 		return 0
 	}
@@ -111,7 +126,7 @@
 // Serve accepts connections on l until Drain or Close.
 func (s *Server) Serve(l net.Listener) error {
 	s.Log.Emit(event.CallerListenerStarted, zap.String("address", l.Addr().String()))
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.port.Listen(l)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
@@ -47,6 +48,9 @@
 	if reported, ok := err.(*failure); ok {
 		return nil, reported
 	}
+	if peerapi.NotRead(err) {
+		return nil, notRunFailure(placement.Inconclusive, true, "the instance of region %s has no memory for the request", region)
+	}
 	return nil, sendFailure(ctx, &conn, err)
 }
 
--- a/internal/instance/intake.go
+++ b/internal/instance/intake.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/intake"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 )
 
 const (
@@ -39,10 +40,6 @@
 	// be transferred.
 	smallMaxHeader = 16 << 10
 	smallTimeout   = 10 * time.Second
-	// hopBytes is reserved for each call of another instance and hopFactor times its
-	// message: the bytes that were received and the decoded message.
-	hopBytes  = 32 << 10
-	hopFactor = 2
 )
 
 // intakePorts are the intakes of an instance's listeners.
@@ -77,7 +74,7 @@
 	// Connections of instances end by the timeouts of their server.
 	control := intake.Limits{MaxConns: conns(controlDescriptors), HeadTimeout: readHeaderTimeout, BodyTimeout: bodyTimeout}
 	p.control = intake.NewPort("control", func() intake.Limits { return control }, budget, i.log)
-	p.control.ReserveMessages(hopBytes, hopFactor)
+	p.control.ReserveMessages(peerapi.CallBytes, peerapi.MessageFactor)
 	return p
 }
 
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -53,11 +53,7 @@
 
 // take reserves n bytes for something that has total bytes with them.
 func (b *Budget) take(n, total int64) bool {
-	limit := b.limit
-	if total >= largeReservation {
-		limit -= limit / smallFraction
-	}
-	if b.used.Add(n) > limit {
+	if b.used.Add(n) > b.limitFor(total) {
 		b.used.Add(-n)
 		b.exhausted.Store(true)
 		return false
@@ -65,6 +61,16 @@
 	return true
 }
 
+func (b *Budget) limitFor(total int64) int64 {
+	if total >= largeReservation {
+		return b.limit - b.limit/smallFraction
+	}
+	return b.limit
+}
+
+// free returns the bytes that are free for something of total bytes.
+func (b *Budget) free(total int64) int64 { return b.limitFor(total) - b.used.Load() }
+
 func (b *Budget) put(n int64) { b.used.Add(-n) }
 
 // Used returns the number of bytes that are reserved.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -163,17 +163,20 @@
 	_, first := dial(t, address, slow)
 	_, idle := dial(t, address, get)
 	expectStatus(t, idle, http.StatusOK)
+	waitForPhases(t, p, 1, 1)
 	_, laterIdle := dial(t, address, get)
 	expectStatus(t, laterIdle, http.StatusOK)
+	waitForPhases(t, p, 1, 2)
 	_, second := dial(t, address, slow)
-	if _, err := idle.ReadByte(); err == nil {
+	if readsByte(idle) {
 		t.Fatal("the longest idle connection was kept")
 	}
+	waitForPhases(t, p, 2, 1)
 	_, third := dial(t, address, slow)
-	if _, err := laterIdle.ReadByte(); err == nil {
+	if readsByte(laterIdle) {
 		t.Fatal("the idle connection was kept")
 	}
-	waitFor(t, func() bool { return len(p.servingConns()) == 3 })
+	waitForPhases(t, p, 3, 0)
 	if _, r := dial(t, address, ""); readsByte(r) {
 		t.Fatal("a connection over the bound was served")
 	}
@@ -188,15 +191,18 @@
 	return err == nil
 }
 
-func (p *Port) servingConns() (serving []*conn) {
-	p.connMu.Lock()
-	defer p.connMu.Unlock()
-	for c := range p.conns {
-		if c.phase.Load() == phaseServing {
-			serving = append(serving, c)
+// waitForPhases waits until the port has connections in these phases.
+func waitForPhases(t *testing.T, p *Port, serving, idle int) {
+	t.Helper()
+	waitFor(t, func() bool {
+		p.connMu.Lock()
+		defer p.connMu.Unlock()
+		count := map[int32]int{}
+		for c := range p.conns {
+			count[c.phase.Load()]++
 		}
-	}
-	return serving
+		return count[phaseServing] == serving && count[phaseIdle] == idle
+	})
 }
 
 func waitFor(t *testing.T, ok func() bool) {
@@ -296,7 +302,7 @@
 			rc := http.NewResponseController(w)
 			if r.ContentLength != 0 {
 				_ = rc.SetReadDeadline(time.Now().Add(time.Minute))
-				_, _ = io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+				_, _ = io.ReadFull(http.MaxBytesReader(w, r.Body, 1<<20), make([]byte, r.ContentLength+1))
 				_ = rc.SetReadDeadline(time.Time{})
 			}
 			return
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -3,7 +3,9 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 // Register registers metrics of the budget and the ports.
-func Register(r prometheus.Registerer, b *Budget, ports ...*Port) {
+func Register(r interface {
+	MustRegister(c ...prometheus.Collector)
+}, b *Budget, ports ...*Port) {
 	const namespace, subsystem = "wigeonhill", "intake"
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "reserved_bytes",
 		Help: "Memory reserved for request heads, bodies and messages of other instances."}, func() float64 { return float64(b.Used()) }))
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -80,8 +80,9 @@
 	sinceStart atomic.Int64
 	// http2Only is set if all connections use HTTP/2; net/http bounds their heads.
 	http2Only bool
-	// requestBytes is reserved for each request, and messageFactor times the bytes of
-	// its body while it runs, for servers that read bodies themselves.
+	// requestBytes and messageFactor times the bytes of the body are reserved for each
+	// request until its body has arrived, and its bytes until the request ends, for
+	// servers that read bodies themselves.
 	requestBytes, messageFactor int64
 
 	connMu sync.Mutex
@@ -94,15 +95,23 @@
 }
 
 // NewPort returns the intake for the port with the given name, which is used in events
-// and metrics. limits is called often.
+// and metrics. limits is called often. Without b the port has a budget of its own, and
+// without log it logs nothing.
 func NewPort(name string, limits func() Limits, b *Budget, log *event.Logger) *Port {
+	if b == nil {
+		b = NewBudget(0)
+	}
+	if log == nil {
+		log = event.Nop()
+	}
 	p := &Port{name: name, limits: limits, budget: b, log: log, start: time.Now(), conns: map[*conn]struct{}{}}
 	p.bodies.next, p.bodies.prev = &p.bodies, &p.bodies
 	return p
 }
 
 // ReserveMessages makes the port reserve memory for requests whose bodies the handler
-// decodes itself: perRequest bytes for each and factor times the bytes of its body.
+// decodes itself: perRequest bytes and factor times the bytes of the body until it has
+// arrived, then its bytes until the request ends.
 func (p *Port) ReserveMessages(perRequest, factor int64) {
 	p.requestBytes, p.messageFactor = perRequest, factor
 }
@@ -451,6 +460,7 @@
 		b.complete.Store(true)
 		b.mu.Unlock()
 		b.untrack()
+		b.keepMessage()
 		if b.conn != nil {
 			b.conn.phase.CompareAndSwap(phaseBody, phaseServing)
 		}
@@ -488,6 +498,29 @@
 	return true
 }
 
+// Fits reports whether there is memory now for the rest of body, a message that has said
+// that it has size bytes. It reserves nothing, as the client may never send them. It is
+// true for a body that is none of a port.
+func Fits(body io.Reader, size int64) bool {
+	b, ok := body.(*trackedBody)
+	if !ok || b.port.messageFactor == 0 || b.port.budget.free(size) >= size*b.port.messageFactor {
+		return true
+	}
+	b.refusal.Store(int32(refusedMemory) + 1)
+	b.port.count(refusedMemory)
+	b.port.budget.exhausted.Store(true)
+	return false
+}
+
+// keepMessage releases what is reserved beyond the bytes of a message that has arrived.
+func (b *trackedBody) keepMessage() {
+	if f := b.port.messageFactor; f > 0 && b.reserved > 0 {
+		size := min((b.needed-b.port.requestBytes)/f, b.reserved)
+		b.port.budget.put(b.reserved - size)
+		b.needed, b.reserved = size, size
+	}
+}
+
 // SetDeadline sets the time until which body, the body of a request, must have
 // arrived. It reports whether body is one of a port.
 func SetDeadline(body io.Reader, t time.Time) bool {
--- a/internal/ops/metrics.go
+++ b/internal/ops/metrics.go
@@ -64,6 +64,9 @@
 	return m
 }
 
+// MustRegister registers the metrics of other packages.
+func (m *Metrics) MustRegister(c ...prometheus.Collector) { m.registry.MustRegister(c...) }
+
 // RegisterGauge registers a gauge whose value is read when metrics are collected.
 func (m *Metrics) RegisterGauge(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
--- a/internal/ops/server.go
+++ b/internal/ops/server.go
@@ -11,6 +11,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/wigeonhill/wigeonhill/internal/audit"
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 )
 
 const (
@@ -18,15 +20,22 @@
 	writeTimeout      = 30 * time.Second
 	maxHeaderBytes    = 16 << 10
 	shutdownTimeout   = 2 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// maxConns bounds the connections of operators; each takes a descriptor that
+	// callers and targets may need.
+	maxConns = 64
 )
 
 // Config is the configuration of the operators' server.
 type Config struct {
 	Listener net.Listener
-	Metrics  *Metrics
-	Teams    *TeamStats
-	Trail    *audit.MemoryTrail
-	Records  *audit.RequestRecords
+	// Intake is the memory for requests that arrive.
+	Intake  *intake.Budget
+	Log     *event.Logger
+	Metrics *Metrics
+	Teams   *TeamStats
+	Trail   *audit.MemoryTrail
+	Records *audit.RequestRecords
 	// Status returns the overview of the instance; it is encoded as JSON.
 	Status func() any
 	// Team returns the status of one team; it is encoded as JSON.
@@ -41,6 +50,7 @@
 type Server struct {
 	cfg  Config
 	http *http.Server
+	port *intake.Port
 }
 
 // NewServer returns a Server with all endpoints; Run starts it.
@@ -64,9 +74,15 @@
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	limits := intake.Limits{MaxConns: maxConns, MaxHeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, BodyTimeout: writeTimeout, IdleTimeout: idleTimeout}
+	s.port = intake.NewPort("operators", func() intake.Limits { return limits }, cfg.Intake, cfg.Log)
+	s.port.Configure(s.http)
 	return s
 }
 
+// Port returns the intake of operators.
+func (s *Server) Port() *intake.Port { return s.port }
+
 // Run serves until ctx ends, then waits up to shutdownTimeout for requests in
 // progress.
 func (s *Server) Run(ctx context.Context) error {
@@ -76,7 +92,7 @@
 		_ = s.http.Shutdown(grace) // connections that are still open close when the process exits
 	})
 	defer stop()
-	if err := s.http.Serve(s.cfg.Listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.port.Listen(s.cfg.Listener)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "operator server")
 	}
 	return nil
--- a/internal/peerapi/peerapi_test.go
+++ b/internal/peerapi/peerapi_test.go
@@ -11,11 +11,15 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
 	"github.com/wigeonhill/wigeonhill/internal/settings"
@@ -163,3 +167,65 @@
 		<-served
 	}
 }
+
+// Guards against a refusal for lack of memory that the sender takes for a request that
+// may have run, and against one that leaves memory reserved.
+func TestMessageWithoutMemoryIsReportedAsNotRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var calls atomic.Int64
+	budget := intake.NewBudget(1 << 20)
+	srv, err := NewServer(settings.Peers{Insecure: true}, countingHandler{calls: &calls, budget: budget})
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := intake.NewPort("peers", func() intake.Limits { return intake.Limits{} }, budget, event.Nop())
+	port.ReserveMessages(1<<10, 2)
+	port.Configure(srv)
+	go func() { _ = srv.Serve(port.Listen(l)) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	client := NewFastFailClients().Client(l.Addr().String())
+	for _, size := range []int{100 << 10, 2 << 20, 100 << 10} {
+		before := calls.Load()
+		s, err := client.Forward(t.Context(), connect.NewRequest(&peerv1.ForwardRequest{Body: make([]byte, size)}))
+		for err == nil && s.Receive() {
+		}
+		if err == nil {
+			err = s.Err()
+		}
+		waitForRelease(t, budget)
+		// A unary call has no prefix whose bytes could be taken for a length.
+		if _, err := client.Probe(t.Context(), connect.NewRequest(&peerv1.ProbeRequest{From: &peerv1.Identity{Instance: "zzzzzzzz"}})); connect.CodeOf(err) != connect.CodeUnimplemented {
+			t.Errorf("unary call: %v", err)
+		}
+		if refused := size > 1<<20; err != nil != refused || NotRead(err) != refused || (calls.Load() == before) != refused {
+			t.Errorf("%d bytes: %v, %d calls", size, err, calls.Load()-before)
+		}
+	}
+}
+
+func waitForRelease(t *testing.T, budget *intake.Budget) {
+	t.Helper()
+	for n := 0; budget.Used() != 0; n++ {
+		if time.Sleep(5 * time.Millisecond); n > 2000 {
+			t.Fatalf("%d bytes are still reserved", budget.Used())
+		}
+	}
+}
+
+type countingHandler struct {
+	peerv1connect.UnimplementedPeerHandler
+	calls  *atomic.Int64
+	budget *intake.Budget
+}
+
+func (h countingHandler) Forward(_ context.Context, req *connect.Request[peerv1.ForwardRequest], s *connect.ServerStream[peerv1.ForwardResponse]) error {
+	h.calls.Add(1)
+	// From here on the call holds its message only; see CallBytes.
+	if n, size := h.budget.Used(), int64(len(req.Msg.GetBody())); n < size || n > size+size/8 {
+		return connect.NewError(connect.CodeInternal, errors.Newf("%d bytes are reserved for a message of %d", n, size))
+	}
+	return s.Send(&peerv1.ForwardResponse{})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/idempotency"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/leadership"
 	"github.com/wigeonhill/wigeonhill/internal/lease"
 	"github.com/wigeonhill/wigeonhill/internal/membership"
@@ -60,6 +61,7 @@
 	gate            *dispatch.Gate
 	localDispatcher *dispatch.LocalDispatcher
 	memoryBudget    *dispatch.MemoryBudget
+	intakeBudget    *intake.Budget
 	idempotency     *idempotency.Store
 	auditTrail      *audit.MemoryTrail
 	requestRecords  *audit.RequestRecords
@@ -98,6 +100,7 @@
 		Instance: s.Instance.Name, Incarnation: incarnation, PeerAddress: s.Listen.Peers,
 		Region: s.Instance.Region, Domain: s.Instance.Domain,
 	}
+	srv.intakeBudget = intake.NewBudget(s.Bounds.IntakeBuffer)
 	srv.buildManagers()
 	srv.buildRequestPath()
 	return srv, srv.listen()
@@ -228,7 +231,7 @@
 	})
 	srv.callersServer = entry.New(entry.Config{
 		Instance: s.Instance, Bounds: s.Bounds, ConfigSource: srv.configs, Gate: srv.gate, Dispatcher: dispatcher,
-		Directory: instanceDirectory{srv.members, srv.configs}, MemoryBudget: srv.memoryBudget, Requests: srv.requestRecords,
+		Directory: instanceDirectory{srv.members, srv.configs}, MemoryBudget: srv.memoryBudget, Intake: srv.intakeBudget, Requests: srv.requestRecords,
 		Observer: metricsObserver{region: s.Instance.Region, metrics: srv.metrics, configs: srv.configs}, Log: srv.log,
 	})
 	srv.registerGauges()
@@ -250,14 +253,24 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 	srv.operatorsServer = ops.NewServer(ops.Config{
-		Listener: operatorsListener, Metrics: srv.metrics, Teams: srv.teamStats, Trail: srv.auditTrail, Records: srv.requestRecords,
+		Listener: operatorsListener, Intake: srv.intakeBudget, Log: srv.log, Metrics: srv.metrics, Teams: srv.teamStats, Trail: srv.auditTrail, Records: srv.requestRecords,
 		Status: srv.status, Team: srv.teamStatus, Ready: srv.ready, Alive: func() error { return nil },
 	})
 	srv.peersServer, err = peerapi.NewServer(srv.settings.Peers, &peerServer{
 		Receiver:   dispatch.NewReceiver(dispatch.ReceiverConfig{Local: srv.localDispatcher, Idempotency: srv.idempotency, PoolStatusSource: srv.router}),
 		leadership: srv.leadership, leases: srv.leases, members: srv.members, configs: srv.configs,
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	// Connections of instances end by the timeouts of their server.
+	limits := intake.Limits{MaxConns: srv.settings.Bounds.MaxPeerConns, HeadTimeout: srv.settings.Bounds.ReadTimeout, BodyTimeout: srv.settings.Bounds.ReadTimeout}
+	peers := intake.NewPort("peers", func() intake.Limits { return limits }, srv.intakeBudget, srv.log)
+	peers.ReserveMessages(peerapi.CallBytes, peerapi.MessageFactor)
+	peers.Configure(srv.peersServer)
+	srv.peersListener = peers.Listen(srv.peersListener)
+	intake.Register(srv.metrics, srv.intakeBudget, srv.callersServer.Port(), srv.operatorsServer.Port(), peers)
+	return nil
 }
 
 // Run serves until ctx ends or a manager fails, then drains running requests.
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -159,11 +159,18 @@
 		ReadTimeout:     r.Duration("read_timeout", 30*sec, 100*ms, hour),
 		WriteTimeout:    r.Duration("write_timeout", 30*sec, 100*ms, hour),
 		IdleTimeout:     r.Duration("idle_timeout", 2*min, 100*ms, 24*hour),
+		MaxConns:        r.Int("max_connections", 0, 0, 1_000_000),
+		MaxPeerConns:    r.Int("max_peer_connections", 512, 1, 1_000_000),
 	}
+	s.Bounds.IntakeBuffer = r.Bytes("intake_buffer", max(s.Bounds.ProcessBuffer/4, 4*s.Bounds.MaxBody), 64*kib, 256*gib)
 	b := s.Bounds
 	if b.MaxBody > b.TeamBuffer {
 		r.Fault("max_body", "%d bytes exceed team_buffer of %d", b.MaxBody, b.TeamBuffer)
 	}
+	// A body and the smaller buffer that it is copied from are held at the same time.
+	if 2*b.MaxBody > b.IntakeBuffer {
+		r.Fault("max_body", "%d bytes exceed half of intake_buffer of %d", b.MaxBody, b.IntakeBuffer)
+	}
 	if b.StreamBuffer > b.TeamBuffer {
 		r.Fault("stream_buffer", "%d bytes exceed team_buffer of %d", b.StreamBuffer, b.TeamBuffer)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,9 @@
 	ReadTimeout     time.Duration // for a request's headers and body
 	WriteTimeout    time.Duration // without progress while writing to a slow reader
 	IdleTimeout     time.Duration
+	IntakeBuffer    int64 // bytes of request heads, of bodies until they have arrived, and of messages of other instances
+	MaxConns        int   // connections of callers; 0 for a number that follows from MaxStreams
+	MaxPeerConns    int   // connections of other instances
 }
 
 // Log is the `[log]` section.
