--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -59,7 +59,7 @@
 		return n, err
 	}
 	if c.phase.CompareAndSwap(phaseIdle, phaseHead) {
-		c.since.Store(int64(time.Since(c.port.start)))
+		c.since.Store(c.port.now())
 	}
 	if c.phase.Load() == phaseHead {
 		if headErr := c.countHead(q[:n]); headErr != nil {
@@ -132,7 +132,7 @@
 		}
 	case http.StateIdle:
 		c.forgetHead()
-		c.since.Store(int64(time.Since(c.port.start)))
+		c.since.Store(c.port.now())
 		if c.phase.Load() != phaseClosed {
 			c.phase.CompareAndSwap(phaseServing, phaseIdle)
 			c.phase.CompareAndSwap(phaseBody, phaseIdle)
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -76,8 +76,11 @@
 	budget *Budget
 	log    *event.Logger
 	start  time.Time
-	// sinceStart is the time since start at the last sweep.
+	// sinceStart is the time since start at the last sweep. Requests use it because it
+	// costs less than a call of time.Now, which sweepInterval of precision does not need.
 	sinceStart atomic.Int64
+	// sequence orders connections that became idle between two sweeps.
+	sequence atomic.Int64
 	// http2Only is set if all connections use HTTP/2; net/http bounds their heads.
 	http2Only bool
 	// requestBytes and messageFactor times the bytes of the body are reserved for each
@@ -194,7 +197,7 @@
 func (p *Port) admit(tcp *net.TCPConn) *conn {
 	limit := p.limits().MaxConns
 	c := &conn{TCPConn: tcp, port: p}
-	c.since.Store(int64(time.Since(p.start)))
+	c.since.Store(p.now())
 	p.connMu.Lock()
 	defer p.connMu.Unlock()
 	if limit > 0 && len(p.conns) >= limit {
@@ -258,6 +261,10 @@
 	return len(p.conns)
 }
 
+// now returns a time since the start of the port that is up to sweepInterval old and
+// later than that of earlier calls between two sweeps.
+func (p *Port) now() int64 { return p.sinceStart.Load() + p.sequence.Add(1)%int64(sweepInterval) }
+
 func (p *Port) count(r reason) { p.refused[r].Add(1) }
 
 func (p *Port) sweepUntil(closed <-chan struct{}) {
@@ -375,32 +382,26 @@
 		}
 		b := p.track(w, r, c)
 		defer b.end()
-		// net/http decides by the type of its own request's body whether the connection
-		// can be used again.
-		r = withBody(r, b)
 		if n := p.requestBytes; n > 0 && !b.reserve(n) {
 			b.refusal.Store(int32(refusedMemory) + 1)
 			p.count(refusedMemory)
 		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, &b.request)
 		if c != nil && !b.complete.Load() {
 			b.drain(w, r)
 		}
 	})
 }
 
-func withBody(r *http.Request, b io.ReadCloser) *http.Request {
-	shallow := *r
-	shallow.Body = b
-	return &shallow
-}
-
 // trackedBody is the body of a request that has not arrived whole.
 type trackedBody struct {
 	io.ReadCloser
-	port *Port
-	conn *conn // nil for HTTP/2
-	w    http.ResponseWriter
+	// request is the request for the handler. net/http decides by the body of its own
+	// request whether the connection can be used again.
+	request http.Request
+	port    *Port
+	conn    *conn // nil for HTTP/2
+	w       http.ResponseWriter
 	// begun, progress and deadline are times since the start of the port; deadline is
 	// 0 if none was set. begun is guarded by bodyMu.
 	begun              time.Duration
@@ -418,7 +419,8 @@
 }
 
 func (p *Port) track(w http.ResponseWriter, r *http.Request, c *conn) *trackedBody {
-	b := &trackedBody{ReadCloser: r.Body, port: p, conn: c, w: w, begun: time.Since(p.start)}
+	b := &trackedBody{ReadCloser: r.Body, request: *r, port: p, conn: c, w: w, begun: time.Duration(p.sinceStart.Load())}
+	b.request.Body = b
 	b.progress.Store(int64(b.begun))
 	if c != nil {
 		c.body.Store(b)
@@ -578,11 +580,15 @@
 }
 
 func (b *trackedBody) end() {
-	b.untrack()
-	b.mu.Lock()
-	b.ended = true
-	b.mu.Unlock()
-	b.port.budget.put(b.reserved)
+	if !b.complete.Load() {
+		b.untrack()
+		b.mu.Lock()
+		b.ended = true
+		b.mu.Unlock()
+	}
+	if b.reserved > 0 {
+		b.port.budget.put(b.reserved)
+	}
 	if b.conn != nil {
 		b.conn.body.Store(nil)
 		b.conn.phase.CompareAndSwap(phaseBody, phaseServing)
