--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -23,12 +23,8 @@
 )
 
 const (
-	// headerTimeout and idleTimeout close connections on which callers send
-	// nothing; they are longer than the timeouts that configurations allow callers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 75 * time.Second
-	// defaultMaxHeader bounds the header of a request, in bytes.
-	defaultMaxHeader = 64 << 10
+	// maxHeader bounds the header of a request in bytes, whatever is published.
+	maxHeader = 1 << 20
 	// defaultTimeout applies to requests for which the caller sets no timeout.
 	defaultTimeout = 30 * time.Second
 	// writeMargin is the time after the deadline in which the last bytes of a
@@ -36,13 +32,15 @@
 	writeMargin = 500 * time.Millisecond
 )
 
-// NewServer returns the HTTP server for callers.
+// NewServer returns the HTTP server for callers. Its connections must be those of an
+// intake.Port, which bounds heads and idle times by the published limits; timeouts of
+// the server could not follow them.
 func (g *Gateway) NewServer() *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.RouteNotFound("/*", g.handleRequest)
 	return &http.Server{
-		Handler: httpframing.Handler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeader,
+		Handler: httpframing.Handler(e), MaxHeaderBytes: maxHeader,
 		ConnContext: httpframing.ConnContext,
 		// Errors of callers' connections would fill the log.
 		ErrorLog: log.New(io.Discard, "", 0),
--- a/internal/instance/crowd_test.go
+++ b/internal/instance/crowd_test.go
@@ -45,11 +45,15 @@
 	ip string
 }
 
+// programDir holds the program that buildProgram has built; TestMain removes it.
+var programDir string
+
 var buildProgram = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "wigeonhill-crowd-")
 	if err != nil {
 		return "", err
 	}
+	programDir = dir
 	binary := filepath.Join(dir, "wigeonhill")
 	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/wigeonhill").CombinedOutput()
 	if err != nil {
--- a/internal/instance/soak_test.go
+++ b/internal/instance/soak_test.go
@@ -50,7 +50,11 @@
 func TestMain(m *testing.M) {
 	path := os.Getenv(soakInstanceEnv)
 	if path == "" {
-		os.Exit(m.Run())
+		code := m.Run()
+		if programDir != "" {
+			_ = os.RemoveAll(programDir)
+		}
+		os.Exit(code)
 	}
 	log, lines, err := event.BuildAsync(os.Stdout, "info")
 	if err == nil {
