--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -178,9 +178,11 @@
 	}
 	platform.SetErrorHeaders(w.Header(), c.ID, e.RetryAfter)
 	w.Header().Set("Content-Type", "text/plain")
+	text := e.Code.String() + ": " + e.Message + "\n"
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(2 * writeMargin))
 	w.WriteHeader(httpStatus(e))
-	_, _ = io.WriteString(w, e.Code.String()+": "+e.Message+"\n") // fails only if the caller closed the connection
+	_, _ = io.WriteString(w, text) // fails only if the caller closed the connection
 }
 
 // httpStatus returns the status of an error response. Statuses that tell the
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -120,7 +120,7 @@
 	i.metrics = i.metricsServer(registry)
 	budget := gateway.NewIntakeBudget(s)
 	i.intake = i.newIntakePorts(budget)
-	intake.Register(registry, budget, i.intake.callers, i.intake.ready, i.intake.directory, i.intake.control, i.intake.metrics)
+	registry.MustRegister(intake.NewCollector(budget, i.intake.callers, i.intake.ready, i.intake.directory, i.intake.control, i.intake.metrics))
 	i.gateway = gateway.New(gateway.Config{
 		Metrics: metrics, Intake: budget,
 		Self: i.self, Settings: s, Catalog: i.catalog, Members: i.heartbeats, Clients: i.clients, Tracker: i.tracker,
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -117,8 +117,9 @@
 	var requests atomic.Int64
 	_, address := testServer(t, Limits{}, NewBudget(0), func(w http.ResponseWriter, _ *http.Request) {
 		requests.Add(1)
-		w.Header().Set("Content-Length", "0")
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
 		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "refused") // without a length: the end is written later
 	})
 	const size = 3 << 20
 	head := fmt.Sprintf("PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", size)
@@ -127,7 +128,7 @@
 		if _, err := c.Write(make([]byte, size/30)); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(15 * time.Millisecond)
 	}
 	_, _ = c.Write(make([]byte, size%30))
 	expectStatus(t, r, http.StatusServiceUnavailable)
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -2,22 +2,37 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// Register registers metrics of the budget and the ports.
-func Register(r interface {
-	MustRegister(c ...prometheus.Collector)
-}, b *Budget, ports ...*Port) {
-	const namespace, subsystem = "wigeonhill", "intake"
-	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "reserved_bytes",
-		Help: "Memory reserved for request heads, bodies and messages of other instances."}, func() float64 { return float64(b.Used()) }))
-	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "budget_bytes",
-		Help: "Largest value of intake_reserved_bytes."}, func() float64 { return float64(b.Limit()) }))
-	for _, p := range ports {
-		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "connections",
-			Help: "Open connections of clients by port.", ConstLabels: prometheus.Labels{"port": p.name}}, func() float64 { return float64(p.Connections()) }))
+var (
+	reservedDesc    = prometheus.NewDesc("wigeonhill_intake_reserved_bytes", "Memory reserved for request heads, bodies and messages of other instances.", nil, nil)
+	budgetDesc      = prometheus.NewDesc("wigeonhill_intake_budget_bytes", "Largest value of intake_reserved_bytes.", nil, nil)
+	connectionsDesc = prometheus.NewDesc("wigeonhill_intake_connections", "Open connections of clients by port.", []string{"port"}, nil)
+	refusedDesc     = prometheus.NewDesc("wigeonhill_intake_refused_total", "Connections, heads and bodies that were refused, by port and reason.", []string{"port", "reason"}, nil)
+)
+
+// collector collects the metrics of a budget and its ports.
+type collector struct {
+	budget *Budget
+	ports  []*Port
+}
+
+// NewCollector returns the metrics of the budget and the ports.
+func NewCollector(b *Budget, ports ...*Port) prometheus.Collector { return collector{b, ports} }
+
+// Describe implements prometheus.Collector.
+func (c collector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{reservedDesc, budgetDesc, connectionsDesc, refusedDesc} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c collector) Collect(ch chan<- prometheus.Metric) {
+	ch <- prometheus.MustNewConstMetric(reservedDesc, prometheus.GaugeValue, float64(c.budget.Used()))
+	ch <- prometheus.MustNewConstMetric(budgetDesc, prometheus.GaugeValue, float64(c.budget.Limit()))
+	for _, p := range c.ports {
+		ch <- prometheus.MustNewConstMetric(connectionsDesc, prometheus.GaugeValue, float64(p.Connections()), p.name)
 		for reason, name := range reasonNames {
-			r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "refused_total",
-				Help: "Connections, heads and bodies that were refused, by port and reason.", ConstLabels: prometheus.Labels{"port": p.name, "reason": name}},
-				func() float64 { return float64(p.refused[reason].Load()) }))
+			ch <- prometheus.MustNewConstMetric(refusedDesc, prometheus.CounterValue, float64(p.refused[reason].Load()), p.name, name)
 		}
 	}
 }
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -156,21 +156,26 @@
 
 // Listen returns a listener whose connections are those of l within the limits.
 func (p *Port) Listen(l net.Listener) net.Listener {
-	w := &listener{Listener: l, port: p, closed: make(chan struct{})}
-	go p.sweepUntil(w.closed)
+	w := &listener{Listener: l, port: p, lastTick: time.Now(), lastReport: time.Now()}
+	// A timer, unlike a goroutine, takes no stack while it waits.
+	armed := make(chan struct{})
+	w.timer = time.AfterFunc(sweepInterval, func() { <-armed; p.tick(w) })
+	close(armed)
 	return w
 }
 
 type listener struct {
 	net.Listener
 	port   *Port
-	once   sync.Once
-	closed chan struct{}
+	closed atomic.Bool
+	// lastTick and lastReport are used by tick only, which never runs twice at a time.
+	lastTick, lastReport time.Time
+	timer                *time.Timer
 }
 
 // Close stops listening. Connections that are open are still swept.
 func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
+	l.closed.Store(true)
 	return l.Listener.Close()
 }
 
@@ -267,30 +272,26 @@
 
 func (p *Port) count(r reason) { p.refused[r].Add(1) }
 
-func (p *Port) sweepUntil(closed <-chan struct{}) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	last, lastReport := time.Now(), time.Now()
-	for open := true; open || p.Connections() > 0; {
-		select {
-		case <-closed:
-			open, closed = false, nil
-		case <-tick.C:
-		}
-		now := time.Now()
-		p.sinceStart.Store(int64(now.Sub(p.start)))
-		if now.Sub(last) < missedSweep {
-			p.sweep(now.Sub(p.start))
-		} else {
-			p.forgive(now.Sub(last))
-		}
-		last = now
-		if now.Sub(lastReport) >= reportInterval {
-			lastReport = now
-			p.report()
-		}
+// tick looks for what is over its time and arms the timer for the next time, as long as
+// the listener or a connection is open.
+func (p *Port) tick(l *listener) {
+	now := time.Now()
+	p.sinceStart.Store(int64(now.Sub(p.start)))
+	if now.Sub(l.lastTick) < missedSweep {
+		p.sweep(now.Sub(p.start))
+	} else {
+		p.forgive(now.Sub(l.lastTick))
+	}
+	l.lastTick = now
+	if now.Sub(l.lastReport) >= reportInterval {
+		l.lastReport = now
+		p.report()
+	}
+	if l.closed.Load() && p.Connections() == 0 {
+		p.report()
+		return
 	}
-	p.report()
+	l.timer.Reset(sweepInterval)
 }
 
 // sweep closes connections and refuses bodies that are over their time.
@@ -569,6 +570,9 @@
 				break
 			}
 		}
+		// The deadline of the handler may have passed; the end of a response without a
+		// length is written after this.
+		_ = tcp.SetWriteDeadline(time.Now().Add(stallTime))
 		if b.complete.Load() {
 			_ = tcp.SetReadDeadline(time.Time{})
 			return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -269,7 +269,7 @@
 	peers.ReserveMessages(peerapi.CallBytes, peerapi.MessageFactor)
 	peers.Configure(srv.peersServer)
 	srv.peersListener = peers.Listen(srv.peersListener)
-	intake.Register(srv.metrics, srv.intakeBudget, srv.callersServer.Port(), srv.operatorsServer.Port(), peers)
+	srv.metrics.MustRegister(intake.NewCollector(srv.intakeBudget, srv.callersServer.Port(), srv.operatorsServer.Port(), peers))
 	return nil
 }
 
