--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -43,4 +43,9 @@
 	TargetListUnconfirmed   = define(877, "list of targets unconfirmed", zapcore.WarnLevel, "neither the store nor an instance that it answers has confirmed the list of targets; targets of services with a warm-up get requests only if health checks show that they are warm, and the rate of a warm-up otherwise")
 	TargetListConfirmed     = define(878, "list of targets confirmed", zapcore.InfoLevel, "the list of targets is confirmed again; lasted is the time without it")
 	TargetFoundCold         = define(879, "target found cold", zapcore.InfoLevel, "a health check shows a warm-up that the list of targets, which is unconfirmed, does not show")
+
+	IntakeMemoryUsedUp      = define(850, "intake memory used up", zapcore.WarnLevel, "request heads, bodies or messages found no memory, or stopped arriving while it was short; they were refused and have not run. Events 850 to 853 have at most one line a second for each port; count is the number since the line before")
+	IntakeConnectionsUsedUp = define(851, "intake connections used up", zapcore.WarnLevel, "a port has its largest number of connections; new ones took the place of slow or idle ones, or were closed")
+	IntakeClientSlow        = define(852, "intake client slow", zapcore.InfoLevel, "request heads or bodies did not arrive in time; their connections were closed or the requests refused")
+	IntakeHeadTooLong       = define(853, "intake head too long", zapcore.InfoLevel, "request heads exceeded the limit; they were refused")
 )
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
@@ -107,6 +108,9 @@
 	if reported, ok := err.(*failure); ok {
 		return nil, reported
 	}
+	if peerapi.NotRead(err) {
+		return nil, notRunFailure(placement.Inconclusive, true, "the instance at %s has no memory for the request", address)
+	}
 	return nil, sendFailure(ctx, &conn, err)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,17 +17,14 @@
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/httpframing"
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
 const (
-	// headerTimeout and idleTimeout close connections on which callers send
-	// nothing; they are longer than the timeouts that configurations allow callers.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 75 * time.Second
-	// defaultMaxHeader bounds the header of a request, in bytes.
-	defaultMaxHeader = 64 << 10
+	// maxHeader bounds the header of a request in bytes, whatever is published.
+	maxHeader = 1 << 20
 	// defaultTimeout applies to requests for which the caller sets no timeout.
 	defaultTimeout = 30 * time.Second
 	// writeMargin is the time after the deadline in which the last bytes of a
@@ -35,14 +32,16 @@
 	writeMargin = 500 * time.Millisecond
 )
 
-// NewServer returns the HTTP server for callers.
+// NewServer returns the HTTP server for callers. Its connections must be those of an
+// intake.Port, which bounds heads and idle times by the published limits; timeouts of
+// the server could not follow them.
 func (g *Gateway) NewServer() *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.Pre(withPath)
 	e.RouteNotFound("/*", g.handleRequest)
 	return &http.Server{
-		Handler: httpframing.Handler(e), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultMaxHeader,
+		Handler: httpframing.Handler(e), MaxHeaderBytes: maxHeader,
 		// OPTIONS for "*" has no route like every other request of that form.
 		DisableGeneralOptionsHandler: true,
 		ConnContext:                  httpframing.ConnContext,
@@ -76,8 +75,8 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, err := g.readRequest(w, r)
-	defer func() { g.bufferedBodies.Add(-int64(cap(c.body))) }()
+	c, body, err := g.readRequest(w, r)
+	defer body.Release()
 	if err == nil {
 		err = g.refusal()
 	}
@@ -110,8 +109,9 @@
 }
 
 // readRequest decodes a request and reads its body. The API key is checked before
-// the body is read. The call is never nil, also with an error.
-func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request) (*call, error) {
+// the body is read; the caller of readRequest releases it. The call is never nil, also
+// with an error.
+func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request) (*call, intake.Body, error) {
 	now := time.Now()
 	arrived, left := arrivalOf(r, now)
 	c := &call{
@@ -121,7 +121,7 @@
 	c.keyHash, c.APIKey = hashAPIKey(c.APIKey), ""
 	v := g.Catalog.Current()
 	if err := c.resolve(v); err != nil {
-		return c, err
+		return c, intake.Body{}, err
 	}
 	timeout := c.CallerTimeout
 	if timeout <= 0 {
@@ -132,12 +132,13 @@
 		c.deadline = t
 	}
 	if !now.Before(c.deadline) {
-		return c, result.New(result.DeadlineTooNear, result.NotRun, "the request waited %s to be read", now.Sub(arrived).Round(time.Millisecond))
+		return c, intake.Body{}, result.New(result.DeadlineTooNear, result.NotRun, "the request waited %s to be read", now.Sub(arrived).Round(time.Millisecond))
 	}
 	if left {
-		return c, errCallerLeft()
+		return c, intake.Body{}, errCallerLeft()
 	}
-	return c, g.readBody(w, r, c, v.Config.Limits)
+	body, err := g.readBody(w, r, c, v.Config.Limits)
+	return c, body, err
 }
 
 // pathAndQuery returns the path and query of a request target as the caller sent
@@ -214,14 +215,17 @@
 func (g *Gateway) writeErrorResponse(w http.ResponseWriter, r *http.Request, c *call, err error) {
 	e := result.FromError(err)
 	g.logFailure(c, e)
-	if r.Context().Err() != nil {
+	// A body that is not waited for ends the context, too, but its caller is there.
+	if r.Context().Err() != nil && e.Code != result.MemoryLimitReached && e.Code != result.CallerTooSlow {
 		panic(http.ErrAbortHandler) // the caller closed the connection
 	}
 	platform.SetErrorHeaders(w.Header(), c.ID, e.RetryAfter)
 	w.Header().Set("Content-Type", "text/plain")
+	text := e.Code.String() + ": " + e.Message + "\n"
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(2 * writeMargin))
 	w.WriteHeader(httpStatus(e))
-	_, _ = io.WriteString(w, e.Code.String()+": "+e.Message+"\n") // fails only if the caller closed the connection
+	_, _ = io.WriteString(w, text) // fails only if the caller closed the connection
 }
 
 // httpStatus returns the status of an error response. Statuses that tell the
