--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -20,6 +20,11 @@
 	// response for three times its TTL, and a stopping instance serves them
 	// until then.
 	directoryTTL = time.Second
+	// directorySettlePeriod is the time after the start during which this instance may
+	// not have heard of all regions. Callers of a region without a known instance are
+	// then not sent to another one, which they would use until the TTL ends, but ask
+	// the next instance.
+	directorySettlePeriod = 2500 * time.Millisecond
 	// maxAddresses bounds the addresses in a directory response; callers read
 	// no more than these.
 	maxAddresses = 64
@@ -57,7 +62,12 @@
 	return newGETServer(platform.DirectoryPath, func(c echo.Context) error {
 		location := platform.ParseCallerLocation(c.QueryParams())
 		callerIP, _, _ := net.SplitHostPort(c.Request().RemoteAddr) // an address of the listener is valid
-		addresses := addressesFor(location, callerIP, i.directoryEntries(time.Now()), allowedRegionsOf(i.catalog.Current().Config, platform.ParseDirectoryHost(c.QueryParams())))
+		now := time.Now()
+		entries := i.directoryEntries(now)
+		if now.Sub(i.started) < directorySettlePeriod && !slices.ContainsFunc(entries, func(e directoryEntry) bool { return e.region == location.Region }) {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		addresses := addressesFor(location, callerIP, entries, allowedRegionsOf(i.catalog.Current().Config, platform.ParseDirectoryHost(c.QueryParams())))
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -48,6 +48,7 @@
 // Instance is one gateway process on the platform.
 type Instance struct {
 	settingsPath string
+	started      time.Time
 	settings     *deployment.Settings
 	self         *peerv1.Identity
 	log          *event.Logger
@@ -86,7 +87,7 @@
 	if _, err := rand.Read(incarnation[:]); err != nil {
 		return nil, errors.Wrap(err, "generate the incarnation")
 	}
-	i := &Instance{settingsPath: path, settings: s, log: log.With(zap.String("instance", s.Instance)), asyncLog: asyncLog,
+	i := &Instance{settingsPath: path, started: time.Now(), settings: s, log: log.With(zap.String("instance", s.Instance)), asyncLog: asyncLog,
 		listeners: map[*http.Server]net.Listener{}}
 	i.self = &peerv1.Identity{
 		Instance: s.Instance, Incarnation: max(binary.BigEndian.Uint64(incarnation[:]), 1),
