--- a/internal/placement/pacing_test.go
+++ b/internal/placement/pacing_test.go
@@ -349,12 +349,10 @@
 			reached := r.shareReached("t-0", returned)
 			t.Logf("%s, %d of %d instances: share reached after %s; in the first second %d requests, at most %d in flight; in 3 s at most %d a second, %d in flight (others %d), %d late (others %d); refused %d", c.name,
 				size.region, size.all, reached, count(target.arrivals, returned, time.Second), inSecond, most, inFlight, others, late, othersLate, r.refused)
-			// A target that is fast from the start may have its full load by then.
-			if early > plainCapacityFactor*simSlots {
-				t.Errorf("%s, %d instances: %d requests in flight in the first 500 ms, capacity %d", c.name, size.all, early, plainCapacityFactor*simSlots)
+			if early > simSlots {
+				t.Errorf("%s, %d instances: %d requests in flight in the first 500 ms, %d slots", c.name, size.all, early, simSlots)
 			}
-			// One that was measured to be slow is tried again after twice slowdownRetention.
-			if reached == 0 || reached > 2*slowdownRetention+2*time.Second {
+			if reached == 0 || reached > 6*time.Second {
 				t.Errorf("%s, %d instances: the target carries its share after %s", c.name, size.all, reached)
 			}
 		}
