--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,7 @@
 		fetchFrom = cacheHolder.Address
 	}
 	tracked := g.Tracker.Begin(v, entry, v.Config.Services[c.service], q, choice, time.Now())
+	c.placed()
 	if tracked == nil {
 		return notRunFailure(placement.Inconclusive, true, "the target is warming up and has got its requests")
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,6 +40,21 @@
 	// forwarded is set if another instance forwarded the request; it is then not
 	// forwarded again.
 	forwarded bool
+	// queued is set once the call has waited for a place, and waitedBefore is how long
+	// it waited at the instance that forwarded it.
+	queued       bool
+	waitedBefore time.Duration
+	// late is set if the response is expected after the objective.
+	late bool
+	// rejectedBy are the places that rejected the call because they were full, and
+	// regionRefusals counts the regions among them over the whole call.
+	rejectedBy     []string
+	regionRefusals int
+	// releaseReservation is set while the queue reserves a place; see placed.
+	releaseReservation func()
+	cachedReturnKey    uint64 // see returnKey
+	// counted is set once the work of the call has been counted as arrived.
+	counted bool
 
 	// cachedSuspects are the suspects for suspectsTeam; see suspects.
 	cachedSuspects []crash.Suspect
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -69,6 +69,7 @@
 	start := time.Now()
 	time.Sleep(min(drainAcceptTime, grace/2))
 	g.refusing.Store(true)
+	g.Queue.Stop()
 	cutoff := time.AfterFunc(time.Until(start.Add(grace-drainMargin-cutoffMargin)), g.cutOff)
 	defer cutoff.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-drainMargin))
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -54,7 +54,7 @@
 	req := &peerv1.ForwardRequest{
 		From: g.Self, RequestId: c.ID, Hop: 1, Team: c.team, Method: c.method, Host: c.host, Path: c.path, Body: c.body,
 		RemainingMs: uint32(max(time.Until(c.deadline).Milliseconds(), 1)), Route: c.route.Name, Attempt: uint32(c.possibleRuns),
-		ResumeAfter: lastEventID,
+		ResumeAfter: lastEventID, WaitedMs: uint32(c.waited(time.Now()).Milliseconds()),
 	}
 	for name, values := range c.header {
 		for _, v := range values {
@@ -179,7 +179,7 @@
 	c := &call{
 		Request: platform.ParseRequest(h), host: msg.GetHost(), method: msg.GetMethod(), path: msg.GetPath(), header: h, body: msg.GetBody(),
 		team: msg.GetTeam(), arrived: now, deadline: now.Add(time.Duration(msg.GetRemainingMs()) * time.Millisecond),
-		possibleRuns: int(msg.GetAttempt()), forwarded: true,
+		possibleRuns: int(msg.GetAttempt()), forwarded: true, waitedBefore: time.Duration(msg.GetWaitedMs()) * time.Millisecond,
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/dispatch"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
+	"github.com/wigeonhill/wigeonhill/internal/overload"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
@@ -54,6 +55,8 @@
 	Quota       *quota.Limiter
 	RetryBudget *RetryBudget
 	Crashes     *crash.Tracker
+	// Queue holds the requests that wait for a place; New creates it if it is nil.
+	Queue *overload.Manager
 	// OnTargetDown is called when a target starts to be avoided because it is
 	// unreachable, its connection broke, or another target has its address.
 	OnTargetDown func(target string)
@@ -74,12 +77,16 @@
 	cutOff          context.CancelFunc
 	runningRequests atomic.Int64
 	crashReporter   crashReporter
+	reservations    reservations
 }
 
 // New returns a Gateway that uses the settings and dependencies in cfg.
 func New(cfg Config) *Gateway {
 	g := &Gateway{Config: cfg, targetTransport: newTargetTransport()}
 	g.responseMemory = dispatch.NewMemoryBudget(settings.Bounds{ProcessBuffer: int64(responseMemoryFraction * float64(cfg.Settings.MemoryBytes))})
+	if g.Queue == nil {
+		g.Queue = overload.NewManager(overload.Limits{Bytes: int64(queueMemoryFraction * float64(cfg.Settings.MemoryBytes))}, cfg.Log)
+	}
 	g.cutoff, g.cutOff = context.WithCancel(context.Background())
 	return g
 }
@@ -156,18 +163,22 @@
 func (g *Gateway) serveCall(ctx context.Context, c *call, d *delivery) error {
 	exclude := map[string]bool{}
 	var last *failure
+	defer c.placed()
 	for {
-		choice, v, err := g.choosePlacement(c, exclude)
+		choice, v, err := g.choosePlacement(ctx, c, exclude)
 		if err != nil {
 			return g.finishFailed(c, d, last, err)
 		}
 		shared, _ := placement.SharedPrefix(c.PromptParts)
 		g.Log.Emit(event.RequestPlaced, zap.String("request", c.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
 			zap.String("target", choice.Target), zap.String("region", choice.Region), zap.String("fetch_from", choice.FetchFrom),
-			zap.Duration("expected", choice.Delay), zap.String("reason", choice.Reason), zap.String("shared", shared), zap.Bool("cached", choice.Cached), zap.Bool("warming_up", choice.WarmingUp),
+			zap.Duration("expected", choice.Delay), zap.String("reason", choice.Reason), zap.String("shared", shared), zap.Bool("cached", choice.Cached), zap.Bool("warming_up", choice.WarmingUp), zap.Bool("late", choice.Late),
 			zap.Int("sends", c.failedAttempts), zap.Int64("revision", v.TargetsRevision),
 			zap.String("source", v.TargetsSource), zap.Duration("targets_age", time.Since(v.TargetsReadAt)))
+		c.late = choice.Late
 		f := g.attempt(ctx, v, c, choice, d)
+		c.placed()
+		g.Queue.Freed(c.service)
 		g.Metrics.recordAttempt(f, choice.Delay)
 		if f == nil {
 			return nil
@@ -180,6 +191,7 @@
 		}
 		last = f
 		exclude[choice.Target+choice.Region] = true
+		c.recordRejection(choice, f)
 		if !g.canRetry(ctx, c, d, f) {
 			return g.finishFailed(c, d, f, f.err)
 		}
@@ -189,8 +201,28 @@
 }
 
 // choosePlacement decides where the next attempt runs, using the newest state of
-// the catalog, which it returns.
-func (g *Gateway) choosePlacement(c *call, exclude map[string]bool) (placement.Choice, *catalog.View, error) {
+// the catalog, which it returns. If there is no place, or others wait for one, the call
+// waits in the queue of its service. Forwarded calls do not wait: the instance that
+// forwarded them may find another place.
+func (g *Gateway) choosePlacement(ctx context.Context, c *call, exclude map[string]bool) (placement.Choice, *catalog.View, error) {
+	g.recordArrival(c)
+	othersWait := g.Queue.Waiting(c.service) > 0
+	var choice placement.Choice
+	var v *catalog.View
+	var err error
+	if c.forwarded || !othersWait || c.route == nil {
+		choice, v, err = g.choose(c, exclude, othersWait, time.Now())
+		if err == nil || !choice.Wait || c.forwarded {
+			return g.recordStart(c, choice, v, err)
+		}
+	}
+	choice, v, err = g.wait(ctx, c, exclude, err)
+	return g.recordStart(c, choice, v, err)
+}
+
+// choose decides where a call runs now. If it could wait, Choice.Wait is set with the
+// error.
+func (g *Gateway) choose(c *call, exclude map[string]bool, spareOnly bool, now time.Time) (placement.Choice, *catalog.View, error) {
 	v := g.Catalog.Current()
 	if err := c.resolve(v); err != nil {
 		return placement.Choice{}, v, err
@@ -198,17 +230,19 @@
 	if cause := g.Crashes.Blocked(c.suspects()); cause != nil {
 		return placement.Choice{}, v, result.New(result.RequestBlocked, result.NotRun, "this request or a part of its prompt crashed targets: %v", cause)
 	}
-	now := time.Now()
 	team := v.Config.Teams[c.team]
 	q := c.placementQuery(g.Settings.Region, team, now)
+	q.Waited, q.SpareOnly = c.waited(now), spareOnly
 	targets := g.Tracker.Targets(v, c.service, q.PrefixKey, exclude, now)
 	var regions []placement.RegionView
 	if !c.forwarded {
 		regions = g.remoteRegions(c, team, exclude)
 		q.PrefixOwnerRegion = g.Tracker.PrefixOwnerRegion(v, c.service, q.PrefixKey, func(region string) bool { return deployment.RegionAllowed(c.route, team, region) })
 	}
+	g.reservations.apply(targets, regions)
 	choice := placement.Choose(q, targets, regions, g.Tracker.Model(v.Config.Services[c.service]))
-	if choice.Target == "" && choice.Region == "" {
+	if !choice.Placed() {
+		choice.Wait = choice.Wait || len(c.rejectedBy) > 0
 		return choice, v, result.New(result.NoSlot, result.NotRun, "no place in time: %d targets here, %d other regions, expected delay %s",
 			len(targets), len(regions), choice.Delay.Round(time.Millisecond)).WithRetryAfter(choice.RetryAfter)
 	}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -75,7 +75,7 @@
 	req.Host = c.host
 	req.ContentLength = int64(len(c.body))
 	req.Header = c.header.Clone()
-	headers := platform.TargetHeaders{TargetID: entry.ID, Timeout: time.Until(c.deadline), Priority: c.route.PriorityFor(team), LastEventID: lastEventID, FetchFrom: fetchFrom}
+	headers := platform.TargetHeaders{TargetID: entry.ID, Timeout: time.Until(c.deadline), Priority: c.targetPriority(team), LastEventID: lastEventID, FetchFrom: fetchFrom}
 	if !c.route.Open {
 		headers.Team = c.team
 	}
--- /dev/null
+++ b/internal/overload/queue.go
@@ -0,0 +1,398 @@
+package overload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// objectiveMargin is the fraction of the objective within which the first byte of
+	// a request must be expected for the request to count as in time.
+	objectiveMargin = 0.95
+	// lateHoldFraction is the fraction of a late request's usable time that its
+	// expected wait may take. A request that is held and then refused costs its caller
+	// more than one that is refused at once.
+	lateHoldFraction = 0.5
+	// leftoverFraction is the least fraction of the capacity that is expected to be
+	// left for late requests while new ones demand all of it: bursts end.
+	leftoverFraction = 0.15
+	// hopelessFactor times the usable time is the expected wait at which a waiting
+	// request is released: the estimate of the wait varies, and a request that was
+	// admitted should not be released by noise.
+	hopelessFactor = 1.5
+	// workAgeing is how much less work a request counts with in the order for each
+	// unit of time that it has waited, so that large requests do not starve.
+	workAgeing = 0.25
+	// oldestShare is one start in how many that goes to the request that has used up
+	// most of its time, whatever its rank, so that low ranks do not starve.
+	oldestShare = 8
+	// maxFailedTries bounds the failed attempts to place waiting requests in one pass.
+	maxFailedTries = 4
+	// lowRank is added to the rank of requests that get only what others leave.
+	lowRank = 100
+	// harmlessHold is the fraction of the objective for which a request may be held
+	// and then refused without a cost for its caller.
+	harmlessHold = 0.125
+	// idleCapacity is the work in seconds of target time per second below which the
+	// work that was started lately says nothing about the capacity.
+	idleCapacity = 0.002
+	// rateWindow is the time constant of the rates of arriving and started work: a few
+	// heartbeats, so that a loss of targets shows within a second.
+	rateWindow = 700 * time.Millisecond
+)
+
+// Limits bound a Queue.
+type Limits struct {
+	Entries int
+	Bytes   int64
+}
+
+// Request describes a request to the queue of its service.
+type Request struct {
+	ID, Team string
+	// Rank is the priority of route and team; 0 is the most urgent.
+	Rank int
+	// Weight is the share of the team relative to the other teams; 0 counts as 1.
+	Weight float64
+	// Arrived is when the request arrived, Objective the time from then to the first
+	// byte within which an answer is in time, and Deadline when the caller gives up.
+	Arrived   time.Time
+	Objective time.Duration
+	Deadline  time.Time
+	// Unloaded is the time to the first byte at an idle target, and Work the target
+	// time that the request takes.
+	Unloaded, Work time.Duration
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int64
+	// Key identifies the request for recognising returns; 0 if it is not known.
+	Key uint64
+	// Jitter is a random number from 0 to 1 that differs between requests.
+	Jitter float64
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	NoTime    Reason = "no_time"    // the caller's time is used up
+	WorkAhead Reason = "work_ahead" // the work ahead leaves no time
+	QueueFull Reason = "queue_full" // the queue is full, and all others lose more
+	Displaced Reason = "displaced"  // another request took the place in the queue
+	Released  Reason = "released"   // a waiting request can no longer be served in time
+	Repeated  Reason = "repeated"   // the caller returned before the promised time
+	NoRoom    Reason = "no_room"    // requests that may not wait
+	Stopping  Reason = "stopping"   // the instance stops
+)
+
+// Refusal is the decision not to serve a request.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is the promised time until capacity is expected.
+	RetryAfter time.Duration
+	// Expected is the expected wait that led to the refusal; 0 if none did.
+	Expected time.Duration
+}
+
+// Entry is a waiting request.
+type Entry struct {
+	Request
+	// Returned is set if the caller came back as instructed.
+	Returned bool
+	// Low is set if the request gets only what others leave: its team demands many
+	// times its usual demand, or its caller came back before the promised time.
+	Low      bool
+	queuedAt time.Time
+	sequence uint64
+	// value is for the Manager.
+	value *waiter
+}
+
+// Waited returns how long the request has been in the queue.
+func (e *Entry) Waited(now time.Time) time.Duration { return now.Sub(e.queuedAt) }
+
+// canBeInTime reports whether the request would be in time if it started now at an
+// idle target.
+func (e *Entry) canBeInTime(now time.Time) bool {
+	return now.Sub(e.Arrived)+e.Unloaded <= time.Duration(objectiveMargin*float64(e.Objective))
+}
+
+// usable returns how long the request can wait and still be served.
+func (e *Entry) usable(now time.Time) time.Duration { return e.Deadline.Sub(now) - e.Unloaded }
+
+func (e *Entry) rank() int {
+	if e.Low {
+		return e.Rank + lowRank
+	}
+	return e.Rank
+}
+
+// compare orders entries by who starts first.
+func compare(a, b *Entry, now time.Time) int {
+	if c := cmp.Compare(a.rank(), b.rank()); c != 0 {
+		return c
+	}
+	if a.Returned != b.Returned {
+		return boolFirst(a.Returned)
+	}
+	if in := a.canBeInTime(now); in != b.canBeInTime(now) {
+		return boolFirst(in)
+	}
+	if c := cmp.Compare(a.agedWork(now), b.agedWork(now)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.sequence, b.sequence)
+}
+
+func boolFirst(a bool) int {
+	if a {
+		return -1
+	}
+	return 1
+}
+
+func (e *Entry) agedWork(now time.Time) time.Duration {
+	return e.Work - time.Duration(workAgeing*float64(e.Waited(now)))
+}
+
+// Queue holds the waiting requests of one service at one instance.
+type Queue struct {
+	limits   Limits
+	entries  []*Entry
+	bytes    int64
+	sequence uint64
+	starts   int
+	// arrived and started are rates of work, in seconds of target time per second.
+	arrived, started rate
+	schedule         schedule
+	teams            teams
+}
+
+// NewQueue returns an empty Queue.
+func NewQueue(l Limits) *Queue {
+	return &Queue{limits: l, arrived: rate{tau: rateWindow}, started: rate{tau: rateWindow}, schedule: newSchedule(), teams: newTeams()}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return len(q.entries) }
+
+// OldestWait returns the longest time that a request has waited.
+func (q *Queue) OldestWait(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, e := range q.entries {
+		oldest = max(oldest, e.Waited(now))
+	}
+	return oldest
+}
+
+// RecordWork records the work of requests that arrived and were started since the
+// last call, whether they have waited or not.
+func (q *Queue) RecordWork(arrived, started time.Duration, now time.Time) {
+	q.arrived.add(arrived.Seconds(), now)
+	q.started.add(started.Seconds(), now)
+}
+
+// expectedWait returns how long it takes until work has been started. Late requests
+// only get what new ones leave. known is false if hardly any work was started lately,
+// so that nothing can be said.
+func (q *Queue) expectedWait(work, usable time.Duration, late bool) (wait time.Duration, known bool) {
+	capacity := q.started.value
+	if late {
+		capacity = max(capacity-q.arrived.value, leftoverFraction*capacity)
+	}
+	if q.started.value*usable.Seconds() < work.Seconds()/2 && q.idle() {
+		return 0, false
+	}
+	return time.Duration(min(work.Seconds()/max(capacity, 1e-9), 3600) * float64(time.Second)), true
+}
+
+// idle reports whether hardly any work was started lately.
+func (q *Queue) idle() bool { return q.started.value < idleCapacity }
+
+// Offer adds a request to the queue or refuses it. displaced is another request that
+// must leave for it; nil if there is none.
+func (q *Queue) Offer(r Request, now time.Time) (e *Entry, refusal *Refusal, displaced *Entry) {
+	kept, early := q.schedule.match(r.Key, now)
+	e = &Entry{Request: r, Returned: kept, Low: early > 0 || q.teams.overShare(r.Team, now), queuedAt: now, sequence: q.sequence}
+	q.sequence++
+	if expected, ok := q.fits(e, now); !ok {
+		return nil, q.refuse(e, WorkAhead, expected, now), nil
+	}
+	if len(q.entries) >= q.limits.Entries || q.bytes+e.Bytes > q.limits.Bytes {
+		least := e
+		for _, o := range q.entries {
+			if q.bytes-o.Bytes+e.Bytes <= q.limits.Bytes && losesLess(o, least, now) {
+				least = o
+			}
+		}
+		if least == e {
+			return nil, q.refuse(e, QueueFull, 0, now), nil
+		}
+		q.Remove(least)
+		displaced = least
+	}
+	q.entries = append(q.entries, e)
+	q.bytes += e.Bytes
+	return e, nil, displaced
+}
+
+// fits returns the expected wait of e behind the entries that precede it, and whether
+// it leaves enough time.
+func (q *Queue) fits(e *Entry, now time.Time) (time.Duration, bool) {
+	usable := e.usable(now)
+	if usable <= 0 {
+		return 0, false
+	}
+	ahead, inTimeAhead := e.Work, e.Work
+	for _, o := range q.entries {
+		if o != e && compare(o, e, now) < 0 {
+			ahead += o.Work
+			if o.canBeInTime(now) || o.Returned {
+				inTimeAhead += o.Work
+			}
+		}
+	}
+	wait, known := q.expectedWait(inTimeAhead, usable, false)
+	if !known || e.canBeInTime(now.Add(wait)) {
+		return wait, true
+	}
+	if e.Returned {
+		wait, _ := q.expectedWait(ahead, usable, false)
+		return wait, wait <= usable
+	}
+	wait, _ = q.expectedWait(ahead, usable, true)
+	return wait, wait <= time.Duration(lateHoldFraction*float64(usable))
+}
+
+// losesLess reports whether a loses less than b by being refused now: a request of a
+// team over its share, then one of a lower rank, then one that did not return as
+// instructed, then one that has been held harmlessly short, then the one with more
+// time to come back.
+func losesLess(a, b *Entry, now time.Time) bool {
+	if c := cmp.Compare(a.rank(), b.rank()); c != 0 {
+		return c > 0
+	}
+	if a.Returned != b.Returned {
+		return !a.Returned
+	}
+	if ah, bh := a.heldHarmlessly(now), b.heldHarmlessly(now); ah != bh {
+		return ah
+	}
+	if ai, bi := a.canBeInTime(now), b.canBeInTime(now); ai != bi {
+		return !ai
+	}
+	return a.usable(now) > b.usable(now)
+}
+
+// heldHarmlessly reports whether the request has waited at most an eighth of its
+// objective, which costs its caller nothing.
+func (e *Entry) heldHarmlessly(now time.Time) bool {
+	return e.Waited(now) <= time.Duration(harmlessHold*float64(e.Objective))
+}
+
+// Refuse returns the refusal of a request that is not in the queue.
+func (q *Queue) Refuse(r Request, reason Reason, now time.Time) *Refusal {
+	return q.refuse(&Entry{Request: r, queuedAt: now}, reason, 0, now)
+}
+
+func (q *Queue) refuse(e *Entry, reason Reason, expected time.Duration, now time.Time) *Refusal {
+	if e.usable(now) <= 0 {
+		reason = NoTime
+	}
+	if early := q.schedule.early(e.Key, now); early > 0 {
+		// A promise that is in force is not replaced: the caller would gain by asking
+		// again, and its repeats would take the places of others in the schedule.
+		return &Refusal{Reason: Repeated, RetryAfter: early, Expected: expected}
+	}
+	var waiting time.Duration
+	for _, o := range q.entries {
+		waiting += o.Work
+	}
+	return &Refusal{Reason: reason, RetryAfter: q.schedule.promise(&e.Request, waiting, q.started.value, now), Expected: expected}
+}
+
+// Remove takes an entry out of the queue, and reports whether it was there.
+func (q *Queue) Remove(e *Entry) bool {
+	i := slices.Index(q.entries, e)
+	if i < 0 {
+		return false
+	}
+	q.entries = slices.Delete(q.entries, i, i+1)
+	q.bytes -= e.Bytes
+	return true
+}
+
+// Drop takes an entry out of the queue and returns its refusal.
+func (q *Queue) Drop(e *Entry, reason Reason, now time.Time) *Refusal {
+	q.Remove(e)
+	return q.refuse(e, reason, 0, now)
+}
+
+// Hopeless returns the entries that can no longer be served in time for their
+// callers: those without usable time, and those behind more work than can start.
+func (q *Queue) Hopeless(now time.Time) []*Entry {
+	q.sort(now)
+	var out []*Entry
+	var ahead time.Duration
+	for _, e := range q.entries {
+		usable := e.usable(now)
+		wait, known := q.expectedWait(ahead+e.Work, usable, false)
+		if usable <= 0 || wait > time.Duration(hopelessFactor*float64(usable)) || !known && !e.heldHarmlessly(now) {
+			out = append(out, e)
+			continue
+		}
+		ahead += e.Work
+	}
+	return out
+}
+
+func (q *Queue) sort(now time.Time) {
+	slices.SortFunc(q.entries, func(a, b *Entry) int { return compare(a, b, now) })
+}
+
+// Start calls place for waiting requests in their order and removes those for which
+// it returns true. spareOnly is set if the request may only use capacity that no
+// other needs: a request of a better rank that could still be in time found no place.
+func (q *Queue) Start(now time.Time, place func(e *Entry, spareOnly bool) bool) {
+	q.sort(now)
+	order := slices.Clone(q.entries)
+	if q.starts%oldestShare == oldestShare-1 {
+		moveOldestFirst(order, now)
+	}
+	failed, lateFailed, blockedRank := 0, false, -1
+	for _, e := range order {
+		late := !e.canBeInTime(now)
+		if late && lateFailed {
+			continue
+		}
+		if place(e, blockedRank >= 0 && e.rank() > blockedRank) {
+			q.Remove(e)
+			q.starts++
+			continue
+		}
+		if late {
+			lateFailed = true
+		} else if blockedRank < 0 {
+			blockedRank = e.rank()
+		}
+		if failed++; failed >= maxFailedTries {
+			return
+		}
+	}
+}
+
+// moveOldestFirst moves the entry that has used up most of its time to the front.
+func moveOldestFirst(order []*Entry, now time.Time) {
+	oldest, most := 0, 0.0
+	for i, e := range order {
+		if used := now.Sub(e.Arrived).Seconds() / max(e.Deadline.Sub(e.Arrived).Seconds(), 0.001); used > most {
+			oldest, most = i, used
+		}
+	}
+	if oldest > 0 {
+		e := order[oldest]
+		copy(order[1:oldest+1], order[:oldest])
+		order[0] = e
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/rendezvous"
@@ -8,9 +9,24 @@
 
 const (
 	// maxDelayFraction is the fraction of the objective above which the expected
-	// delay causes a refusal: a request that would be late takes capacity from
-	// those that can still meet the objective.
+	// delay makes a request late: it takes no capacity from those that can still meet
+	// the objective.
 	maxDelayFraction = 0.8
+	// maxWaitedFraction replaces maxDelayFraction for the time that a request has
+	// waited together with its expected delay; the wait is known exactly.
+	maxWaitedFraction = 0.95
+	// spareDivisor and spareBacklogFraction define the targets that may get requests
+	// that will be late: 1/spareDivisor of the slots, at least one, stays free, and
+	// prefilling what is at the target takes at most spareBacklogFraction of the
+	// objective. The load is known with a delay of several heartbeats.
+	spareDivisor         = 8
+	spareBacklogFraction = 0.25
+	// spareRegionSlots is the least number of free slots of another region that gets
+	// such requests.
+	spareRegionSlots = 3
+	// lateDelayFraction is the fraction of the remaining time that the expected delay
+	// of a late request may take; the rest is for the response.
+	lateDelayFraction = 0.7
 	// localDelayFraction is the fraction of the objective up to which the local
 	// region is chosen without considering others.
 	localDelayFraction = 0.45
@@ -52,6 +68,12 @@
 	Jitter float64
 	// LocalAllowed is false if residency rules forbid the local region.
 	LocalAllowed bool
+	// Waited is how much of the objective has passed since the request arrived; 0 for
+	// one that has not waited.
+	Waited time.Duration
+	// SpareOnly is set if the request may only use capacity that requests in time do
+	// not need.
+	SpareOnly bool
 }
 
 // TargetView is the estimated state of a target of the local region.
@@ -87,8 +109,9 @@
 	Leaving bool
 }
 
-// Choice is a placement decision: a target, another region, or a refusal with the
-// time after which capacity is expected.
+// Choice is a placement decision: a target, another region, or neither. In the last
+// case the request should wait, or be refused with the time after which capacity is
+// expected.
 type Choice struct {
 	Target, Region string
 	// FetchFrom is a target from which Target can copy the shared prefix instead of
@@ -98,6 +121,10 @@
 	Cached bool
 	// WarmingUp is set if Target may be warming up, and Leaving if it is leaving.
 	WarmingUp, Leaving bool
+	// Late is set if the response is expected after the objective.
+	Late bool
+	// Wait is set if there is no place now and the caller has time to wait for one.
+	Wait bool
 	// Delay is the expected time to the first byte.
 	Delay time.Duration
 	// RetryAfter is only set if Target and Region are empty.
@@ -105,18 +132,46 @@
 	Reason     string
 }
 
-// Choose returns where the request should run.
+// Placed reports whether the choice names a target or a region.
+func (c *Choice) Placed() bool { return c.Target != "" || c.Region != "" }
+
+// Choose returns where the request should run. Requests that can be in time may use
+// all capacity, the others only what those do not need.
 func Choose(q *Query, targets []TargetView, regions []RegionView, m *LatencyModel) Choice {
-	if r := prefixOwnerRegion(q, targets, regions); r != nil {
+	local := bestTarget(q, targets, m)
+	if !q.SpareOnly {
+		if c := chooseInTime(q, local, targets, regions); c.Placed() {
+			return c
+		}
+	}
+	if c := chooseSpare(q, targets, regions, m); c.Placed() {
+		return c
+	}
+	return Choice{
+		Delay: local.Delay, RetryAfter: retryAfter(q, local.Delay, q.Jitter), Reason: "no place in time",
+		Wait: q.Remaining > m.Unloaded(q, len(targets) == 0 || targets[0].Engine) && (len(regions) > 0 || slices.ContainsFunc(targets, func(t TargetView) bool { return !t.WarmingUp })),
+	}
+}
+
+// chooseInTime returns a place where the request is expected to be in time; local is
+// the best local target.
+func chooseInTime(q *Query, local Choice, targets []TargetView, regions []RegionView) Choice {
+	limit := min(time.Duration(maxDelayFraction*float64(q.Objective)), q.Remaining)
+	if q.Waited > 0 {
+		limit = min(limit, time.Duration(maxWaitedFraction*float64(q.Objective))-q.Waited)
+	}
+	if r := prefixOwnerRegion(q, targets, regions); r != nil && (q.Waited == 0 || r.Delay+r.RoundTrip <= limit) {
 		return Choice{Region: r.Name, Delay: r.Delay + r.RoundTrip, Reason: "region of the prefix owner"}
 	}
-	local := bestTarget(q, targets, m)
-	if local.Target != "" && !local.Leaving && local.Delay <= time.Duration(localDelayFraction*float64(q.Objective)) {
+	localLimit := time.Duration(localDelayFraction * float64(q.Objective))
+	if q.Waited > 0 {
+		localLimit = min(localLimit, limit)
+	}
+	if local.Target != "" && !local.Leaving && local.Delay <= localLimit {
 		local.Reason = "own region has room"
 		return local
 	}
 	remote := bestRegion(regions)
-	limit := min(time.Duration(maxDelayFraction*float64(q.Objective)), q.Remaining)
 	if remote != nil {
 		remoteDelay := remote.Delay + remote.RoundTrip
 		if remoteDelay <= limit && (local.Target == "" || local.Leaving || remoteDelay+remoteMargin < local.Delay) {
@@ -127,7 +182,65 @@
 		local.Reason = "own region is no worse"
 		return local
 	}
-	return Choice{Delay: local.Delay, RetryAfter: retryAfter(q, local.Delay, q.Jitter), Reason: "no place in time"}
+	return Choice{}
+}
+
+// chooseSpare returns a place that requests in time do not need: a local target with
+// clearly fewer requests than slots, or a region that is not busy.
+func chooseSpare(q *Query, targets []TargetView, regions []RegionView, m *LatencyModel) Choice {
+	limit := time.Duration(lateDelayFraction * float64(q.Remaining))
+	views := make([]TargetView, len(targets))
+	copy(views, targets)
+	for i := range views {
+		views[i].Full = views[i].Full || !spare(&views[i], q, m)
+	}
+	late := func(delay time.Duration) bool {
+		return q.Waited+delay > time.Duration(maxDelayFraction*float64(q.Objective))
+	}
+	local := bestTarget(q, views, m)
+	for i := range regions {
+		r := &regions[i]
+		delay := r.Delay + r.RoundTrip
+		if r.FreeSlots < spareRegionSlots || delay > time.Duration(maxDelayFraction*float64(q.Objective)) || delay > limit {
+			continue
+		}
+		if local.Target == "" && local.Region == "" || local.Target != "" && delay+remoteMargin < local.Delay || local.Region != "" && delay < local.Delay {
+			local = Choice{Region: r.Name, Delay: delay, Late: late(delay), Reason: "other region has spare capacity"}
+		}
+	}
+	if local.Target != "" {
+		if local.Delay > limit {
+			return Choice{}
+		}
+		local.Late, local.Reason = late(local.Delay), "target has spare capacity"
+	}
+	return local
+}
+
+// spare reports whether a target has capacity that requests in time do not need.
+func spare(t *TargetView, q *Query, m *LatencyModel) bool {
+	if t.Running >= max(t.Slots-max(t.Slots/spareDivisor, 1), 1) {
+		return false
+	}
+	backlog := float64(t.PendingTokens) / m.TokensPerMS * t.Slowdown
+	return !t.Engine || backlog <= spareBacklogFraction*float64(q.Objective.Milliseconds())
+}
+
+// Unloaded returns the expected time to the first byte at an idle target that has the
+// shared prefix cached.
+func (m *LatencyModel) Unloaded(q *Query, engine bool) time.Duration {
+	return m.Delay(q, &TargetView{Engine: engine, Slots: 1, Cached: true, Slowdown: 1}, false)
+}
+
+// Work returns the target time that a request takes: the prefill and its part of the
+// decoding steps of a whole batch, or its part of the slots of a plain target.
+func (m *LatencyModel) Work(q *Query, outputTokens, slots int, engine bool) time.Duration {
+	ms := m.ServiceTimeMS / float64(max(slots, 1))
+	if engine {
+		tokens := q.PromptTokens - min(q.PrefixTokens, q.PromptTokens)
+		ms = float64(tokens)/m.TokensPerMS + float64(max(outputTokens, 1))*m.StepMS/float64(max(slots, 1))
+	}
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // retryAfter returns the delay after which a refused request should be retried: when
