--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -44,6 +44,8 @@
 	// it waited at the instance that forwarded it.
 	queued       bool
 	waitedBefore time.Duration
+	// windowService is the service at whose targets the current attempt counts.
+	windowService string
 	// late is set if the response is expected after the objective.
 	late bool
 	// rejectedBy are the places that rejected the call because they were full, and
@@ -53,6 +55,8 @@
 	// releaseReservation is set while the queue reserves a place; see placed.
 	releaseReservation func()
 	cachedReturnKey    uint64 // see returnKey
+	// scheduled is set once the queue has promised a time for the caller's return.
+	scheduled bool
 	// counted is set once the work of the call has been counted as arrived.
 	counted bool
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,7 +167,7 @@
 	for {
 		choice, v, err := g.choosePlacement(ctx, c, exclude)
 		if err != nil {
-			return g.finishFailed(c, d, last, err)
+			return g.finishFailed(c, d, last, g.scheduleReturn(c, err))
 		}
 		shared, _ := placement.SharedPrefix(c.PromptParts)
 		g.Log.Emit(event.RequestPlaced, zap.String("request", c.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
@@ -178,6 +178,9 @@
 		c.late = choice.Late
 		f := g.attempt(ctx, v, c, choice, d)
 		c.placed()
+		if choice.Target != "" {
+			g.Queue.End(c.windowService, f != nil && f.outcome == placement.Rejected)
+		}
 		g.Queue.Freed(c.service)
 		g.Metrics.recordAttempt(f, choice.Delay)
 		if f == nil {
@@ -193,7 +196,7 @@
 		exclude[choice.Target+choice.Region] = true
 		c.recordRejection(choice, f)
 		if !g.canRetry(ctx, c, d, f) {
-			return g.finishFailed(c, d, f, f.err)
+			return g.finishFailed(c, d, f, g.scheduleReturn(c, f.err))
 		}
 		g.Log.Emit(event.RequestRetried, zap.String("request", c.ID), zap.String("target", choice.Target), zap.String("region", choice.Region),
 			zap.Stringer("ran", f.err.Ran), zap.String("reason", f.err.Message), zap.Int("sent", c.possibleRuns), zap.String("framing", string(d.framing)))
@@ -211,7 +214,11 @@
 	var v *catalog.View
 	var err error
 	if c.forwarded || !othersWait || c.route == nil {
-		choice, v, err = g.choose(c, exclude, othersWait, time.Now())
+		mode := overload.Ordinary
+		if othersWait {
+			mode = overload.SpareOnly
+		}
+		choice, v, err = g.choose(c, exclude, mode, time.Now())
 		if err == nil || !choice.Wait || c.forwarded {
 			return g.recordStart(c, choice, v, err)
 		}
@@ -222,7 +229,7 @@
 
 // choose decides where a call runs now. If it could wait, Choice.Wait is set with the
 // error.
-func (g *Gateway) choose(c *call, exclude map[string]bool, spareOnly bool, now time.Time) (placement.Choice, *catalog.View, error) {
+func (g *Gateway) choose(c *call, exclude map[string]bool, mode overload.Mode, now time.Time) (placement.Choice, *catalog.View, error) {
 	v := g.Catalog.Current()
 	if err := c.resolve(v); err != nil {
 		return placement.Choice{}, v, err
@@ -232,7 +239,10 @@
 	}
 	team := v.Config.Teams[c.team]
 	q := c.placementQuery(g.Settings.Region, team, now)
-	q.Waited, q.SpareOnly = c.waited(now), spareOnly
+	q.SpareOnly, q.Windowed = mode == overload.SpareOnly, g.Queue.Windowed(c.service)
+	if mode != overload.Aged {
+		q.Waited = c.waited(now)
+	}
 	targets := g.Tracker.Targets(v, c.service, q.PrefixKey, exclude, now)
 	var regions []placement.RegionView
 	if !c.forwarded {
@@ -240,11 +250,20 @@
 		q.PrefixOwnerRegion = g.Tracker.PrefixOwnerRegion(v, c.service, q.PrefixKey, func(region string) bool { return deployment.RegionAllowed(c.route, team, region) })
 	}
 	g.reservations.apply(targets, regions)
+	if g.Queue.Full(c.service) {
+		for i := range targets {
+			targets[i].Full, targets[i].AtCapacity = true, false
+		}
+	}
 	choice := placement.Choose(q, targets, regions, g.Tracker.Model(v.Config.Services[c.service]))
 	if !choice.Placed() {
 		choice.Wait = choice.Wait || len(c.rejectedBy) > 0
 		return choice, v, result.New(result.NoSlot, result.NotRun, "no place in time: %d targets here, %d other regions, expected delay %s",
 			len(targets), len(regions), choice.Delay.Round(time.Millisecond)).WithRetryAfter(choice.RetryAfter)
 	}
+	if choice.Target != "" {
+		c.windowService = c.service
+		g.Queue.Begin(c.service)
+	}
 	return choice, v, nil
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -71,7 +71,8 @@
 	for i := range targets {
 		if h, ok := r.held[targets[i].ID]; ok {
 			t := &targets[i]
-			t.Running, t.PendingTokens = t.Running+h.requests, t.PendingTokens+h.tokens
+			t.Running, t.Own, t.PendingTokens = t.Running+h.requests, t.Own+h.requests, t.PendingTokens+h.tokens
+			t.AtCapacity = t.AtCapacity || !t.Full && t.Running >= t.Capacity
 			t.Full = t.Full || t.Running >= t.Capacity
 		}
 	}
@@ -136,8 +137,8 @@
 			zap.Int("queued", g.Queue.Waiting(c.service)), zap.Int("rank", r.Rank), zap.String("team", c.team))
 	}
 	service := c.service
-	qerr := g.Queue.Acquire(ctx, service, r, func(spareOnly bool, now time.Time) bool {
-		choice, v, err = g.choose(c, exclude, spareOnly, now)
+	qerr := g.Queue.Acquire(ctx, service, r, func(mode overload.Mode, now time.Time) bool {
+		choice, v, err = g.choose(c, exclude, mode, now)
 		if err != nil {
 			return !choice.Wait
 		}
@@ -159,6 +160,7 @@
 	case !errors.As(qerr, &r):
 		return result.New(result.NoSlot, result.NotRun, "%v", qerr)
 	}
+	c.scheduled = true
 	g.Log.Emit(event.RequestNotQueued, zap.String("request", c.ID), zap.String("service", service), zap.String("reason", string(r.Reason)),
 		zap.Duration("expected", r.Expected), zap.Duration("retry_after", r.RetryAfter))
 	message := ""
@@ -168,6 +170,21 @@
 	return result.New(result.NoSlot, result.NotRun, "no capacity: %s, expected wait %s%s", r.Reason, r.Expected.Round(time.Millisecond), message).WithRetryAfter(r.RetryAfter)
 }
 
+// scheduleReturn gives a refusal for lack of capacity that the queue did not decide
+// the time at which capacity is expected.
+func (g *Gateway) scheduleReturn(c *call, err error) error {
+	e := result.FromError(err)
+	if c.forwarded || c.scheduled || e.Ran != result.NotRun || e.Code != result.NoSlot && e.Code != result.NoTarget || c.route == nil {
+		return err
+	}
+	r, ok := g.Queue.Refuse(c.service, g.queueRequest(c, time.Now()))
+	if !ok {
+		return err
+	}
+	c.scheduled = true
+	return e.WithRetryAfter(r.RetryAfter)
+}
+
 // queueRequest describes a call to the queue.
 func (g *Gateway) queueRequest(c *call, now time.Time) overload.Request {
 	v := g.Catalog.Current()
@@ -234,7 +251,7 @@
 	if v := g.Catalog.Current(); !c.counted && c.route != nil && v.Config != nil {
 		c.counted = true
 		_, work := g.requestWork(v, c, c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], time.Now()))
-		g.Queue.Arrived(c.service, work)
+		g.Queue.Arrived(c.service, c.team, c.route.PriorityFor(v.Config.Teams[c.team]), work)
 	}
 }
 
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -31,6 +31,8 @@
 	if view.Config != nil {
 		for service := range view.Config.Services {
 			if pool := i.tracker.PoolUse(view, service, now); pool != nil {
+				queue := i.gateway.Queue.Report(service)
+				pool.Queued, pool.OldestWaitMs, pool.FreedPerS = uint32(queue.Queued), uint32(queue.OldestWait.Milliseconds()), float32(queue.FreedPerSecond)
 				hb.Pools = append(hb.Pools, pool)
 			}
 		}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -37,7 +37,7 @@
 	gauge := func(name, help string, value func() float64) {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "wigeonhill", Name: name, Help: help}, value))
 	}
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.MustRegister(i.gateway.Queue, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	gauge("configuration_version", "Version of the configuration in force; 0 if none is known.", func() float64 {
 		if c := i.catalog.Current().Config; c != nil {
 			return float64(c.Version)
--- a/internal/overload/manager.go
+++ b/internal/overload/manager.go
@@ -16,6 +16,8 @@
 	// retryInterval is the time after which a pass is made without a trigger while
 	// requests wait.
 	retryInterval = 50 * time.Millisecond
+	// foldInterval is the least time between two updates of the rates of work.
+	foldInterval = 10 * time.Millisecond
 	// defaultEntries bounds the requests waiting for one service if no limit is set.
 	defaultEntries = 512
 	// defaultBytes bounds the memory of waiting requests of one service if no limit is
@@ -33,9 +35,9 @@
 func (e *RefusedError) Error() string { return "refused: " + string(e.Reason) }
 
 // Try tries to place a waiting request. It reports whether the request leaves the
-// queue, placed or failed. With spareOnly it may only use capacity that no other
-// request needs. It is called with a lock held and must not call the Manager.
-type Try func(spareOnly bool, now time.Time) bool
+// queue, placed or failed. It is called with a lock held and must not call methods of
+// the Manager that take it.
+type Try func(mode Mode, now time.Time) bool
 
 // Manager keeps the queues of all services of an instance.
 type Manager struct {
@@ -50,11 +52,17 @@
 	name    string
 	waiting atomic.Int32
 	// arrived and started are work in nanoseconds since the last fold.
-	arrived, started atomic.Int64
-	mu               sync.Mutex
-	queue            *Queue
-	timer            *time.Timer
-	counts           counts
+	arrived [ranks]atomic.Int64
+	started atomic.Int64
+	teams   sync.Map // name to *atomic.Int64
+	window  window
+	ended   atomic.Int64 // requests at local targets since the last fold
+	mu      sync.Mutex
+	queue   *Queue
+	timer   *time.Timer
+	counts  counts
+	freed   rate
+	folded  time.Time
 	// promises is the number of promised returns.
 	promises atomic.Int32
 }
@@ -82,7 +90,7 @@
 	if s, ok := m.services.Load(name); ok {
 		return s.(*service)
 	}
-	s, _ := m.services.LoadOrStore(name, &service{name: name, queue: NewQueue(m.limits)})
+	s, _ := m.services.LoadOrStore(name, &service{name: name, queue: NewQueue(m.limits), freed: rate{tau: rateWindow}})
 	return s.(*service)
 }
 
@@ -91,11 +99,40 @@
 
 // Arrived and Started record the work of a request of a service when it arrives and
 // when it is sent to a target or a region. They take no lock.
-func (m *Manager) Arrived(name string, work time.Duration) { m.service(name).arrived.Add(int64(work)) }
+func (m *Manager) Arrived(name, team string, rank int, work time.Duration) {
+	s := m.service(name)
+	s.arrived[RankIndex(rank)].Add(int64(work))
+	arrived, ok := s.teams.Load(team)
+	if !ok {
+		arrived, _ = s.teams.LoadOrStore(team, new(atomic.Int64))
+	}
+	arrived.(*atomic.Int64).Add(int64(work))
+}
 
 // Started is described at Arrived.
 func (m *Manager) Started(name string, work time.Duration) { m.service(name).started.Add(int64(work)) }
 
+// Full reports whether this instance has as many requests at the local targets of a
+// service as they accept from it; see window.
+func (m *Manager) Full(name string) bool { return m.service(name).window.full() }
+
+// Windowed reports whether targets of a service rejected requests of this instance
+// because they were full, so that a window applies.
+func (m *Manager) Windowed(name string) bool { return m.service(name).window.active() }
+
+// Begin records that a local target was chosen for a request.
+func (m *Manager) Begin(name string) { m.service(name).window.begin() }
+
+// End records the end of the attempt after Begin. rejected is set if the target
+// rejected the request because it was full.
+func (m *Manager) End(name string, rejected bool) {
+	s := m.service(name)
+	s.window.end(rejected)
+	if !rejected {
+		s.ended.Add(1)
+	}
+}
+
 // Acquire waits until try places the request, and returns nil then; otherwise a
 // *RefusedError, or ErrGone if ctx ends first.
 func (m *Manager) Acquire(ctx context.Context, name string, r Request, try Try) error {
@@ -111,12 +148,12 @@
 	if displaced != nil {
 		m.refuse(s, displaced, s.queue.Drop(displaced, Displaced, now), now)
 	}
-	if refusal != nil && try(true, now) {
+	if refusal != nil && try(SpareOnly, now) {
 		s.mu.Unlock()
 		return nil
 	}
 	if refusal != nil {
-		s.counts.refused(refusal.Reason)
+		s.counts.refused(*refusal)
 		s.promises.Store(int32(len(s.queue.schedule.promises)))
 		s.mu.Unlock()
 		return &RefusedError{*refusal}
@@ -142,15 +179,20 @@
 	return nil
 }
 
-// Refuse returns the refusal of a request that may not wait.
-func (m *Manager) Refuse(name string, r Request) Refusal {
+// Refuse returns the refusal of a request that may not wait. ok is false if too little
+// work was started lately to promise a time.
+func (m *Manager) Refuse(name string, r Request) (refusal Refusal, ok bool) {
 	s, now := m.service(name), time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fold(now)
-	refusal := s.queue.Refuse(r, NoRoom, now)
-	s.counts.refused(refusal.Reason)
-	return *refusal
+	if s.queue.idle() {
+		return Refusal{}, false
+	}
+	refusal = *s.queue.Refuse(r, NoRoom, now)
+	s.counts.refused(refusal)
+	s.promises.Store(int32(len(s.queue.schedule.promises)))
+	return refusal, true
 }
 
 // Returned removes the promise to the caller of a request that was placed without
@@ -211,7 +253,22 @@
 
 // fold passes the work counted since the last call to the queue.
 func (s *service) fold(now time.Time) {
-	s.queue.RecordWork(time.Duration(s.arrived.Swap(0)), time.Duration(s.started.Swap(0)), now)
+	if now.Sub(s.folded) < foldInterval {
+		return
+	}
+	s.folded = now
+	s.freed.add(float64(s.ended.Swap(0)), now)
+	w := Work{Teams: map[string]time.Duration{}, Started: time.Duration(s.started.Swap(0))}
+	for i := range s.arrived {
+		w.Arrived[i] = time.Duration(s.arrived[i].Swap(0))
+	}
+	s.teams.Range(func(team, arrived any) bool {
+		if d := arrived.(*atomic.Int64).Swap(0); d > 0 {
+			w.Teams[team.(string)] = time.Duration(d)
+		}
+		return true
+	})
+	s.queue.RecordWork(w, now)
 }
 
 // pass releases requests without prospects and starts others. The caller holds s.mu.
@@ -220,13 +277,13 @@
 		for _, e := range s.queue.Hopeless(now) {
 			m.refuse(s, e, s.queue.Drop(e, Released, now), now)
 		}
-		s.queue.Start(now, func(e *Entry, spareOnly bool) bool {
-			if !e.value.try(spareOnly, now) {
+		s.queue.Start(now, func(e *Entry, mode Mode) bool {
+			if !e.value.(*waiter).try(mode, now) {
 				return false
 			}
 			s.counts.started(e.Waited(now))
 			m.log.Emit(event.RequestDequeued, zap.String("request", e.ID), zap.String("service", s.name), zap.Duration("waited", e.Waited(now)), zap.Bool("returned", e.Returned), zap.Int("rank", e.Rank))
-			close(e.value.done)
+			close(e.value.(*waiter).done)
 			return true
 		})
 	}
@@ -247,12 +304,12 @@
 
 // refuse wakes a waiting request, which has left the queue, with its refusal.
 func (m *Manager) refuse(s *service, e *Entry, r *Refusal, now time.Time) {
-	s.counts.refused(r.Reason)
+	s.counts.refused(*r)
 	ev := event.WaitEnded
 	if r.Reason == Displaced {
 		ev = event.RequestDisplaced
 	}
 	m.log.Emit(ev, zap.String("request", e.ID), zap.String("service", s.name), zap.String("reason", string(r.Reason)), zap.Duration("waited", e.Waited(now)), zap.Duration("retry_after", r.RetryAfter))
-	e.value.refusal = r
-	close(e.value.done)
+	e.value.(*waiter).refusal = r
+	close(e.value.(*waiter).done)
 }
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -9,14 +9,17 @@
 const (
 	// objectiveMargin is the fraction of the objective within which the first byte of
 	// a request must be expected for the request to count as in time.
-	objectiveMargin = 0.95
+	objectiveMargin = 0.7
 	// lateHoldFraction is the fraction of a late request's usable time that its
 	// expected wait may take. A request that is held and then refused costs its caller
 	// more than one that is refused at once.
 	lateHoldFraction = 0.5
 	// leftoverFraction is the least fraction of the capacity that is expected to be
 	// left for late requests while new ones demand all of it: bursts end.
-	leftoverFraction = 0.15
+	leftoverFraction = 0.1
+	// waitReserve times the expected wait must leave a request in time for it to be
+	// queued as such: the estimate varies, and requests of better ranks arrive.
+	waitReserve = 1.0
 	// hopelessFactor times the usable time is the expected wait at which a waiting
 	// request is released: the estimate of the wait varies, and a request that was
 	// admitted should not be released by noise.
@@ -25,10 +28,14 @@
 	// unit of time that it has waited, so that large requests do not starve.
 	workAgeing = 0.25
 	// oldestShare is one start in how many that goes to the request that has used up
-	// most of its time, whatever its rank, so that low ranks do not starve.
-	oldestShare = 8
+	// most of its time, whatever its rank, so that low ranks do not starve; agedFraction
+	// is the least fraction that it has used up.
+	oldestShare  = 24
+	agedFraction = 0.1
 	// maxFailedTries bounds the failed attempts to place waiting requests in one pass.
 	maxFailedTries = 4
+	// ranks is the number of ranks that the platform has.
+	ranks = 10
 	// lowRank is added to the rank of requests that get only what others leave.
 	lowRank = 100
 	// harmlessHold is the fraction of the objective for which a request may be held
@@ -98,24 +105,29 @@
 // Entry is a waiting request.
 type Entry struct {
 	Request
-	// Returned is set if the caller came back as instructed.
-	Returned bool
+	// Returned is set if the caller came back as instructed, and Promised if capacity
+	// was promised to it for that time.
+	Returned, Promised bool
 	// Low is set if the request gets only what others leave: its team demands many
 	// times its usual demand, or its caller came back before the promised time.
-	Low      bool
+	Low bool
+	// penalty is work added in the order because the team has more work in the queue
+	// than the average of the teams there, relative to its weight.
+	penalty  time.Duration
 	queuedAt time.Time
 	sequence uint64
-	// value is for the Manager.
-	value *waiter
+	// value is for the owner of the queue.
+	value any
 }
 
 // Waited returns how long the request has been in the queue.
 func (e *Entry) Waited(now time.Time) time.Duration { return now.Sub(e.queuedAt) }
 
 // canBeInTime reports whether the request would be in time if it started now at an
-// idle target.
+// idle target. A return counts as late, as its caller has waited since its first
+// request, unless capacity was promised to it.
 func (e *Entry) canBeInTime(now time.Time) bool {
-	return now.Sub(e.Arrived)+e.Unloaded <= time.Duration(objectiveMargin*float64(e.Objective))
+	return (!e.Returned || e.Promised) && now.Sub(e.Arrived)+e.Unloaded <= time.Duration(objectiveMargin*float64(e.Objective))
 }
 
 // usable returns how long the request can wait and still be served.
@@ -133,12 +145,15 @@
 	if c := cmp.Compare(a.rank(), b.rank()); c != 0 {
 		return c
 	}
-	if a.Returned != b.Returned {
-		return boolFirst(a.Returned)
+	if a.Promised != b.Promised {
+		return boolFirst(a.Promised)
 	}
 	if in := a.canBeInTime(now); in != b.canBeInTime(now) {
 		return boolFirst(in)
 	}
+	if a.Returned != b.Returned {
+		return boolFirst(a.Returned)
+	}
 	if c := cmp.Compare(a.agedWork(now), b.agedWork(now)); c != 0 {
 		return c
 	}
@@ -153,7 +168,7 @@
 }
 
 func (e *Entry) agedWork(now time.Time) time.Duration {
-	return e.Work - time.Duration(workAgeing*float64(e.Waited(now)))
+	return e.Work + e.penalty - time.Duration(workAgeing*float64(e.Waited(now)))
 }
 
 // Queue holds the waiting requests of one service at one instance.
@@ -163,15 +178,21 @@
 	bytes    int64
 	sequence uint64
 	starts   int
-	// arrived and started are rates of work, in seconds of target time per second.
-	arrived, started rate
-	schedule         schedule
-	teams            teams
+	// arrived, by rank, and started are rates of work, in seconds of target time per
+	// second.
+	arrived  [ranks]rate
+	started  rate
+	schedule schedule
+	teams    teams
 }
 
 // NewQueue returns an empty Queue.
 func NewQueue(l Limits) *Queue {
-	return &Queue{limits: l, arrived: rate{tau: rateWindow}, started: rate{tau: rateWindow}, schedule: newSchedule(), teams: newTeams()}
+	q := &Queue{limits: l, started: rate{tau: rateWindow}, teams: newTeams()}
+	for i := range q.arrived {
+		q.arrived[i].tau = rateWindow
+	}
+	return q
 }
 
 // Len returns the number of waiting requests.
@@ -186,25 +207,43 @@
 	return oldest
 }
 
-// RecordWork records the work of requests that arrived and were started since the
-// last call, whether they have waited or not.
-func (q *Queue) RecordWork(arrived, started time.Duration, now time.Time) {
-	q.arrived.add(arrived.Seconds(), now)
-	q.started.add(started.Seconds(), now)
+// Work is the target time of requests that arrived, by rank and by team, and of those
+// that were started, whether they have waited or not.
+type Work struct {
+	Arrived [ranks]time.Duration
+	Teams   map[string]time.Duration
+	Started time.Duration
 }
 
-// expectedWait returns how long it takes until work has been started. Late requests
-// only get what new ones leave. known is false if hardly any work was started lately,
-// so that nothing can be said.
-func (q *Queue) expectedWait(work, usable time.Duration, late bool) (wait time.Duration, known bool) {
-	capacity := q.started.value
-	if late {
-		capacity = max(capacity-q.arrived.value, leftoverFraction*capacity)
+// RankIndex returns the index of a rank in Work.Arrived.
+func RankIndex(rank int) int { return min(max(rank, 0), ranks-1) }
+
+// RecordWork records the work since the last call.
+func (q *Queue) RecordWork(w Work, now time.Time) {
+	for i, d := range w.Arrived {
+		q.arrived[i].add(d.Seconds(), now)
+	}
+	for team, d := range w.Teams {
+		q.teams.record(team, d, now)
 	}
+	q.started.add(w.Started.Seconds(), now)
+}
+
+// expectedWait returns how long it takes until work has been started: a request gets
+// what new ones of better ranks leave, and a late one what all new ones leave. known
+// is false if hardly any work was started lately, so that nothing can be said.
+func (q *Queue) expectedWait(work, usable time.Duration, rank int, late bool) (wait time.Duration, known bool) {
 	if q.started.value*usable.Seconds() < work.Seconds()/2 && q.idle() {
 		return 0, false
 	}
-	return time.Duration(min(work.Seconds()/max(capacity, 1e-9), 3600) * float64(time.Second)), true
+	capacity := q.started.value
+	for i := range q.arrived {
+		if late || i < rank {
+			capacity -= q.arrived[i].value
+		}
+	}
+	capacity = max(capacity, leftoverFraction*q.started.value, 1e-9)
+	return time.Duration(min(work.Seconds()/capacity, 3600) * float64(time.Second)), true
 }
 
 // idle reports whether hardly any work was started lately.
@@ -213,9 +252,10 @@
 // Offer adds a request to the queue or refuses it. displaced is another request that
 // must leave for it; nil if there is none.
 func (q *Queue) Offer(r Request, now time.Time) (e *Entry, refusal *Refusal, displaced *Entry) {
-	kept, early := q.schedule.match(r.Key, now)
-	e = &Entry{Request: r, Returned: kept, Low: early > 0 || q.teams.overShare(r.Team, now), queuedAt: now, sequence: q.sequence}
+	kept, promised, early := q.schedule.match(r.Key, now)
+	e = &Entry{Request: r, Returned: kept, Promised: promised, Low: early > 0 || q.teams.overShare(r.Team, now), queuedAt: now, sequence: q.sequence}
 	q.sequence++
+	e.penalty = q.teamPenalty(e)
 	if expected, ok := q.fits(e, now); !ok {
 		return nil, q.refuse(e, WorkAhead, expected, now), nil
 	}
@@ -237,6 +277,32 @@
 	return e, nil, displaced
 }
 
+// teamPenalty returns the work that the team of e has in the queue, relative to its
+// weight, beyond the average of all teams there.
+func (q *Queue) teamPenalty(e *Entry) time.Duration {
+	waiting := map[string]float64{e.Team: 0}
+	weights, weight := map[string]float64{e.Team: e.weight()}, 0.0
+	for _, o := range q.entries {
+		waiting[o.Team] += o.Work.Seconds()
+		weights[o.Team] = o.weight()
+	}
+	for _, w := range weights {
+		weight += w / float64(len(weights))
+	}
+	average := 0.0
+	for team, work := range waiting {
+		average += work / weights[team] * weight / float64(len(waiting))
+	}
+	return time.Duration(max(waiting[e.Team]/e.weight()*weight-average, 0) * float64(time.Second))
+}
+
+func (e *Entry) weight() float64 {
+	if e.Weight <= 0 {
+		return 1
+	}
+	return e.Weight
+}
+
 // fits returns the expected wait of e behind the entries that precede it, and whether
 // it leaves enough time.
 func (q *Queue) fits(e *Entry, now time.Time) (time.Duration, bool) {
@@ -248,20 +314,20 @@
 	for _, o := range q.entries {
 		if o != e && compare(o, e, now) < 0 {
 			ahead += o.Work
-			if o.canBeInTime(now) || o.Returned {
+			if o.canBeInTime(now) || o.Promised {
 				inTimeAhead += o.Work
 			}
 		}
 	}
-	wait, known := q.expectedWait(inTimeAhead, usable, false)
-	if !known || e.canBeInTime(now.Add(wait)) {
+	wait, known := q.expectedWait(inTimeAhead, usable, e.rank(), false)
+	if !known || e.canBeInTime(now.Add(time.Duration(waitReserve*float64(wait)))) {
 		return wait, true
 	}
-	if e.Returned {
-		wait, _ := q.expectedWait(ahead, usable, false)
+	if e.Promised {
+		wait, _ := q.expectedWait(ahead, usable, 0, false)
 		return wait, wait <= usable
 	}
-	wait, _ = q.expectedWait(ahead, usable, true)
+	wait, _ = q.expectedWait(ahead, usable, 0, true)
 	return wait, wait <= time.Duration(lateHoldFraction*float64(usable))
 }
 
@@ -337,7 +403,7 @@
 	var ahead time.Duration
 	for _, e := range q.entries {
 		usable := e.usable(now)
-		wait, known := q.expectedWait(ahead+e.Work, usable, false)
+		wait, known := q.expectedWait(ahead+e.Work, usable, 0, false)
 		if usable <= 0 || wait > time.Duration(hopelessFactor*float64(usable)) || !known && !e.heldHarmlessly(now) {
 			out = append(out, e)
 			continue
@@ -351,24 +417,47 @@
 	slices.SortFunc(q.entries, func(a, b *Entry) int { return compare(a, b, now) })
 }
 
+// Mode says which capacity a waiting request may use.
+type Mode int
+
+const (
+	// Ordinary requests use what the objective that is left to them allows.
+	Ordinary Mode = iota
+	// SpareOnly requests use only capacity that no other needs: a request of a better
+	// rank that could still be in time found no place.
+	SpareOnly
+	// Aged requests use capacity as if they had just arrived.
+	Aged
+)
+
 // Start calls place for waiting requests in their order and removes those for which
-// it returns true. spareOnly is set if the request may only use capacity that no
-// other needs: a request of a better rank that could still be in time found no place.
-func (q *Queue) Start(now time.Time, place func(e *Entry, spareOnly bool) bool) {
+// it returns true.
+func (q *Queue) Start(now time.Time, place func(e *Entry, mode Mode) bool) {
 	q.sort(now)
 	order := slices.Clone(q.entries)
-	if q.starts%oldestShare == oldestShare-1 {
-		moveOldestFirst(order, now)
+	started := func(e *Entry, mode Mode) bool {
+		if !place(e, mode) {
+			return false
+		}
+		q.Remove(e)
+		q.starts++
+		return true
 	}
 	failed, lateFailed, blockedRank := 0, false, -1
 	for _, e := range order {
-		late := !e.canBeInTime(now)
-		if late && lateFailed {
+		if q.starts%oldestShare == oldestShare-1 {
+			if o := q.oldest(now); o != nil && !started(o, Aged) {
+				q.starts++ // its turn is over
+			}
+		}
+		late, mode := !e.canBeInTime(now), Ordinary
+		if late && (lateFailed || blockedRank >= 0) || !slices.Contains(q.entries, e) {
 			continue
 		}
-		if place(e, blockedRank >= 0 && e.rank() > blockedRank) {
-			q.Remove(e)
-			q.starts++
+		if blockedRank >= 0 && e.rank() > blockedRank {
+			mode = SpareOnly
+		}
+		if started(e, mode) {
 			continue
 		}
 		if late {
@@ -382,17 +471,15 @@
 	}
 }
 
-// moveOldestFirst moves the entry that has used up most of its time to the front.
-func moveOldestFirst(order []*Entry, now time.Time) {
-	oldest, most := 0, 0.0
-	for i, e := range order {
-		if used := now.Sub(e.Arrived).Seconds() / max(e.Deadline.Sub(e.Arrived).Seconds(), 0.001); used > most {
-			oldest, most = i, used
+// oldest returns the entry that has used up most of its time, if that is a part that
+// matters. Requests that only get what others leave do not count.
+func (q *Queue) oldest(now time.Time) *Entry {
+	var oldest *Entry
+	most := agedFraction
+	for _, e := range q.entries {
+		if used := now.Sub(e.Arrived).Seconds() / max(e.Deadline.Sub(e.Arrived).Seconds(), 0.001); used > most && !e.Low {
+			oldest, most = e, used
 		}
 	}
-	if oldest > 0 {
-		e := order[oldest]
-		copy(order[1:oldest+1], order[:oldest])
-		order[0] = e
-	}
+	return oldest
 }
--- a/internal/overload/teams.go
+++ b/internal/overload/teams.go
@@ -12,6 +12,10 @@
 	// small team does not matter to the others.
 	surgeFactor = 4
 	surgeShare  = 0.1
+	// A team's usual demand grows by at most usualGrowth times itself, or by
+	// minUsualShare of the whole demand, so that a surge does not become usual at once.
+	usualGrowth   = 2
+	minUsualShare = 0.02
 	// maxTeams bounds the teams whose demand is kept.
 	maxTeams = 4096
 )
@@ -42,16 +46,20 @@
 		d = &teamDemand{usual: rate{tau: usualWindow, at: now}, current: rate{tau: currentWindow, at: now}}
 		t.byName[team] = d
 	}
-	d.usual.add(work.Seconds(), now)
 	d.current.add(work.Seconds(), now)
 	t.current.add(work.Seconds(), now)
+	if now.Sub(t.since) > usualWindow {
+		most := max(usualGrowth*d.usual.value, minUsualShare*t.current.value) * min(now.Sub(d.usual.at), maxSpread).Seconds()
+		work = min(work, time.Duration(most*float64(time.Second)))
+	}
+	d.usual.add(work.Seconds(), now)
 }
 
 // overShare reports whether the demand of a team is many times its usual demand and
 // a large part of the whole. Nothing is usual before usualWindow has passed.
 func (t *teams) overShare(team string, now time.Time) bool {
 	d := t.byName[team]
-	if d == nil || t.since.IsZero() || now.Sub(t.since) < usualWindow {
+	if d == nil || now.Sub(t.since) < usualWindow {
 		return false
 	}
 	d.usual.add(0, now)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,16 +15,23 @@
 	maxDelayFraction = 0.8
 	// maxWaitedFraction replaces maxDelayFraction for the time that a request has
 	// waited together with its expected delay; the wait is known exactly.
-	maxWaitedFraction = 0.95
+	maxWaitedFraction = 0.7
 	// spareDivisor and spareBacklogFraction define the targets that may get requests
 	// that will be late: 1/spareDivisor of the slots, at least one, stays free, and
 	// prefilling what is at the target takes at most spareBacklogFraction of the
 	// objective. The load is known with a delay of several heartbeats.
-	spareDivisor         = 8
+	spareDivisor         = 4
 	spareBacklogFraction = 0.25
 	// spareRegionSlots is the least number of free slots of another region that gets
 	// such requests.
 	spareRegionSlots = 3
+	// A request that has waited starts at an engine only if less than all of the slots
+	// but 1/waitingDivisor are in use: behind others it would wait as long there, where
+	// its place in the order is lost.
+	waitingDivisor = 16
+	// ownTieWeight is the weight of the load of other instances relative to that of
+	// this one while Query.Windowed is set.
+	ownTieWeight = 0.05
 	// lateDelayFraction is the fraction of the remaining time that the expected delay
 	// of a late request may take; the rest is for the response.
 	lateDelayFraction = 0.7
@@ -74,13 +82,21 @@
 	// SpareOnly is set if the request may only use capacity that requests in time do
 	// not need.
 	SpareOnly bool
+	// Windowed is set if the caller bounds the requests that this instance has at all
+	// targets together, since targets rejected some because they were full. Plain
+	// targets are then chosen by the load of this instance alone: a request takes less
+	// time there than the load of other instances is old, and all instances would send
+	// to the target that was free at the last heartbeat.
+	Windowed bool
 }
 
 // TargetView is the estimated state of a target of the local region.
 type TargetView struct {
 	ID      string
 	Running int
-	Slots   int
+	// Own is the part of Running that this instance sent.
+	Own   int
+	Slots int
 	// Capacity is the number of requests that may be at the target, queued ones
 	// included.
 	Capacity int
@@ -103,6 +119,8 @@
 	// Full is set if the target accepts no request now: it is at its capacity, at
 	// its warm-up limit, or busy with a probe request.
 	Full bool
+	// AtCapacity is set if the target is at its capacity as far as heartbeats tell.
+	AtCapacity bool
 	// WarmingUp is set if the target may be warming up.
 	WarmingUp bool
 	// Leaving is set if the target said that it leaves, and there is no other one.
@@ -193,6 +211,7 @@
 	copy(views, targets)
 	for i := range views {
 		views[i].Full = views[i].Full || !spare(&views[i], q, m)
+		views[i].AtCapacity = false
 	}
 	late := func(delay time.Duration) bool {
 		return q.Waited+delay > time.Duration(maxDelayFraction*float64(q.Objective))
@@ -269,10 +288,14 @@
 	}
 	for i := range targets {
 		t := &targets[i]
-		if t.Full {
+		view := *t
+		if q.Windowed && !t.Engine {
+			view.Full = t.Full && (!t.AtCapacity || t.WarmingUp)
+			view.Running = min(t.Running, t.Slots)
+		}
+		if view.Full || q.Waited > 0 && t.Engine && t.Running >= t.Slots-t.Slots/waitingDivisor {
 			continue
 		}
-		view := *t
 		// While no target is known to have the prefix cached, the prefix owner counts
 		// as having it, so that all instances let the owner prefill it.
 		view.Cached = t.Cached || holder == "" && t.ID == owner
@@ -285,6 +308,9 @@
 		case q.PrefixKey != "" && !view.Cached:
 			cost += time.Duration(cachedBonus * float64(prefillTime(q, m)))
 		}
+		if q.Windowed && !t.Engine {
+			cost = time.Duration(float64(m.ServiceTimeMS) * (float64(t.Own) + tieBreak(q, i) + ownTieWeight*float64(t.Running)) * float64(time.Millisecond))
+		}
 		if best.Target == "" || cost < bestCost {
 			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: delay}, cost
 			if fetch {
@@ -295,6 +321,12 @@
 	return best
 }
 
+// tieBreak returns a number from 0 to 1 that differs between requests and targets.
+func tieBreak(q *Query, target int) float64 {
+	x := q.Jitter + float64(target)*0.6180339887
+	return x - math.Floor(x)
+}
+
 // lastCached returns the target that has used the shared prefix most recently;
 // empty if none is known to have it cached.
 func lastCached(targets []TargetView) string {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// plainCapacityFactor is the capacity of a plain target as a multiple of its
-	// slots: a second batch keeps the target busy, a third would only wait.
-	plainCapacityFactor = 2
+	// plainQueueDivisor and minPlainQueue bound the requests at a plain target beyond
+	// its slots, 1/plainQueueDivisor of them but at least minPlainQueue: these keep the
+	// target busy, and others would wait without order or be rejected.
+	plainQueueDivisor = 3
+	minPlainQueue     = 2
 	// maxEngineRequests bounds the requests at an engine. A larger batch yields few
 	// more tokens per second, but long responses no longer complete in time.
 	maxEngineRequests = 45
@@ -214,10 +216,10 @@
 func (t *Tracker) targetView(v *catalog.View, s *deployment.Service, e *catalog.Entry, st *targetState, prefixKey string, now time.Time) TargetView {
 	running, pending := st.load()
 	view := TargetView{
-		ID: e.ID, Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending,
+		ID: e.ID, Running: running, Own: st.running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending,
 		Cached: st.prefixCache.contains(prefixKey, now), CacheUsedAt: st.prefixCache.lastUsed(prefixKey), OldestWait: st.oldestWait(now), Slowdown: st.slowdown.at(now, t.serviceSlowdown(s.Name)),
 	}
-	view.Capacity = e.Slots * plainCapacityFactor
+	view.Capacity = e.Slots + max(e.Slots/plainQueueDivisor, minPlainQueue)
 	if s.Engine != nil {
 		view.HoldTime = t.holdTime(s.Name)
 		st.cacheTokens = int(cacheFraction * float64(s.Engine.KVCacheTokens))
@@ -226,6 +228,7 @@
 	if s.MaxConns > 0 {
 		view.Capacity = min(view.Capacity, int((1-connReserve)*float64(s.MaxConns)))
 	}
+	view.AtCapacity = running >= view.Capacity && !st.health.probing
 	view.Full = running >= view.Capacity || st.health.probing && st.running > 0
 	if view.WarmingUp = t.warmingUp(v, e, st, now); view.WarmingUp {
 		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now)
