--- a/internal/overload/manager.go
+++ b/internal/overload/manager.go
@@ -56,13 +56,16 @@
 	started atomic.Int64
 	teams   sync.Map // name to *atomic.Int64
 	window  window
-	ended   atomic.Int64 // requests at local targets since the last fold
-	mu      sync.Mutex
-	queue   *Queue
-	timer   *time.Timer
-	counts  counts
-	freed   rate
-	folded  time.Time
+	// observed is when the window was last told the load of engines, in Unix
+	// nanoseconds.
+	observed atomic.Int64
+	ended    atomic.Int64 // requests at local targets since the last fold
+	mu       sync.Mutex
+	queue    *Queue
+	timer    *time.Timer
+	counts   counts
+	freed    rate
+	folded   time.Time
 	// promises is the number of promised returns.
 	promises atomic.Int32
 }
@@ -116,10 +119,24 @@
 // service as they accept from it; see window.
 func (m *Manager) Full(name string) bool { return m.service(name).window.full() }
 
-// Windowed reports whether targets of a service rejected requests of this instance
-// because they were full, so that a window applies.
+// Windowed reports whether a window applies to the local targets of a service.
 func (m *Manager) Windowed(name string) bool { return m.service(name).window.active() }
 
+// Observe records the requests at the engines of a service and their slots; load
+// returns them and is called a few times a second while requests wait or a window
+// applies.
+func (m *Manager) Observe(name string, load func() (running, slots int)) {
+	s := m.service(name)
+	if s.waiting.Load() == 0 && !s.window.active() {
+		return
+	}
+	now, last := time.Now().UnixNano(), s.observed.Load()
+	if now-last < int64(observeInterval) || !s.observed.CompareAndSwap(last, now) {
+		return
+	}
+	s.window.observe(load())
+}
+
 // Begin records that a local target was chosen for a request.
 func (m *Manager) Begin(name string) { m.service(name).window.begin() }
 
--- a/internal/overload/sim_test.go
+++ b/internal/overload/sim_test.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -79,10 +80,11 @@
 }
 
 type simInstance struct {
-	queue  *Queue
-	work   Work
-	window window
-	timer  bool
+	queue    *Queue
+	work     Work
+	window   window
+	timer    bool
+	observed time.Duration
 }
 
 type simWaiter struct {
@@ -100,15 +102,19 @@
 	targets   []*simTarget
 	instances []*simInstance
 	waiting   bool // requests may wait; otherwise as before this package
-	holdTime  time.Duration
-	callers   []*simCaller
-	demand    func(at time.Duration, k *simKind) float64 // multiple of the usual demand
-	team      func(at time.Duration) string
-	repeats   float64
-	rejected  int
-	budget    float64 // retries at targets that are left
-	reasons   map[Reason]int
-	load      *rand.Rand // draws arrivals, so that both runs get the same
+	// oracle decides centrally, knowing the state of all targets and all service
+	// times; pending are the requests that it may still start.
+	oracle   bool
+	pending  []*simCaller
+	holdTime time.Duration
+	callers  []*simCaller
+	demand   func(at time.Duration, k *simKind) float64 // multiple of the usual demand
+	team     func(at time.Duration) string
+	repeats  float64
+	rejected int
+	budget   float64 // retries at targets that are left
+	reasons  map[Reason]int
+	load     *rand.Rand // draws arrivals, so that both runs get the same
 }
 
 func (s *sim) at(d time.Duration, do func()) {
@@ -203,6 +209,15 @@
 		}
 		views = append(views, v)
 	}
+	in := s.instances[instance]
+	if s.engine && s.waiting && (in.window.active() || in.queue.Len() > 0) && s.now-in.observed >= observeInterval {
+		in.observed = s.now
+		r, sl := 0, 0
+		for _, v := range views {
+			r, sl = r+v.Running, sl+v.Slots
+		}
+		in.window.observe(r, sl)
+	}
 	q := s.query(c, waited, spareOnly)
 	q.Windowed = s.waiting && s.instances[instance].window.active()
 	return placement.Choose(q, views, nil, s.model)
@@ -214,6 +229,11 @@
 
 // arrive makes the decisions of the gateway and the Manager for a request.
 func (s *sim) arrive(c *simCaller, instance int) {
+	if s.oracle {
+		s.pending = append(s.pending, c)
+		s.dispatch()
+		return
+	}
 	c.attempts, c.exclude, c.queuedAt = 0, map[int]bool{}, 0
 	in := s.instances[instance]
 	in.work.Arrived[c.kind.rank] += s.work(c)
@@ -264,6 +284,48 @@
 	s.pass(instance)
 }
 
+// dispatch starts the best pending requests at all targets with a free slot: those
+// that will be in time before others, then by rank and by work. What it never starts
+// counts as refused once: it knew that on arrival.
+func (s *sim) dispatch() {
+	s.pending = slices.DeleteFunc(s.pending, func(c *simCaller) bool {
+		late := s.now+s.firstByteTime(c) > c.arrived+c.kind.deadline
+		if late {
+			c.refusals++
+		}
+		return late
+	})
+	for {
+		var target *simTarget
+		n := 0
+		for i, t := range s.targets {
+			if !t.down && !t.prefilling && len(t.queue) == 0 && len(t.running) < t.slots && (target == nil || len(t.running) < len(target.running)) {
+				target, n = t, i
+			}
+		}
+		if target == nil || len(s.pending) == 0 {
+			return
+		}
+		best := slices.MinFunc(s.pending, func(a, b *simCaller) int {
+			ai, bi := s.now+s.firstByteTime(a) <= a.arrived+a.kind.objective, s.now+s.firstByteTime(b) <= b.arrived+b.kind.objective
+			if ai != bi {
+				return boolFirst(ai)
+			}
+			return cmp.Or(cmp.Compare(a.kind.rank, b.kind.rank), cmp.Compare(s.work(a), s.work(b)), cmp.Compare(a.arrived, b.arrived))
+		})
+		s.pending = slices.DeleteFunc(s.pending, func(c *simCaller) bool { return c == best })
+		s.start(best, 0, s.now, placement.Choice{Target: fmt.Sprint(n)}, best.kind.rank)
+	}
+}
+
+// firstByteTime returns the time to the first byte at a target with a free slot.
+func (s *sim) firstByteTime(c *simCaller) time.Duration {
+	if !s.engine {
+		return time.Duration(s.model.ServiceTimeMS * float64(time.Millisecond))
+	}
+	return time.Duration((float64(c.kind.prompt-c.kind.shared)/s.model.TokensPerMS + 5*(s.model.StepMS+s.model.StepPerRequestMS*16)) * float64(time.Millisecond))
+}
+
 func (s *sim) fold(in *simInstance) {
 	in.queue.RecordWork(in.work, s.time())
 	in.work = Work{Teams: map[string]time.Duration{}}
@@ -360,6 +422,9 @@
 		prefill := time.Duration(float64(j.tokens) / t.s.model.TokensPerMS * float64(time.Millisecond))
 		t.s.at(prefill, func() {
 			t.prefilling = false
+			if t.s.oracle {
+				defer t.s.dispatch()
+			}
 			step := t.s.model.StepMS + t.s.model.StepPerRequestMS*float64(len(t.running))
 			t.s.at(time.Duration(5*step*float64(time.Millisecond)), func() { t.firstByte(j) })
 			t.s.at(time.Duration(float64(j.caller.kind.out)*step*float64(time.Millisecond)), func() { t.end(j) })
@@ -380,6 +445,9 @@
 	t.load[j.instance]--
 	t.s.instances[j.instance].window.end(false)
 	t.next()
+	if t.s.oracle {
+		t.s.dispatch()
+	}
 	if t.s.instances[j.instance].queue.Len() > 0 {
 		t.s.pass(j.instance)
 	}
@@ -507,12 +575,17 @@
 	}, []*simKind{longKind, shortKind}, nil},
 }
 
+// Guards against overloads in which callers get less than without a queue: answers of
+// little use because they are late, refusals of what would have fitted, slots that are
+// idle while requests wait, and a kind of a better rank that is served less often.
 func TestScenarios(t *testing.T) {
 	for _, sc := range simScenarios {
-		before, after := sc.make(false), sc.make(true)
-		before.run(sc.length, sc.kinds...)
-		after.run(sc.length, sc.kinds...)
-		t.Logf("%s: value before %.0f, after %.0f; rejected by targets %d, %d, refusals %v, %v", sc.name, value(before.callers), value(after.callers), before.rejected, after.rejected, before.reasons, after.reasons)
+		before, after, oracle := sc.make(false), sc.make(true), sc.make(true)
+		oracle.oracle = true
+		for _, s := range []*sim{before, after, oracle} {
+			s.run(sc.length, sc.kinds...)
+		}
+		t.Logf("%s: value before %.0f, after %.0f, oracle %.0f; rejected by targets %d, %d, refusals %v, %v", sc.name, value(before.callers), value(after.callers), value(oracle.callers), before.rejected, after.rejected, before.reasons, after.reasons)
 		groups := map[string]func(*simCaller) bool{}
 		for _, k := range sc.kinds {
 			groups[k.name] = func(c *simCaller) bool { return c.kind == k }
@@ -521,6 +594,20 @@
 		for _, name := range slices.Sorted(maps.Keys(groups)) {
 			t.Logf("  %-8s before %s", name, tallyOf(before.callers, groups[name]))
 			t.Logf("  %-8s after  %s", name, tallyOf(after.callers, groups[name]))
+			t.Logf("  %-8s oracle %s", name, tallyOf(oracle.callers, groups[name]))
+		}
+		if b, a := value(before.callers), value(after.callers); a < b {
+			t.Errorf("%s: the value is %.0f, without a queue %.0f", sc.name, a, b)
+		}
+		if before.rejected < after.rejected {
+			t.Errorf("%s: targets rejected %d times, without a queue %d times", sc.name, after.rejected, before.rejected)
+		}
+		first, second := tallyOf(after.callers, groups[sc.kinds[0].name]), tallyOf(after.callers, groups[sc.kinds[1].name])
+		if float64(first.lost)/float64(first.all) > float64(second.lost)/float64(second.all) {
+			t.Errorf("%s: %s has the better rank and is served less often than %s", sc.name, sc.kinds[0].name, sc.kinds[1].name)
+		}
+		if usual := groups["usual"]; usual != nil && tallyOf(after.callers, usual).lost > tallyOf(before.callers, usual).lost/2 {
+			t.Errorf("%s: the other teams lose more than half of what they lost without a queue", sc.name)
 		}
 	}
 }
--- a/internal/overload/window.go
+++ b/internal/overload/window.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -15,10 +16,19 @@
 	// windowMargin ends: it no longer limits anything.
 	windowRelease = 2
 	windowMargin  = 4
+	// observeFill times the slots is the number of requests at engines above which an
+	// instance that has waiting requests shrinks its window to its share of the slots,
+	// by observeGain of the difference, once in observeInterval; below it, the window
+	// grows by observeGrowth.
+	observeFill     = 1.15
+	observeGain     = 0.3
+	observeGrowth   = 0.1
+	observeInterval = 200 * time.Millisecond
 )
 
 // window bounds the requests of one instance in flight at the local targets of a
-// service, once a target has rejected one because it was full. What other instances
+// service, once a target has rejected one because it was full or engines have more
+// requests than slots while others wait here. What other instances
 // send is known with a delay, which is longer than a request to a plain service
 // takes; rejections tell at once that all instances together send too much.
 type window struct {
@@ -40,6 +50,31 @@
 
 func (w *window) begin() { w.inFlight.Add(1) }
 
+// observe records the requests of all instances at the engines of a service, as far as
+// heartbeats tell, and the slots of these engines. An engine accepts many more requests
+// than it has slots, so that rejections come late. It must be called at most once in
+// observeInterval: the effect of a change shows after a heartbeat.
+func (w *window) observe(running, slots int) {
+	bits := w.limit.Load()
+	slots = int(observeFill * float64(slots))
+	limit, n := math.Float64frombits(bits), float64(w.inFlight.Load())
+	share := max(n*float64(slots)/float64(max(running, 1)), 1)
+	switch {
+	case running > slots && bits == 0:
+		limit = share
+	case running > slots:
+		limit += observeGain * (min(share, limit) - limit)
+	case bits != 0:
+		limit += observeGrowth * limit
+	default:
+		return
+	}
+	if limit > windowRelease*n+windowMargin {
+		limit = 0
+	}
+	w.limit.CompareAndSwap(bits, math.Float64bits(limit))
+}
+
 // end records the end of a request. rejected is set if the target had no room.
 func (w *window) end(rejected bool) {
 	n := float64(w.inFlight.Add(-1) + 1)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -83,10 +83,9 @@
 	// not need.
 	SpareOnly bool
 	// Windowed is set if the caller bounds the requests that this instance has at all
-	// targets together, since targets rejected some because they were full. Plain
-	// targets are then chosen by the load of this instance alone: a request takes less
-	// time there than the load of other instances is old, and all instances would send
-	// to the target that was free at the last heartbeat.
+	// targets together. Targets are then chosen by the load of this instance alone,
+	// except for requests with a shared prefix: all instances would send to the target
+	// that was free at the last heartbeat, which is long ago compared to a request.
 	Windowed bool
 }
 
@@ -150,6 +149,14 @@
 	Reason     string
 }
 
+// Load returns the requests at targets and the slots of the targets.
+func Load(targets []TargetView) (running, slots int) {
+	for i := range targets {
+		running, slots = running+targets[i].Running, slots+targets[i].Slots
+	}
+	return running, slots
+}
+
 // Placed reports whether the choice names a target or a region.
 func (c *Choice) Placed() bool { return c.Target != "" || c.Region != "" }
 
@@ -289,11 +296,12 @@
 	for i := range targets {
 		t := &targets[i]
 		view := *t
-		if q.Windowed && !t.Engine {
+		byOwn := q.Windowed && (!t.Engine || q.PrefixKey == "")
+		if byOwn {
 			view.Full = t.Full && (!t.AtCapacity || t.WarmingUp)
 			view.Running = min(t.Running, t.Slots)
 		}
-		if view.Full || q.Waited > 0 && t.Engine && t.Running >= t.Slots-t.Slots/waitingDivisor {
+		if view.Full || q.Waited > 0 && t.Engine && !q.Windowed && t.Running >= t.Slots-t.Slots/waitingDivisor {
 			continue
 		}
 		// While no target is known to have the prefix cached, the prefix owner counts
@@ -308,7 +316,7 @@
 		case q.PrefixKey != "" && !view.Cached:
 			cost += time.Duration(cachedBonus * float64(prefillTime(q, m)))
 		}
-		if q.Windowed && !t.Engine {
+		if byOwn {
 			cost = time.Duration(float64(m.ServiceTimeMS) * (float64(t.Own) + tieBreak(q, i) + ownTieWeight*float64(t.Running)) * float64(time.Millisecond))
 		}
 		if best.Target == "" || cost < bestCost {
