--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -57,6 +57,9 @@
 	cachedReturnKey    uint64 // see returnKey
 	// scheduled is set once the queue has promised a time for the caller's return.
 	scheduled bool
+	// unloaded and work are what requestWork returned for workService.
+	workService    string
+	unloaded, work time.Duration
 	// counted is set once the work of the call has been counted as arrived.
 	counted bool
 
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -212,17 +212,21 @@
 }
 
 // requestWork returns the time to the first byte and the target time of a call at an
-// idle target.
+// idle target. q is computed if it is nil.
 func (g *Gateway) requestWork(v *catalog.View, c *call, q *placement.Query) (unloaded, work time.Duration) {
 	s := v.Config.Services[c.service]
-	if s == nil {
-		return 0, 0
+	if s == nil || c.workService == c.service {
+		return c.unloaded, c.work
 	}
 	m, slots := g.Tracker.Model(s), 1
 	if s.Engine != nil {
 		slots = s.Engine.Slots
 	}
-	return m.Unloaded(q, s.Engine != nil), m.Work(q, c.ExpectedOutputTokens(), slots, s.Engine != nil)
+	if q == nil {
+		q = c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], time.Now())
+	}
+	c.workService, c.unloaded, c.work = c.service, m.Unloaded(q, s.Engine != nil), m.Work(q, c.ExpectedOutputTokens(), slots, s.Engine != nil)
+	return c.unloaded, c.work
 }
 
 // allowRejectingPlaces makes a call that waits try the targets again that rejected it
@@ -250,7 +254,7 @@
 func (g *Gateway) recordArrival(c *call) {
 	if v := g.Catalog.Current(); !c.counted && c.route != nil && v.Config != nil {
 		c.counted = true
-		_, work := g.requestWork(v, c, c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], time.Now()))
+		_, work := g.requestWork(v, c, nil)
 		g.Queue.Arrived(c.service, c.team, c.route.PriorityFor(v.Config.Teams[c.team]), work)
 	}
 }
@@ -258,7 +262,7 @@
 // recordStart is described at recordArrival. It returns its other arguments.
 func (g *Gateway) recordStart(c *call, choice placement.Choice, v *catalog.View, err error) (placement.Choice, *catalog.View, error) {
 	if err == nil {
-		_, work := g.requestWork(v, c, c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], time.Now()))
+		_, work := g.requestWork(v, c, nil)
 		g.Queue.Started(c.service, work)
 		if !c.queued {
 			g.Queue.Returned(c.service, c.returnKey)
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -443,26 +443,24 @@
 		q.starts++
 		return true
 	}
-	failed, lateFailed, blockedRank := 0, false, -1
+	failed, blockedRank := 0, -1
 	for _, e := range order {
 		if q.starts%oldestShare == oldestShare-1 {
 			if o := q.oldest(now); o != nil && !started(o, Aged) {
 				q.starts++ // its turn is over
 			}
 		}
-		late, mode := !e.canBeInTime(now), Ordinary
-		if late && (lateFailed || blockedRank >= 0) || !slices.Contains(q.entries, e) {
-			continue
+		if !slices.Contains(q.entries, e) {
+			continue // was started as the oldest
 		}
+		mode := Ordinary
 		if blockedRank >= 0 && e.rank() > blockedRank {
 			mode = SpareOnly
 		}
 		if started(e, mode) {
 			continue
 		}
-		if late {
-			lateFailed = true
-		} else if blockedRank < 0 {
+		if blockedRank < 0 && e.canBeInTime(now) {
 			blockedRank = e.rank()
 		}
 		if failed++; failed >= maxFailedTries {
