--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -250,8 +250,10 @@
 		q.PrefixOwnerRegion = g.Tracker.PrefixOwnerRegion(v, c.service, q.PrefixKey, func(region string) bool { return deployment.RegionAllowed(c.route, team, region) })
 	}
 	g.reservations.apply(targets, regions)
+	q.Crowded = placement.Crowded(targets)
 	if v.Config.Services[c.service] != nil && v.Config.Services[c.service].Engine != nil {
-		g.Queue.Observe(c.service, func() (running, slots int) { return placement.Load(targets) })
+		running, slots := placement.Load(targets)
+		g.Queue.Observe(c.service, running, slots)
 	}
 	if g.Queue.Full(c.service) {
 		for i := range targets {
--- a/internal/overload/manager.go
+++ b/internal/overload/manager.go
@@ -56,16 +56,13 @@
 	started atomic.Int64
 	teams   sync.Map // name to *atomic.Int64
 	window  window
-	// observed is when the window was last told the load of engines, in Unix
-	// nanoseconds.
-	observed atomic.Int64
-	ended    atomic.Int64 // requests at local targets since the last fold
-	mu       sync.Mutex
-	queue    *Queue
-	timer    *time.Timer
-	counts   counts
-	freed    rate
-	folded   time.Time
+	ended   atomic.Int64 // requests at local targets since the last fold
+	mu      sync.Mutex
+	queue   *Queue
+	timer   *time.Timer
+	counts  counts
+	freed   rate
+	folded  time.Time
 	// promises is the number of promised returns.
 	promises atomic.Int32
 }
@@ -122,19 +119,12 @@
 // Windowed reports whether a window applies to the local targets of a service.
 func (m *Manager) Windowed(name string) bool { return m.service(name).window.active() }
 
-// Observe records the requests at the engines of a service and their slots; load
-// returns them and is called a few times a second while requests wait or a window
-// applies.
-func (m *Manager) Observe(name string, load func() (running, slots int)) {
-	s := m.service(name)
-	if s.waiting.Load() == 0 && !s.window.active() {
-		return
-	}
-	now, last := time.Now().UnixNano(), s.observed.Load()
-	if now-last < int64(observeInterval) || !s.observed.CompareAndSwap(last, now) {
-		return
+// Observe records the requests at the engines of a service and their slots, while
+// requests wait or a window applies.
+func (m *Manager) Observe(name string, running, slots int) {
+	if s := m.service(name); s.waiting.Load() > 0 || s.window.active() {
+		s.window.observe(running, slots, time.Now())
 	}
-	s.window.observe(load())
 }
 
 // Begin records that a local target was chosen for a request.
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -310,7 +310,7 @@
 	if usable <= 0 {
 		return 0, false
 	}
-	ahead, inTimeAhead := e.Work, e.Work
+	ahead, inTimeAhead := e.Work, time.Duration(0)
 	for _, o := range q.entries {
 		if o != e && compare(o, e, now) < 0 {
 			ahead += o.Work
--- a/internal/overload/sim_test.go
+++ b/internal/overload/sim_test.go
@@ -80,11 +80,10 @@
 }
 
 type simInstance struct {
-	queue    *Queue
-	work     Work
-	window   window
-	timer    bool
-	observed time.Duration
+	queue  *Queue
+	work   Work
+	window window
+	timer  bool
 }
 
 type simWaiter struct {
@@ -112,9 +111,11 @@
 	team     func(at time.Duration) string
 	repeats  float64
 	rejected int
-	budget   float64 // retries at targets that are left
-	reasons  map[Reason]int
-	load     *rand.Rand // draws arrivals, so that both runs get the same
+	// heartbeatEvery is the interval of heartbeats in units of 100 ms.
+	heartbeatEvery, beats int
+	budget                float64 // retries at targets that are left
+	reasons               map[Reason]int
+	load                  *rand.Rand // draws arrivals, so that both runs get the same
 }
 
 func (s *sim) at(d time.Duration, do func()) {
@@ -124,11 +125,10 @@
 
 func (s *sim) time() time.Time { return time.Unix(1000, 0).Add(s.now) }
 
-func newSim(seed uint64, waiting bool, targets, slots, queued int, engine bool) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), load: rand.New(rand.NewPCG(seed, 2)), reasons: map[Reason]int{}, budget: 20, waiting: waiting, engine: engine, holdTime: 300 * time.Millisecond,
+func newSim(seed uint64, waiting bool, instances, targets, slots, queued int, engine bool) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), load: rand.New(rand.NewPCG(seed, 2)), reasons: map[Reason]int{}, budget: 20, heartbeatEvery: 1, waiting: waiting, engine: engine, holdTime: 300 * time.Millisecond,
 		model:  &placement.LatencyModel{TokensPerMS: 60, StepMS: 3.1, StepPerRequestMS: 0.1, ServiceTimeMS: 60},
 		demand: func(time.Duration, *simKind) float64 { return 1 }, team: func(time.Duration) string { return "a" }}
-	const instances = 8
 	for range targets {
 		s.targets = append(s.targets, &simTarget{s: s, slots: slots, max: slots + queued, load: make([]int, instances), tokens: make([]int, instances), seenLoad: make([]int, instances), seenTokens: make([]int, instances)})
 	}
@@ -166,7 +166,11 @@
 }
 
 func (s *sim) heartbeat(end time.Duration) {
+	s.beats++
 	for _, t := range s.targets {
+		if s.beats%s.heartbeatEvery != 0 {
+			break
+		}
 		copy(t.seenLoad, t.load)
 		copy(t.seenTokens, t.tokens)
 	}
@@ -210,15 +214,12 @@
 		views = append(views, v)
 	}
 	in := s.instances[instance]
-	if s.engine && s.waiting && (in.window.active() || in.queue.Len() > 0) && s.now-in.observed >= observeInterval {
-		in.observed = s.now
-		r, sl := 0, 0
-		for _, v := range views {
-			r, sl = r+v.Running, sl+v.Slots
-		}
-		in.window.observe(r, sl)
+	if s.engine && s.waiting && (in.window.active() || in.queue.Len() > 0) {
+		running, slots := placement.Load(views)
+		in.window.observe(running, slots, s.time())
 	}
 	q := s.query(c, waited, spareOnly)
+	q.Crowded = s.waiting && placement.Crowded(views)
 	q.Windowed = s.waiting && s.instances[instance].window.active()
 	return placement.Choose(q, views, nil, s.model)
 }
@@ -511,7 +512,7 @@
 type simScenario struct {
 	name   string
 	length time.Duration
-	make   func(waiting bool) *sim
+	make   func(waiting bool, instances int) *sim
 	kinds  []*simKind
 	groups map[string]func(*simCaller) bool
 }
@@ -519,8 +520,8 @@
 func within(at, from, to time.Duration) bool { return at >= from && at < to }
 
 var simScenarios = []simScenario{
-	{"burst of 2.6 times for 7 s", 20 * time.Second, func(w bool) *sim {
-		s := newSim(1, w, 12, 16, 48, true)
+	{"burst of 2.6 times for 7 s", 20 * time.Second, func(w bool, n int) *sim {
+		s := newSim(1, w, n, 12, 16, 48, true)
 		s.demand = func(at time.Duration, _ *simKind) float64 {
 			if within(at, 5*time.Second, 12*time.Second) {
 				return 2.6
@@ -529,8 +530,8 @@
 		}
 		return s
 	}, []*simKind{longKind, shortKind}, nil},
-	{"team with 7 times its usual demand for 6.5 s", 50 * time.Second, func(w bool) *sim {
-		s := newSim(3, w, 12, 16, 48, true)
+	{"team with 7 times its usual demand for 6.5 s", 50 * time.Second, func(w bool, n int) *sim {
+		s := newSim(3, w, n, 12, 16, 48, true)
 		surge := func(at time.Duration) bool { return within(at, 38*time.Second, 44500*time.Millisecond) }
 		s.demand = func(at time.Duration, _ *simKind) float64 {
 			if surge(at) {
@@ -551,8 +552,8 @@
 		return s
 	}, []*simKind{longKind, shortKind}, map[string]func(*simCaller) bool{
 		"surging": func(c *simCaller) bool { return c.team == "surging" }, "usual": func(c *simCaller) bool { return c.team == "usual" }}},
-	{"burst of 2.6 times for 7 s, 30% of callers repeat three times at once", 20 * time.Second, func(w bool) *sim {
-		s := newSim(4, w, 12, 16, 48, true)
+	{"burst of 2.6 times for 7 s, 30% of callers repeat three times at once", 20 * time.Second, func(w bool, n int) *sim {
+		s := newSim(4, w, n, 12, 16, 48, true)
 		s.repeats = 0.3
 		s.demand = func(at time.Duration, _ *simKind) float64 {
 			if within(at, 5*time.Second, 12*time.Second) {
@@ -563,9 +564,9 @@
 		return s
 	}, []*simKind{longKind, shortKind}, map[string]func(*simCaller) bool{
 		"repeat": func(c *simCaller) bool { return c.repeats }, "others": func(c *simCaller) bool { return !c.repeats }}},
-	{"plain service at 1.3 times its rate", 20 * time.Second, func(w bool) *sim { return newSim(2, w, 3, 6, 6, false) }, []*simKind{plainKind, otherKind}, nil},
-	{"half of the targets gone for 4 s", 16 * time.Second, func(w bool) *sim {
-		s := newSim(5, w, 12, 16, 48, true)
+	{"plain service at 1.3 times its rate", 20 * time.Second, func(w bool, n int) *sim { return newSim(2, w, n, 3, 6, 6, false) }, []*simKind{plainKind, otherKind}, nil},
+	{"half of the targets gone for 4 s", 16 * time.Second, func(w bool, n int) *sim {
+		s := newSim(5, w, n, 12, 16, 48, true)
 		s.demand = func(time.Duration, *simKind) float64 { return 1.6 }
 		for _, t := range s.targets[:6] {
 			s.at(5*time.Second, func() { t.down = true })
@@ -579,10 +580,16 @@
 // little use because they are late, refusals of what would have fitted, slots that are
 // idle while requests wait, and a kind of a better rank that is served less often.
 func TestScenarios(t *testing.T) {
+	t.Run("8 instances", func(t *testing.T) { playScenarios(t, 8, 1) })
+	t.Run("30 instances with heartbeats every 700 ms", func(t *testing.T) { playScenarios(t, 30, 7) })
+}
+
+func playScenarios(t *testing.T, instances, heartbeatEvery int) {
 	for _, sc := range simScenarios {
-		before, after, oracle := sc.make(false), sc.make(true), sc.make(true)
+		before, after, oracle := sc.make(false, instances), sc.make(true, instances), sc.make(true, instances)
 		oracle.oracle = true
 		for _, s := range []*sim{before, after, oracle} {
+			s.heartbeatEvery = heartbeatEvery
 			s.run(sc.length, sc.kinds...)
 		}
 		t.Logf("%s: value before %.0f, after %.0f, oracle %.0f; rejected by targets %d, %d, refusals %v, %v", sc.name, value(before.callers), value(after.callers), value(oracle.callers), before.rejected, after.rejected, before.reasons, after.reasons)
--- a/internal/overload/window.go
+++ b/internal/overload/window.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -16,14 +17,16 @@
 	// windowMargin ends: it no longer limits anything.
 	windowRelease = 2
 	windowMargin  = 4
-	// observeFill times the slots is the number of requests at engines above which an
-	// instance that has waiting requests shrinks its window to its share of the slots,
-	// by observeGain of the difference, once in observeInterval; below it, the window
-	// grows by observeGrowth.
+	// observeFill times the slots is the number of requests at engines above which the
+	// window of an instance that has waiting requests is its share of the slots; below
+	// it, the window grows by observeGrowth in each observeInterval. observeGain is the
+	// weight of a new observation in the averages. observeMemory is how long they are
+	// of use.
 	observeFill     = 1.15
 	observeGain     = 0.3
 	observeGrowth   = 0.1
 	observeInterval = 200 * time.Millisecond
+	observeMemory   = 2 * time.Second
 )
 
 // window bounds the requests of one instance in flight at the local targets of a
@@ -34,6 +37,11 @@
 type window struct {
 	inFlight atomic.Int32
 	limit    atomic.Uint64 // bits of a float64; 0 means no limit
+	mu       sync.Mutex
+	// running and own are the averages of the requests at engines, all and those of
+	// this instance, as of observed. They are guarded by mu.
+	running, own float64
+	observed     time.Time
 }
 
 // active reports whether the window limits the requests in flight.
@@ -52,18 +60,28 @@
 
 // observe records the requests of all instances at the engines of a service, as far as
 // heartbeats tell, and the slots of these engines. An engine accepts many more requests
-// than it has slots, so that rejections come late. It must be called at most once in
-// observeInterval: the effect of a change shows after a heartbeat.
-func (w *window) observe(running, slots int) {
+// than it has slots, so that rejections come late. Calls within observeInterval have no
+// effect.
+func (w *window) observe(running, slots int, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	age := now.Sub(w.observed)
+	if age < observeInterval {
+		return
+	}
+	w.observed = now
 	bits := w.limit.Load()
-	slots = int(observeFill * float64(slots))
-	limit, n := math.Float64frombits(bits), float64(w.inFlight.Load())
-	share := max(n*float64(slots)/float64(max(running, 1)), 1)
-	switch {
-	case running > slots && bits == 0:
+	capacity := observeFill * float64(slots)
+	n := float64(w.inFlight.Load())
+	if age > observeMemory {
+		w.running, w.own = float64(running), n
+	}
+	w.running += observeGain * (float64(running) - w.running)
+	w.own += observeGain * (n - w.own)
+	limit := math.Float64frombits(bits)
+	switch share := max(capacity*w.own/max(w.running, 1), 1); {
+	case w.running > capacity:
 		limit = share
-	case running > slots:
-		limit += observeGain * (min(share, limit) - limit)
 	case bits != 0:
 		limit += observeGrowth * limit
 	default:
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -29,6 +29,9 @@
 	// but 1/waitingDivisor are in use: behind others it would wait as long there, where
 	// its place in the order is lost.
 	waitingDivisor = 16
+	// crowdedFraction is the fraction of the slots of all targets that are in use from
+	// which the choice no longer relies on the load of a single target.
+	crowdedFraction = 0.5
 	// ownTieWeight is the weight of the load of other instances relative to that of
 	// this one while Query.Windowed is set.
 	ownTieWeight = 0.05
@@ -82,10 +85,14 @@
 	// SpareOnly is set if the request may only use capacity that requests in time do
 	// not need.
 	SpareOnly bool
-	// Windowed is set if the caller bounds the requests that this instance has at all
-	// targets together. Targets are then chosen by the load of this instance alone,
-	// except for requests with a shared prefix: all instances would send to the target
+	// Crowded is set if many slots are in use, see Crowded. Requests without a shared
+	// prefix then go to the target with the fewest requests of this instance, and the
+	// load of each target counts as the mean: all instances would send to the target
 	// that was free at the last heartbeat, which is long ago compared to a request.
+	Crowded bool
+	// Windowed is set if the caller bounds the requests that this instance has at all
+	// targets together. The choice is then made as with Crowded, also if heartbeats tell
+	// that the targets are at their capacity.
 	Windowed bool
 }
 
@@ -293,15 +300,23 @@
 	if holder == "" {
 		source, sourceCost = owner, time.Duration(speculativeFetchCost*float64(prefillTime(q, m)))
 	}
+	crowded := q.Windowed || q.Crowded
+	var mean TargetView
+	if crowded {
+		mean = meanLoad(targets)
+	}
 	for i := range targets {
 		t := &targets[i]
 		view := *t
-		byOwn := q.Windowed && (!t.Engine || q.PrefixKey == "")
+		byOwn := crowded && (!t.Engine || q.PrefixKey == "")
 		if byOwn {
-			view.Full = t.Full && (!t.AtCapacity || t.WarmingUp)
-			view.Running = min(t.Running, t.Slots)
+			view.Running, view.PendingTokens = mean.Running, mean.PendingTokens
+			view.Full = t.Full && (!t.AtCapacity || t.WarmingUp) || !q.Windowed && mean.Running >= t.Capacity
+			if q.Windowed {
+				view.Running = min(view.Running, t.Slots)
+			}
 		}
-		if view.Full || q.Waited > 0 && t.Engine && !q.Windowed && t.Running >= t.Slots-t.Slots/waitingDivisor {
+		if view.Full || q.Waited > 0 && t.Engine && !q.Windowed && view.Running >= t.Slots-t.Slots/waitingDivisor {
 			continue
 		}
 		// While no target is known to have the prefix cached, the prefix owner counts
@@ -365,3 +380,20 @@
 	}
 	return owner
 }
+
+// meanLoad returns the mean load of targets.
+func meanLoad(targets []TargetView) (mean TargetView) {
+	for i := range targets {
+		mean.Running, mean.PendingTokens = mean.Running+targets[i].Running, mean.PendingTokens+targets[i].PendingTokens
+	}
+	n := max(len(targets), 1)
+	mean.Running, mean.PendingTokens = mean.Running/n, mean.PendingTokens/n
+	return mean
+}
+
+// Crowded reports whether targets have so many requests that Query.Crowded should be
+// set.
+func Crowded(targets []TargetView) bool {
+	running, slots := Load(targets)
+	return float64(running) >= crowdedFraction*float64(slots)
+}
