--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -70,6 +70,7 @@
 		i.tracker.Prune(i.catalog.Current().Targets, time.Now())
 		i.retryBudget.SetInstances(max(len(members)+1, 3*len(i.settings.RegionByDomain)))
 		i.quota.Observe(peers, time.Now())
+		i.gateway.Queue.SetPeers(sameRegion)
 		i.gateway.Queue.Refresh()
 	}
 }
--- a/internal/overload/manager.go
+++ b/internal/overload/manager.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
 
 const (
@@ -54,6 +55,7 @@
 	// arrived and started are work in nanoseconds since the last fold.
 	arrived [ranks]atomic.Int64
 	started atomic.Int64
+	starts  atomic.Int64
 	teams   sync.Map // name to *atomic.Int64
 	window  window
 	ended   atomic.Int64 // requests at local targets since the last fold
@@ -110,7 +112,31 @@
 }
 
 // Started is described at Arrived.
-func (m *Manager) Started(name string, work time.Duration) { m.service(name).started.Add(int64(work)) }
+func (m *Manager) Started(name string, work time.Duration) {
+	s := m.service(name)
+	s.started.Add(int64(work))
+	s.starts.Add(1)
+}
+
+// SetPeers passes on what the other instances of the region report of the services
+// that this instance has requests for.
+func (m *Manager) SetPeers(heartbeats map[string]*peerv1.FleetRow) {
+	m.services.Range(func(_, value any) bool {
+		s := value.(*service)
+		freed, queued := 0.0, 0
+		for _, hb := range heartbeats {
+			for _, p := range hb.GetPools() {
+				if p.GetService() == s.name {
+					freed, queued = freed+float64(p.GetFreedPerS()), queued+int(p.GetQueued())
+				}
+			}
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.queue.SetPeers(freed, queued)
+		return true
+	})
+}
 
 // Full reports whether this instance has as many requests at the local targets of a
 // service as they accept from it; see window.
@@ -265,7 +291,7 @@
 	}
 	s.folded = now
 	s.freed.add(float64(s.ended.Swap(0)), now)
-	w := Work{Teams: map[string]time.Duration{}, Started: time.Duration(s.started.Swap(0))}
+	w := Work{Teams: map[string]time.Duration{}, Started: time.Duration(s.started.Swap(0)), Starts: int(s.starts.Swap(0))}
 	for i := range s.arrived {
 		w.Arrived[i] = time.Duration(s.arrived[i].Swap(0))
 	}
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -34,6 +34,13 @@
 	agedFraction = 0.1
 	// maxFailedTries bounds the failed attempts to place waiting requests in one pass.
 	maxFailedTries = 4
+	// minStartRate is the least number of started requests per second from which their
+	// mean work is known.
+	minStartRate = 0.2
+	// maxSparseRate is the number of started requests per second up to which an
+	// instance relies on what others report: with more, its own rate is better. Used at
+	// all rates, the reports doubled the requests held and then refused (trial).
+	maxSparseRate = 4
 	// ranks is the number of ranks that the platform has.
 	ranks = 10
 	// lowRank is added to the rank of requests that get only what others leave.
@@ -180,15 +187,21 @@
 	starts   int
 	// arrived, by rank, and started are rates of work, in seconds of target time per
 	// second.
-	arrived  [ranks]rate
-	started  rate
-	schedule schedule
-	teams    teams
+	arrived [ranks]rate
+	started rate
+	// startRate is the number of started requests per second. peerFreed is the number of
+	// requests of other instances that end at local targets per second, and peerQueued
+	// that of the requests that wait at them.
+	startRate  rate
+	peerFreed  float64
+	peerQueued int
+	schedule   schedule
+	teams      teams
 }
 
 // NewQueue returns an empty Queue.
 func NewQueue(l Limits) *Queue {
-	q := &Queue{limits: l, started: rate{tau: rateWindow}, teams: newTeams()}
+	q := &Queue{limits: l, started: rate{tau: rateWindow}, startRate: rate{tau: rateWindow}, teams: newTeams()}
 	for i := range q.arrived {
 		q.arrived[i].tau = rateWindow
 	}
@@ -213,6 +226,7 @@
 	Arrived [ranks]time.Duration
 	Teams   map[string]time.Duration
 	Started time.Duration
+	Starts  int
 }
 
 // RankIndex returns the index of a rank in Work.Arrived.
@@ -227,22 +241,42 @@
 		q.teams.record(team, d, now)
 	}
 	q.started.add(w.Started.Seconds(), now)
+	q.startRate.add(float64(w.Starts), now)
+}
+
+// SetPeers tells the queue the requests of other instances of the region that end at
+// local targets per second, and the requests that wait at those instances.
+func (q *Queue) SetPeers(freedPerSecond float64, queued int) {
+	q.peerFreed, q.peerQueued = freedPerSecond, queued
+}
+
+// capacity returns the work that the queue is expected to start per second: what it
+// started lately, or the share of the slots that become free in the region that its
+// requests are of all that wait there, if it started so few that they tell little.
+func (q *Queue) capacity() float64 {
+	if q.startRate.value < minStartRate || q.startRate.value > maxSparseRate {
+		return q.started.value
+	}
+	meanWork := q.started.value / q.startRate.value
+	share := float64(len(q.entries)+1) / float64(q.peerQueued+len(q.entries)+1)
+	return max(q.started.value, meanWork*(q.peerFreed+q.startRate.value)*share)
 }
 
 // expectedWait returns how long it takes until work has been started: a request gets
 // what new ones of better ranks leave, and a late one what all new ones leave. known
 // is false if hardly any work was started lately, so that nothing can be said.
 func (q *Queue) expectedWait(work, usable time.Duration, rank int, late bool) (wait time.Duration, known bool) {
-	if q.started.value*usable.Seconds() < work.Seconds()/2 && q.idle() {
+	if q.idle() && q.started.value*usable.Seconds() < work.Seconds()/2 {
 		return 0, false
 	}
-	capacity := q.started.value
+	all := q.capacity()
+	capacity := all
 	for i := range q.arrived {
 		if late || i < rank {
 			capacity -= q.arrived[i].value
 		}
 	}
-	capacity = max(capacity, leftoverFraction*q.started.value, 1e-9)
+	capacity = max(capacity, leftoverFraction*all, 1e-9)
 	return time.Duration(min(work.Seconds()/capacity, 3600) * float64(time.Second)), true
 }
 
@@ -375,7 +409,7 @@
 	for _, o := range q.entries {
 		waiting += o.Work
 	}
-	return &Refusal{Reason: reason, RetryAfter: q.schedule.promise(&e.Request, waiting, q.started.value, now), Expected: expected}
+	return &Refusal{Reason: reason, RetryAfter: q.schedule.promise(&e.Request, waiting, q.capacity(), now), Expected: expected}
 }
 
 // Remove takes an entry out of the queue, and reports whether it was there.
--- a/internal/overload/sim_test.go
+++ b/internal/overload/sim_test.go
@@ -174,6 +174,15 @@
 		copy(t.seenLoad, t.load)
 		copy(t.seenTokens, t.tokens)
 	}
+	if s.beats%s.heartbeatEvery == 0 {
+		freed, queued := 0.0, 0
+		for _, in := range s.instances {
+			freed, queued = freed+in.queue.startRate.value, queued+in.queue.Len()
+		}
+		for _, in := range s.instances {
+			in.queue.SetPeers(freed-in.queue.startRate.value, queued-in.queue.Len())
+		}
+	}
 	for i := range s.instances {
 		s.pass(i)
 	}
@@ -395,6 +404,7 @@
 		return
 	}
 	s.instances[instance].work.Started += s.work(c)
+	s.instances[instance].work.Starts++
 	j := &simJob{caller: c, instance: instance, tokens: c.kind.prompt - c.kind.shared, priority: priority}
 	t.load[instance]++
 	t.tokens[instance] += j.tokens
