--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -32,9 +32,6 @@
 	// crowdedFraction is the fraction of the slots of all targets that are in use from
 	// which the choice no longer relies on the load of a single target.
 	crowdedFraction = 0.5
-	// ownTieWeight is the weight of the load of other instances relative to that of
-	// this one while Query.Windowed is set.
-	ownTieWeight = 0.05
 	// lateDelayFraction is the fraction of the remaining time that the expected delay
 	// of a late request may take; the rest is for the response.
 	lateDelayFraction = 0.7
@@ -332,7 +329,8 @@
 			cost += time.Duration(cachedBonus * float64(prefillTime(q, m)))
 		}
 		if byOwn {
-			cost = time.Duration(float64(m.ServiceTimeMS) * (float64(t.Own) + tieBreak(q, i) + ownTieWeight*float64(t.Running)) * float64(time.Millisecond))
+			// A target that is slow or has an unanswered request has the larger delay.
+			cost = time.Duration(float64(delay) * (1 + float64(t.Own) + tieBreak(q, i)))
 		}
 		if best.Target == "" || cost < bestCost {
 			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: delay}, cost
