--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -20,7 +20,7 @@
 	// that will be late: 1/spareDivisor of the slots, at least one, stays free, and
 	// prefilling what is at the target takes at most spareBacklogFraction of the
 	// objective. The load is known with a delay of several heartbeats.
-	spareDivisor         = 4
+	spareDivisor         = 8
 	spareBacklogFraction = 0.25
 	// spareRegionSlots is the least number of free slots of another region that gets
 	// such requests.
@@ -220,8 +220,13 @@
 	limit := time.Duration(lateDelayFraction * float64(q.Remaining))
 	views := make([]TargetView, len(targets))
 	copy(views, targets)
+	mean := meanLoad(targets)
 	for i := range views {
-		views[i].Full = views[i].Full || !spare(&views[i], q, m)
+		load := views[i]
+		if q.Crowded || q.Windowed {
+			load.Running, load.PendingTokens = mean.Running, mean.PendingTokens
+		}
+		views[i].Full = views[i].Full || !spare(&load, q, m)
 		views[i].AtCapacity = false
 	}
 	late := func(delay time.Duration) bool {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -228,7 +228,7 @@
 	if s.MaxConns > 0 {
 		view.Capacity = min(view.Capacity, int((1-connReserve)*float64(s.MaxConns)))
 	}
-	view.AtCapacity = running >= view.Capacity && !st.health.probing
+	view.AtCapacity = running >= view.Capacity && !st.health.probing && (s.MaxConns <= 0 || running < int((1-connReserve)*float64(s.MaxConns)))
 	view.Full = running >= view.Capacity || st.health.probing && st.running > 0
 	if view.WarmingUp = t.warmingUp(v, e, st, now); view.WarmingUp {
 		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now)
