--- a/internal/overload/sim_test.go
+++ b/internal/overload/sim_test.go
@@ -63,8 +63,6 @@
 	instance int
 	tokens   int
 	priority int
-	begun    time.Duration
-	done     func()
 }
 
 // simTarget has slots, a queue ordered by priority, and one prefill at a time.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -349,8 +349,10 @@
 
 // tieBreak returns a number from 0 to 1 that differs between requests and targets.
 func tieBreak(q *Query, target int) float64 {
-	x := q.Jitter + float64(target)*0.6180339887
-	return x - math.Floor(x)
+	x := math.Float64bits(q.Jitter) + uint64(target+1)*0x9e3779b97f4a7c15 // the mixing function of SplitMix64
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64((x^x>>31)>>11) / (1 << 53)
 }
 
 // lastCached returns the target that has used the shared prefix most recently;
