--- a/internal/overload/manager.go
+++ b/internal/overload/manager.go
@@ -259,6 +259,7 @@
 func (m *Manager) Refresh() {
 	m.services.Range(func(_, value any) bool {
 		s, now := value.(*service), time.Now()
+		s.window.relax(now)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.fold(now)
--- a/internal/overload/queue_test.go
+++ b/internal/overload/queue_test.go
@@ -215,6 +215,30 @@
 	})
 }
 
+// Guards against a window that stays closed because the only request that it allows
+// does not end, and against one that rejections do not close.
+func TestWindowOpensAgain(t *testing.T) {
+	var w window
+	w.begin()
+	w.end(true)
+	w.begin() // does not end
+	now := start
+	for range 5 {
+		w.relax(now)
+		if !w.full() {
+			t.Fatal("no window after a rejection")
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	for range 40 {
+		w.relax(now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	if w.full() {
+		t.Errorf("closed four seconds after the last rejection, limit %.1f", w.size())
+	}
+}
+
 // BenchmarkIdle measures what the queue costs a request while none waits.
 func BenchmarkIdle(b *testing.B) {
 	m := NewManager(Limits{}, event.Nop())
--- a/internal/overload/sim_test.go
+++ b/internal/overload/sim_test.go
@@ -181,7 +181,8 @@
 			in.queue.SetPeers(freed-in.queue.startRate.value, queued-in.queue.Len())
 		}
 	}
-	for i := range s.instances {
+	for i, in := range s.instances {
+		in.window.relax(s.time())
 		s.pass(i)
 	}
 	if s.now < end {
--- a/internal/overload/window.go
+++ b/internal/overload/window.go
@@ -27,6 +27,10 @@
 	observeGrowth   = 0.1
 	observeInterval = 200 * time.Millisecond
 	observeMemory   = 2 * time.Second
+	// A window without a rejection for relaxDelay grows by relaxGrowth at each call of
+	// relax, so that a few requests that do not end cannot hold up the others.
+	relaxDelay  = time.Second
+	relaxGrowth = 0.05
 )
 
 // window bounds the requests of one instance in flight at the local targets of a
@@ -37,7 +41,12 @@
 type window struct {
 	inFlight atomic.Int32
 	limit    atomic.Uint64 // bits of a float64; 0 means no limit
-	mu       sync.Mutex
+	// rejections counts the rejections; relaxed is its value at the last call of relax
+	// that found a change, at quietSince. The latter two are guarded by mu.
+	rejections atomic.Int64
+	mu         sync.Mutex
+	relaxed    int64
+	quietSince time.Time
 	// running and own are the averages of the requests at engines, all and those of
 	// this instance, as of observed. They are guarded by mu.
 	running, own float64
@@ -93,9 +102,33 @@
 	w.limit.CompareAndSwap(bits, math.Float64bits(limit))
 }
 
+// relax is called with each heartbeat that was applied.
+func (w *window) relax(now time.Time) {
+	bits := w.limit.Load()
+	if bits == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n := w.rejections.Load(); n != w.relaxed {
+		w.relaxed, w.quietSince = n, now
+	}
+	if now.Sub(w.quietSince) < relaxDelay {
+		return
+	}
+	limit := (1 + relaxGrowth) * math.Float64frombits(bits)
+	if limit > windowRelease*float64(w.inFlight.Load())+windowMargin {
+		limit = 0
+	}
+	w.limit.CompareAndSwap(bits, math.Float64bits(limit))
+}
+
 // end records the end of a request. rejected is set if the target had no room.
 func (w *window) end(rejected bool) {
 	n := float64(w.inFlight.Add(-1) + 1)
+	if rejected {
+		w.rejections.Add(1)
+	}
 	for {
 		bits := w.limit.Load()
 		limit := math.Float64frombits(bits)
