--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -143,12 +143,37 @@
 	return hex.EncodeToString(h[:])
 }
 
+const (
+	// minStreamPatience, and streamPatienceObjectives times the objective for the first
+	// event or streamPatienceGaps times that for gaps, whichever is longest, is how long
+	// callers wait for the next event of a stream, the first one included.
+	minStreamPatience        = 2 * time.Second
+	streamPatienceObjectives = 4
+	streamPatienceGaps       = 8
+	// streamPatienceMargin is the part of it in which the first event must arrive: the
+	// rest covers the ways between the caller and the target.
+	streamPatienceMargin = 0.9
+)
+
+// firstByteDeadline returns when the caller gives up if the response has not begun.
+func (c *call) firstByteDeadline() time.Time {
+	if c.route.Kind != deployment.Stream {
+		return c.deadline
+	}
+	patience := max(minStreamPatience, streamPatienceObjectives*c.route.FirstByteObjective, streamPatienceGaps*c.route.GapObjective)
+	by := c.arrived.Add(time.Duration(streamPatienceMargin*float64(patience)) - c.waitedBefore)
+	if by.Before(c.deadline) {
+		return by
+	}
+	return c.deadline
+}
+
 // placementQuery returns what placement.Choose needs to know about the call in the
 // local region.
 func (c *call) placementQuery(region string, team *deployment.Team, now time.Time) *placement.Query {
 	key, tokens := placement.SharedPrefix(c.PromptParts)
 	return &placement.Query{
 		PromptTokens: c.PromptTokens, PrefixKey: key, PrefixTokens: tokens, Objective: c.route.FirstByteObjective,
-		Remaining: c.deadline.Sub(now), LocalAllowed: deployment.RegionAllowed(c.route, team, region), Jitter: rand.Float64(),
+		Remaining: c.firstByteDeadline().Sub(now), CallerRemaining: c.deadline.Sub(now), LocalAllowed: deployment.RegionAllowed(c.route, team, region), Jitter: rand.Float64(),
 	}
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -192,7 +192,7 @@
 	q := c.placementQuery(g.Settings.Region, team, now)
 	unloaded, work := g.requestWork(v, c, q)
 	r := overload.Request{
-		ID: c.ID, Team: c.team, Rank: c.route.PriorityFor(team), Arrived: c.arrived, Objective: c.route.FirstByteObjective, Deadline: c.deadline,
+		ID: c.ID, Team: c.team, Rank: c.route.PriorityFor(team), Arrived: c.arrived, Objective: c.route.FirstByteObjective, Deadline: c.firstByteDeadline(), CallerDeadline: c.deadline,
 		Unloaded: unloaded, Work: work, Bytes: int64(cap(c.body)), Jitter: rand.Float64(),
 	}
 	if team != nil {
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -63,10 +63,12 @@
 	// Weight is the share of the team relative to the other teams; 0 counts as 1.
 	Weight float64
 	// Arrived is when the request arrived, Objective the time from then to the first
-	// byte within which an answer is in time, and Deadline when the caller gives up.
+	// byte within which an answer is in time, and Deadline when the caller gives up without one.
 	Arrived   time.Time
 	Objective time.Duration
 	Deadline  time.Time
+	// CallerDeadline is until when the caller may come back; Deadline if it is zero.
+	CallerDeadline time.Time
 	// Unloaded is the time to the first byte at an idle target, and Work the target
 	// time that the request takes.
 	Unloaded, Work time.Duration
--- a/internal/overload/schedule.go
+++ b/internal/overload/schedule.go
@@ -49,7 +49,7 @@
 func (s *schedule) promise(r *Request, waiting time.Duration, capacity float64, now time.Time) time.Duration {
 	s.expire(now)
 	least := time.Duration((0.7 + 0.6*r.Jitter) * minRetryFraction * float64(r.Objective))
-	most := time.Duration(maxRetryFraction * float64(r.Deadline.Sub(now)))
+	most := time.Duration(maxRetryFraction * float64(max(r.Deadline.Sub(now), r.CallerDeadline.Sub(now))))
 	if most <= 0 {
 		return 0
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -73,8 +73,10 @@
 	// regions; empty if there is none.
 	PrefixOwnerRegion string
 	Objective         time.Duration
-	// Remaining is the time until the request's deadline.
+	// Remaining is the time until the caller gives up if it has no first byte.
 	Remaining time.Duration
+	// CallerRemaining is the time until the request's deadline; 0 if it is Remaining.
+	CallerRemaining time.Duration
 	// Jitter is a random number from 0 to 1 that differs between requests.
 	Jitter float64
 	// LocalAllowed is false if residency rules forbid the local region.
@@ -283,7 +285,7 @@
 func retryAfter(q *Query, delay time.Duration, jitter float64) time.Duration {
 	wait := max(delay, time.Duration(minRetryFraction*float64(q.Objective)))
 	wait = time.Duration((1 - retryJitter/2 + retryJitter*jitter) * float64(wait))
-	return min(wait, time.Duration(float64(q.Remaining)*maxRetryFraction))
+	return min(wait, time.Duration(float64(max(q.Remaining, q.CallerRemaining))*maxRetryFraction))
 }
 
 // bestTarget chooses the target with the least expected delay, and the target from
