--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -20,7 +20,7 @@
 	// that will be late: 1/spareDivisor of the slots, at least one, stays free, and
 	// prefilling what is at the target takes at most spareBacklogFraction of the
 	// objective. The load is known with a delay of several heartbeats.
-	spareDivisor         = 4
+	spareDivisor         = 8
 	spareBacklogFraction = 0.25
 	// spareRegionSlots is the least number of free slots of another region that gets
 	// such requests.
@@ -32,9 +32,6 @@
 	// crowdedFraction is the fraction of the slots of all targets that are in use from
 	// which the choice no longer relies on the load of a single target.
 	crowdedFraction = 0.5
-	// ownTieWeight is the weight of the load of other instances relative to that of
-	// this one while Query.Windowed is set.
-	ownTieWeight = 0.05
 	// lateDelayFraction is the fraction of the remaining time that the expected delay
 	// of a late request may take; the rest is for the response.
 	lateDelayFraction = 0.7
@@ -225,8 +222,13 @@
 	limit := time.Duration(lateDelayFraction * float64(q.Remaining))
 	views := make([]TargetView, len(targets))
 	copy(views, targets)
+	mean := meanLoad(targets)
 	for i := range views {
-		views[i].Full = views[i].Full || !spare(&views[i], q, m)
+		load := views[i]
+		if q.Crowded || q.Windowed {
+			load.Running, load.PendingTokens = mean.Running, mean.PendingTokens
+		}
+		views[i].Full = views[i].Full || !spare(&load, q, m)
 		views[i].AtCapacity = false
 	}
 	late := func(delay time.Duration) bool {
@@ -334,7 +336,8 @@
 			cost += time.Duration(cachedBonus * float64(prefillTime(q, m)))
 		}
 		if byOwn {
-			cost = time.Duration(float64(m.ServiceTimeMS) * (float64(t.Own) + tieBreak(q, i) + ownTieWeight*float64(t.Running)) * float64(time.Millisecond))
+			// A target that is slow or has an unanswered request has the larger delay.
+			cost = time.Duration(float64(delay) * (1 + float64(t.Own) + tieBreak(q, i)))
 		}
 		if best.Target == "" || cost < bestCost {
 			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: delay}, cost
