--- a/internal/overload/sim_test.go
+++ b/internal/overload/sim_test.go
@@ -63,8 +63,6 @@
 	instance int
 	tokens   int
 	priority int
-	begun    time.Duration
-	done     func()
 }
 
 // simTarget has slots, a queue ordered by priority, and one prefill at a time.
@@ -183,7 +181,8 @@
 			in.queue.SetPeers(freed-in.queue.startRate.value, queued-in.queue.Len())
 		}
 	}
-	for i := range s.instances {
+	for i, in := range s.instances {
+		in.window.relax(s.time())
 		s.pass(i)
 	}
 	if s.now < end {
