--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,7 +44,7 @@
 	defer cancel(nil)
 	if choice.Region != "" {
 		d.remoteRegion, d.expectedDelay, d.onResponding = choice.Region, choice.Delay, nil
-		resp, f := g.forward(ctx, c, choice.Region, d.lastEventID)
+		resp, f := g.hop(ctx, c, choice, d.lastEventID)
 		if f != nil {
 			return f
 		}
@@ -63,6 +63,9 @@
 	if tracked == nil {
 		return notRunFailure(placement.Inconclusive, true, "the target is warming up and has got its requests")
 	}
+	if c.forwarded {
+		defer g.Regions.Receive(c.service)()
+	}
 	running, _ := g.Crashes.Begin(entry.ID, c.service, c.suspects(), true)
 	d.onResponding = running.Responding
 	onFirstByte := func() { tracked.FirstByte(time.Now()) }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -21,13 +21,9 @@
 // forwarded the request.
 const maxForwardDataBytes = 16 << 10
 
-// forward sends a call to an instance of another region and waits for the head of
-// the response.
-func (g *Gateway) forward(ctx context.Context, c *call, region, lastEventID string) (*targetResponse, *failure) {
-	address, ok := g.pickInstance(region)
-	if !ok {
-		return nil, notRunFailure(placement.Inconclusive, true, "no instance of region %s is reachable", region)
-	}
+// forward sends a call to the instance of another region with the given peer address
+// and waits for the head of the response.
+func (g *Gateway) forward(ctx context.Context, c *call, address, lastEventID string) (*targetResponse, *failure) {
 	ctx, cancel := context.WithCancel(ctx)
 	var conn connTracker
 	stream, err := g.Clients.Client(address).Forward(conn.trace(ctx), connect.NewRequest(g.forwardRequest(c, lastEventID)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/balance"
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
@@ -49,6 +50,7 @@
 	Settings    *deployment.Settings
 	Catalog     *catalog.Manager
 	Members     Members
+	Regions     *balance.Regions
 	Clients     *peerapi.Clients
 	Tracker     *placement.Tracker
 	Quota       *quota.Limiter
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -1,55 +1,90 @@
 package gateway
 
 import (
-	"math/rand/v2"
+	"context"
+	"io"
+	"net/http/httptrace"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/wigeonhill/wigeonhill/internal/balance"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
+	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
-const (
-	// assumedRoundTrip is the round trip assumed between regions, which is not
-	// measured yet; it is the largest of the current deployments.
-	assumedRoundTrip = 120 * time.Millisecond
-)
-
-// remoteRegions returns the other regions in which a call may run, each as its
-// most recently seen instance describes it.
+// remoteRegions returns the other regions in which a call may run.
 func (g *Gateway) remoteRegions(c *call, team *deployment.Team, exclude map[string]bool) []placement.RegionView {
-	newest := map[string]placement.RegionView{}
-	lastSeen := map[string]time.Time{}
-	for _, m := range g.Members.Members() {
-		region := m.Region()
-		if !m.Reachable || !m.Heartbeat.GetReady() || region == g.Settings.Region || exclude[region] || !deployment.RegionAllowed(c.route, team, region) || m.LastSeen.Before(lastSeen[region]) {
-			continue
+	now := time.Now()
+	views := g.Regions.Views(c.service, len(c.body), func(region string) bool {
+		return !exclude[region] && deployment.RegionAllowed(c.route, team, region)
+	}, now)
+	if s := g.Catalog.Current().Config.Services[c.service]; s != nil && s.Engine != nil && len(views) > 0 {
+		q, m := c.placementQuery(g.Settings.Region, team, now), g.Tracker.Model(s)
+		for i := range views {
+			views[i].AddPrompt(q, m)
 		}
-		r := placement.RegionView{Name: region, RoundTrip: assumedRoundTrip}
-		for _, p := range m.Heartbeat.GetPools() {
-			if p.GetService() == c.service {
-				r.Delay = time.Duration(p.GetDelayMs()) * time.Millisecond
-				r.FreeSlots = int(p.GetCapacity()) - int(p.GetRunning())
-			}
+	}
+	return views
+}
+
+// hop forwards a call to an instance of the region that was chosen.
+func (g *Gateway) hop(ctx context.Context, c *call, choice placement.Choice, lastEventID string) (*targetResponse, *failure) {
+	h := g.Regions.Begin(c.service, choice.Region, len(c.body), choice.Delay, time.Now())
+	if h == nil {
+		return nil, notRunFailure(placement.Inconclusive, true, "region %s has no room left for this instance", choice.Region)
+	}
+	resp, f := g.forward(traceConnect(ctx, h), c, h.Address(), lastEventID)
+	if f != nil {
+		outcome := hopOutcome(ctx, f)
+		h.End(outcome, time.Now())
+		if outcome != balance.Ran {
+			g.Log.Emit(event.ForwardNotTaken, zap.String("request", c.ID), zap.String("region", choice.Region), zap.String("address", h.Address()),
+				zap.String("service", c.service), zap.Bool("reached", outcome == balance.Refused), zap.String("reason", f.err.Message))
 		}
-		newest[region], lastSeen[region] = r, m.LastSeen
+		return nil, f
 	}
-	out := make([]placement.RegionView, 0, len(newest))
-	for _, r := range newest {
-		out = append(out, r)
+	h.FirstByte(time.Now())
+	resp.body = hopBody{resp.body, h}
+	return resp, nil
+}
+
+// hopOutcome returns what a failed hop says about the region.
+func hopOutcome(ctx context.Context, f *failure) balance.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return balance.Ran // the caller has gone, or its time is over
+	case f.outcome == placement.Unreachable, f.outcome == placement.Refused, f.outcome == placement.ConnectionLost:
+		return balance.Unreachable
+	case f.err.Ran == result.NotRun && (f.err.Code == result.NoSlot || f.err.Code == result.NotReady || f.err.Code == result.ShuttingDown):
+		return balance.Refused
 	}
-	return out
+	return balance.Ran
 }
 
-// pickInstance returns the address of a random instance of a region, out of those
-// that are reachable and ready.
-func (g *Gateway) pickInstance(region string) (address string, ok bool) {
-	n := 0
-	for _, m := range g.Members.Members() {
-		if m.Reachable && m.Region() == region && m.Heartbeat.GetReady() {
-			if n++; rand.IntN(n) == 0 {
-				address = m.Address()
+// traceConnect returns a context whose calls report to h how long they connect.
+func traceConnect(ctx context.Context, h *balance.Hop) context.Context {
+	var started time.Time
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { started = time.Now() },
+		ConnectDone: func(_, _ string, err error) {
+			if err == nil {
+				h.Connected(time.Since(started))
 			}
-		}
-	}
-	return address, n > 0
+		},
+	})
+}
+
+// hopBody is the body of the response to a hop, which ends when it is closed.
+type hopBody struct {
+	io.ReadCloser
+	hop *balance.Hop
+}
+
+// Close implements io.Closer.
+func (b hopBody) Close() error {
+	b.hop.End(balance.Ran, time.Now())
+	return b.ReadCloser.Close()
 }
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -22,9 +22,9 @@
 	// links are billed by the byte.
 	remoteInterval = 500 * time.Millisecond
 	remoteTimeout  = 2200 * time.Millisecond
-	// lateMargin is the time that a heartbeat may spend in the network and in
+	// LateMargin is the time that a heartbeat may spend in the network and in
 	// queues before it counts as late.
-	lateMargin = 200 * time.Millisecond
+	LateMargin = 200 * time.Millisecond
 	// intervalPerMember lengthens the intervals in proportion to the number of
 	// members, so that an instance sends at most about 100 heartbeats a second.
 	intervalPerMember = 20 * time.Millisecond
@@ -52,7 +52,7 @@
 
 // Silent reports whether at least two heartbeats of the member are overdue: it may be
 // frozen, cut off or overloaded.
-func (m *Member) Silent(now time.Time) bool { return now.Sub(m.LastSeen) > 2*m.Interval+lateMargin }
+func (m *Member) Silent(now time.Time) bool { return now.Sub(m.LastSeen) > 2*m.Interval+LateMargin }
 
 func (m *Member) Name() string { return m.Heartbeat.GetInstance().GetInstance() }
 
@@ -208,7 +208,7 @@
 
 // late reports whether a heartbeat of m is overdue.
 func (t *Table) late(m *member, now time.Time) bool {
-	return now.Sub(m.LastSeen) > t.interval(m)+lateMargin
+	return now.Sub(m.LastSeen) > t.interval(m)+LateMargin
 }
 
 // Due returns the members to which a heartbeat should be sent now, and the peer
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -58,6 +59,7 @@
 		location := platform.ParseCallerLocation(c.QueryParams())
 		callerIP, _, _ := net.SplitHostPort(c.Request().RemoteAddr) // an address of the listener is valid
 		addresses := addressesFor(location, callerIP, i.directoryEntries(time.Now()), allowedRegionsOf(i.catalog.Current().Config, platform.ParseDirectoryHost(c.QueryParams())))
+		i.directoryCache.named.Store(int64(len(addresses)))
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
@@ -100,7 +102,8 @@
 // directoryCache holds what the heartbeats say of the instances that may be named, as
 // each caller asks for them every second.
 type directoryCache struct {
-	mu struct {
+	named atomic.Int64 // addresses in the last response
+	mu    struct {
 		sync.Mutex
 		at      time.Time
 		entries []directoryEntry // the first one stands for this instance
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -32,6 +32,7 @@
 	if view.Config != nil {
 		for service := range view.Config.Services {
 			if pool := i.tracker.PoolUse(view, service, now); pool != nil {
+				pool.Forwarded = uint32(i.regions.Received(service))
 				hb.Pools = append(hb.Pools, pool)
 			}
 		}
@@ -64,6 +65,7 @@
 			peers = append(peers, quota.Peer{Address: id.GetPeerAddress(), Domain: id.GetDomain(), Incarnation: id.GetIncarnation(), Reachable: m.Reachable && !m.Late, LastSeen: m.LastSeen, Usage: usage})
 		}
 		i.roster.Update(members, time.Now())
+		i.regions.Update(members, i.catalog.Current().Evacuated, time.Now())
 		i.gateway.SyncBlocks(members, time.Now())
 		i.tracker.SetPeerHeartbeats(sameRegion, time.Now())
 		i.tracker.Prune(i.catalog.Current().Targets, time.Now())
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -63,6 +63,7 @@
 	gateway     *gateway.Gateway
 	prober      *prober
 	meter       *balance.Meter
+	regions     *balance.Regions
 
 	directoryCache directoryCache
 
@@ -120,10 +121,11 @@
 	i.meter = balance.NewMeter(s)
 	i.prober = newProber(i.catalog, i.tracker, i.log)
 	registry, metrics := i.newMetrics()
+	i.regions = balance.NewRegions(i.self, s, registry)
 	i.metrics = i.metricsServer(registry)
 	i.gateway = gateway.New(gateway.Config{
 		Metrics: metrics,
-		Self:    i.self, Settings: s, Catalog: i.catalog, Members: i.heartbeats, Clients: i.clients, Tracker: i.tracker,
+		Self:    i.self, Settings: s, Catalog: i.catalog, Members: i.heartbeats, Regions: i.regions, Clients: i.clients, Tracker: i.tracker,
 		Quota: i.quota, RetryBudget: i.retryBudget, Crashes: i.crashes, OnTargetDown: i.prober.wake, Log: i.log,
 	})
 	i.registerGauges(registry)
--- a/internal/instance/load.go
+++ b/internal/instance/load.go
@@ -6,9 +6,11 @@
 	"runtime/metrics"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"github.com/wigeonhill/wigeonhill/internal/balance"
+	"github.com/wigeonhill/wigeonhill/internal/event"
 )
 
 const (
@@ -29,6 +31,7 @@
 	timer := time.NewTimer(loadInterval)
 	defer timer.Stop()
 	due := time.Now().Add(loadInterval)
+	health := 1.0
 	for {
 		select {
 		case <-ctx.Done():
@@ -43,6 +46,11 @@
 			s.Descriptors = int(info.Size())
 		}
 		i.meter.Add(s, now)
+		if load := i.meter.Load(); balance.Health(load) != health {
+			health = balance.Health(load)
+			i.log.Emit(event.OwnWeightChanged, zap.Float64("health", health), zap.Float64("weight", balance.Weigh(load)), zap.Uint32("cpu_permille", load.GetCpuUsedPermille()),
+				zap.Uint32("memory_permille", load.GetMemoryUsedPermille()), zap.Uint32("descriptors_permille", load.GetDescriptorsUsedPermille()), zap.Uint32("scheduling_delay_ms", load.GetSchedulingDelayMs()))
+		}
 		due = time.Now().Add(loadInterval)
 		timer.Reset(loadInterval)
 	}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/wigeonhill/wigeonhill/internal/balance"
 	"github.com/wigeonhill/wigeonhill/internal/gateway"
 )
 
@@ -52,6 +53,8 @@
 	gauge("requests_running", "Requests in progress, those of other instances included.", func() float64 { return float64(i.gateway.RunningRequests()) })
 	gauge("request_memory_bytes", "Memory held for the bodies of requests.", func() float64 { return float64(i.gateway.BufferedBodyBytes()) })
 	gauge("response_memory_bytes", "Memory held for responses until they are passed on.", func() float64 { return float64(i.gateway.BufferedResponseBytes()) })
+	gauge("own_weight", "Weight of the instance among those that callers are sent to, in thousandths of a core; less than its capacity if it is in trouble.", func() float64 { return balance.Weigh(i.meter.Load()) })
+	gauge("directory_addresses", "Addresses in the last response of the directory.", func() float64 { return float64(i.directoryCache.named.Load()) })
 	gauge("ready", "1 if callers are sent here.", func() float64 { return boolToFloat(i.gateway.Ready()) })
 	gauge("peers_reachable", "Other instances whose rows arrive.", func() float64 { reachable, _ := i.peerCounts(); return float64(reachable) })
 	gauge("peers_lost", "Other instances whose rows stopped arriving.", func() float64 { _, lost := i.peerCounts(); return float64(lost) })
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -157,6 +157,7 @@
 		if !targets[i].Full {
 			p.Running += uint32(max(targets[i].Running, 0))
 			p.Capacity += uint32(targets[i].Capacity)
+			p.Slots += uint32(targets[i].Slots)
 		}
 	}
 	if p.Capacity > 0 {
