--- a/internal/balance/regions_test.go
+++ b/internal/balance/regions_test.go
@@ -100,15 +100,6 @@
 	return 0
 }
 
-func (d *deploymentOf) of(region string) *simInstance {
-	for _, x := range d.instances {
-		if x.member.Region() == region {
-			return x
-		}
-	}
-	return nil
-}
-
 // Guards against the instances of a busy region that all see the same free slots and
 // send requests there at once. A region that is full gets most of the room elsewhere.
 func TestAllSendersTogetherDoNotExceedTheRoom(t *testing.T) {
--- a/internal/heartbeat/fleet_test.go
+++ b/internal/heartbeat/fleet_test.go
@@ -34,6 +34,10 @@
 	// passes reports whether the network delivers between two instances; nil for all.
 	passes func(from, to *fleetNode) bool
 	loss   float64
+	// busy fills heartbeats as those of an instance under load are.
+	busy bool
+	// fixedLoad, if not 0, is the processor time in use that all report.
+	fixedLoad uint32
 	// direct keeps instances from relaying.
 	direct bool
 	// sent are datagrams, sentBytes their bytes, by how far they go.
@@ -54,6 +58,8 @@
 	// earlier makes it an instance of the version before relays, which takes what is
 	// relayed for what others tell.
 	earlier bool
+	// incomplete counts what such an instance got without the address for callers.
+	incomplete int
 	// frozen keeps what arrives in waiting, which is handled when it runs again.
 	frozen  bool
 	waiting []delivery
@@ -71,6 +77,9 @@
 			report.Relay, report.Relayed, report.Overdue = false, false, false
 			for _, hb := range report.GetRows() {
 				hb.Relays = hb.GetRelays() && !n.earlier
+				if n.earlier && hb.GetReady() && hb.GetCallersAddress() == "" {
+					n.incomplete++
+				}
 			}
 			d.datagram, _ = proto.Marshal(&report)
 		}
@@ -78,6 +87,14 @@
 	n.handleDatagram(d.datagram, d.from.ip)
 }
 
+// newFleetOf starts n instances, as evenly spread over the failure domains as possible.
+func newFleetOf(t *testing.T, n int) *fleet {
+	f := newFleet(t, 0)
+	all := fleetRegions * domainsPerRegion
+	f.start(func(d int) int { return n/all + min(max(n%all-d, 0), 1) })
+	return f
+}
+
 func newFleet(t *testing.T, perDomain int) *fleet {
 	f := &fleet{t: t, clock: virtualClock{time.Unix(1000, 0)}, rng: rand.New(rand.NewPCG(1, 2)), nodes: map[string]*fleetNode{}, queue: map[time.Time][]delivery{}}
 	f.add(perDomain)
@@ -87,8 +104,12 @@
 // add starts as many instances in each failure domain. Their seeds are three of all
 // instances.
 func (f *fleet) add(perDomain int) (added []*fleetNode) {
+	return f.start(func(int) int { return perDomain })
+}
+
+func (f *fleet) start(count func(domain int) int) (added []*fleetNode) {
 	for d := range fleetRegions * domainsPerRegion {
-		for range perDomain {
+		for range count(d) {
 			i := len(f.order)
 			ip := fmt.Sprintf("10.%d.%d.%d", d, i/250, i%250+1)
 			id := &peerv1.Identity{
@@ -124,6 +145,42 @@
 	for i := range 19 {
 		hb.Teams = append(hb.Teams, &peerv1.TeamUse{Team: fmt.Sprintf("team-%d", i), Spent: 1e6, Demand: 10})
 	}
+	if f.busy {
+		f.fillBusy(n, hb)
+	}
+}
+
+// load returns what an instance reports, which changes every few seconds as in package
+// balance.
+func (f *fleet) load() uint32 {
+	if f.fixedLoad > 0 {
+		return f.fixedLoad
+	}
+	return 500 + 50*uint32(f.clock.at.Unix()/4%4)
+}
+
+// fillBusy fills in the load of an instance that uses twelve targets of four services.
+func (f *fleet) fillBusy(n *fleetNode, hb *peerv1.FleetRow) {
+	hb.CallersAddress, hb.PublishedChange, hb.TargetsChange, hb.StoreAnswers, hb.HasWarmupShare = net.JoinHostPort(n.ip, "80"), 1234, 1300, true, true
+	sequence := uint32(hb.GetSequence())
+	for i := range uint32(12) {
+		hb.Targets = append(hb.Targets, &peerv1.TargetUse{Target: fmt.Sprintf("i-bab67ff3%02d", i), Running: 1 + (sequence+i)%4, PendingTokens: 3700 * (sequence % 3)})
+	}
+	for i := range uint32(4) {
+		service := fmt.Sprintf("service-%d", i)
+		hb.Pools = append(hb.Pools, &peerv1.PoolUse{Service: service, Running: 200 + sequence%50, Capacity: 480, DelayMs: 100 + sequence%90, Slots: 320, Forwarded: sequence % 3})
+		hb.Parts = append(hb.Parts, &peerv1.PartUse{Part: fmt.Sprintf("part-%08d", i), Target: fmt.Sprintf("i-bab67ff3%02d", i), Tokens: 13300})
+		hb.Profiles = append(hb.Profiles, &peerv1.ServiceProfile{Service: service, TokensPerMs: 61.8, StepMs: 3.09, StepPerRequestMs: 0.15, ServiceMs: 60, Samples: 1000 + sequence})
+	}
+	hb.Load = &peerv1.InstanceLoad{CpuMillicores: 192, MemoryMb: 184, LinkKbytesPerS: 1250, Descriptors: 4100, CpuUsedPermille: f.load(), MemoryUsedPermille: 300, DescriptorsUsedPermille: 50, SchedulingDelayMs: 20}
+	if n.earlier {
+		hb.Load, hb.Profiles = nil, nil
+	}
+	for _, other := range f.order {
+		if other != n && other.Self.GetDomain() == n.Self.GetDomain() {
+			hb.DomainMembers = append(hb.DomainMembers, xxhash.Sum64String(other.ip))
+		}
+	}
 }
 
 func (f *fleet) send(from *fleetNode, ip string, datagram []byte) {
--- a/internal/heartbeat/manager.go
+++ b/internal/heartbeat/manager.go
@@ -46,6 +46,7 @@
 	// write sends a datagram to an IP address.
 	write        func(ip string, datagram []byte)
 	lastSequence uint64
+	lastLoad     *peerv1.InstanceLoad // in the last heartbeat of sendDue
 	// loggedReachable is the last logged reachability, by peer address.
 	loggedReachable map[string]bool
 	lastLogged      time.Time
@@ -91,13 +92,14 @@
 		return
 	}
 	full := m.newHeartbeat()
+	m.noteLoad(full)
 	datagrams := map[destination][]byte{} // by destination without address
 	for _, d := range dueMembers {
 		kind := d
 		kind.address = ""
 		datagram, ok := datagrams[kind]
 		if !ok {
-			datagram = m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{heartbeatFor(full, d.remote)}, Relay: d.relay, Overdue: d.overdue})
+			datagram = m.encodeFor(full, d)
 			datagrams[kind] = datagram
 		}
 		m.send(d.address, datagram)
@@ -111,6 +113,52 @@
 	m.logChanges()
 }
 
+// noteLoad counts a change of the load. Who gets a heartbeat now learns of it from the
+// next one.
+func (m *Manager) noteLoad(hb *peerv1.FleetRow) {
+	if proto.Equal(hb.GetLoad(), m.lastLoad) {
+		return
+	}
+	m.lastLoad = hb.GetLoad()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mu.loadChange++
+}
+
+// encodeFor encodes what of full goes to d. Only instances of the local failure domain
+// use the members of the domain.
+func (m *Manager) encodeFor(full *peerv1.FleetRow, d destination) []byte {
+	hb := heartbeatFor(full, d.remote)
+	load, profiles, callers, members := hb.Load, hb.Profiles, hb.CallersAddress, hb.DomainMembers
+	defer func() { hb.Load, hb.Profiles, hb.CallersAddress, hb.DomainMembers = load, profiles, callers, members }()
+	if d.remote && !d.details.all {
+		hb.Pools = withoutCapacity(hb.GetPools())
+	}
+	if !d.details.all {
+		hb.Profiles, hb.CallersAddress = nil, ""
+		if !d.details.load {
+			hb.Load = nil
+		}
+	}
+	if !d.ownDomain {
+		hb.DomainMembers = nil
+	}
+	return m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{hb}, Relay: d.relay, Overdue: d.overdue})
+}
+
+// withoutCapacity returns copies of pools without the capacity, which only versions use
+// that do not know the slots.
+func withoutCapacity(pools []*peerv1.PoolUse) []*peerv1.PoolUse {
+	out := make([]*peerv1.PoolUse, len(pools))
+	for i, p := range pools {
+		if out[i] = p; p.GetSlots() > 0 {
+			out[i] = proto.CloneOf(p)
+			out[i].Capacity = 0
+		}
+	}
+	return out
+}
+
 // heartbeatFor returns what of hb is sent to an instance of another region, if
 // remote is set, or of the local one.
 func heartbeatFor(hb *peerv1.FleetRow, remote bool) *peerv1.FleetRow {
@@ -210,6 +258,11 @@
 			continue
 		}
 		isSender := host == from
+		var relayed []byte
+		if isSender && report.GetRelay() {
+			// Merge fills in what the sender left out.
+			relayed = m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{hb}, Relayed: true})
+		}
 		isNew := m.Merge(hb, isSender || report.GetRelayed())
 		// Who starts, asks or is new here should not wait for the next round.
 		switch {
@@ -223,8 +276,8 @@
 		case isSender && report.GetOverdue(), isNew && (isSender || report.GetRelayed()):
 			m.sendHeartbeat(peer, hb)
 		}
-		if isSender && report.GetRelay() {
-			m.relay(hb)
+		if len(relayed) > 0 {
+			m.relay(peer, relayed)
 		}
 	}
 }
--- a/internal/heartbeat/relay.go
+++ b/internal/heartbeat/relay.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
 
 const (
@@ -28,6 +26,12 @@
 	// lastSent is when a relay of the domain last got a heartbeat; rounds counts them.
 	lastSent time.Time
 	rounds   uint64
+	details  detailSends
+}
+
+// keepsDetails reports whether all members of the domain keep details.
+func (d *domain) keepsDetails() bool {
+	return !slices.ContainsFunc(d.members, func(m *member) bool { return !keepsDetails(m) })
 }
 
 // domains returns the failure domains of the members. The caller holds t.mu.
@@ -101,13 +105,13 @@
 	return out
 }
 
-// relay passes a heartbeat on to the other instances of the failure domain.
-func (m *Manager) relay(hb *peerv1.FleetRow) {
+// relay passes the heartbeat of the instance at origin on to the other instances of the
+// failure domain.
+func (m *Manager) relay(origin string, datagram []byte) {
 	if !m.pause.over(m.now()) {
 		return
 	}
-	datagram := m.encode(&peerv1.FleetReport{Rows: []*peerv1.FleetRow{hb}, Relayed: true})
-	for _, a := range m.relayDestinations(hb.GetInstance().GetPeerAddress()) {
+	for _, a := range m.relayDestinations(origin) {
 		m.send(a, datagram)
 	}
 }
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -28,6 +28,9 @@
 	// intervalPerMember lengthens the intervals in proportion to the number of
 	// members, so that an instance sends at most about 100 heartbeats a second.
 	intervalPerMember = 20 * time.Millisecond
+	// detailInterval is the longest time between two heartbeats with all details. An
+	// instance that does not know the details of another counts it as one of usual size.
+	detailInterval = 8 * time.Second
 	// retryInterval is the minimum interval between heartbeats to unreachable
 	// members, and the interval between introductions to seeds.
 	retryInterval = time.Second
@@ -68,7 +71,8 @@
 type member struct {
 	Member
 	lastSent time.Time // time of the last heartbeat sent to it
-	indirect bool      // known only through other instances
+	details  detailSends
+	indirect bool // known only through other instances
 }
 
 // destination is an instance that gets a heartbeat.
@@ -78,10 +82,51 @@
 	remote bool
 	// relay asks the instance to pass the heartbeat on in its failure domain.
 	relay bool
+	// ownDomain is set for the local failure domain.
+	ownDomain bool
+	// details say which of what others keep the heartbeat holds.
+	details details
 	// overdue asks it for a heartbeat, because the last ones did not arrive.
 	overdue bool
 }
 
+// details are the parts of a heartbeat that are not in each one, because receivers keep
+// them: the load, which changes rarely, the profiles of services, which change little,
+// and the address for callers.
+type details struct{ load, all bool }
+
+// detailSends records which details were last sent to a destination.
+type detailSends struct {
+	allSent time.Time
+	// change is the change of the load that was sent last, sends how often.
+	change uint64
+	sends  int
+}
+
+// due returns the details of the next heartbeat, which it records as sent. A change of
+// the load is sent twice within the region, as a datagram may get lost; links to other
+// regions are billed by the byte, and a load that is missed there costs little. keeps is
+// set if the receivers keep details; those of the version before this one do not.
+func (d *detailSends) due(change uint64, keeps, remote bool, now time.Time) details {
+	repeats := 2
+	if remote {
+		repeats = 1
+	}
+	if d.change != change {
+		d.change, d.sends = change, 0
+	}
+	out := details{load: d.sends < repeats, all: !keeps || now.Sub(d.allSent) >= detailInterval}
+	if out.all {
+		d.allSent = now
+	}
+	d.sends++
+	return out
+}
+
+// keepsDetails reports whether a member keeps the details of the last heartbeat that
+// had some: it reports its own load.
+func keepsDetails(m *member) bool { return m.Heartbeat.GetLoad() != nil }
+
 // Table holds the known members and decides when to send to them; it does no
 // I/O. Lock order: Table.mu is a leaf lock.
 type Table struct {
@@ -95,6 +140,8 @@
 		// Table.domains.
 		domains      []*domain
 		domainsStale bool
+		// loadChange counts the changes of the load that heartbeats report.
+		loadChange uint64
 	}
 }
 
@@ -141,6 +188,9 @@
 		newIncarnation = true
 	}
 	if direct || newIncarnation {
+		if !newIncarnation {
+			keepDetails(hb, m.Heartbeat)
+		}
 		m.Heartbeat = hb
 	}
 	t.mu.domainsStale = t.mu.domainsStale || newIncarnation
@@ -150,6 +200,20 @@
 	return newIncarnation
 }
 
+// keepDetails fills in what a heartbeat without details leaves out from the one before
+// it, which is of the same incarnation.
+func keepDetails(hb, before *peerv1.FleetRow) {
+	if hb.GetLoad() == nil {
+		hb.Load = before.GetLoad()
+	}
+	if len(hb.GetProfiles()) == 0 {
+		hb.Profiles = before.GetProfiles()
+	}
+	if hb.GetCallersAddress() == "" {
+		hb.CallersAddress = before.GetCallersAddress()
+	}
+}
+
 // newer reports whether a supersedes b. Sequence numbers are comparable only
 // within an incarnation; between incarnations the start time decides.
 func newer(a, b *peerv1.FleetRow) bool {
@@ -221,7 +285,7 @@
 	for _, d := range t.domains() {
 		relay, relayed := t.relayFor(d, now)
 		if relay != nil {
-			dueMembers = append(dueMembers, destination{address: relay.Address(), remote: !t.isLocal(relay), relay: true})
+			dueMembers = append(dueMembers, destination{address: relay.Address(), remote: !t.isLocal(relay), relay: true, details: d.details.due(t.mu.loadChange, d.keepsDetails(), !t.isLocal(relay), now)})
 		}
 		for _, m := range d.members {
 			// Members of other domains may send only to relays in the local one.
@@ -237,7 +301,7 @@
 			}
 			if t.due(m.lastSent, sendInterval, now) {
 				m.lastSent = now
-				dueMembers = append(dueMembers, destination{address: m.Address(), remote: !t.isLocal(m), overdue: overdue})
+				dueMembers = append(dueMembers, destination{address: m.Address(), remote: !t.isLocal(m), ownDomain: d.name == t.self.GetDomain(), details: m.details.due(t.mu.loadChange, keepsDetails(m), !t.isLocal(m), now), overdue: overdue})
 			}
 		}
 	}
