--- /dev/null
+++ b/internal/heartbeat/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package heartbeat
+
+const raceEnabled = true
--- a/internal/heartbeat/table.go
+++ b/internal/heartbeat/table.go
@@ -73,6 +73,7 @@
 	lastSent time.Time // time of the last heartbeat sent to it
 	details  detailSends
 	indirect bool // known only through other instances
+	local    bool // of the local region
 }
 
 // destination is an instance that gets a heartbeat.
@@ -193,6 +194,7 @@
 		}
 		m.Heartbeat = hb
 	}
+	m.local = m.Region() == t.self.GetRegion()
 	t.mu.domainsStale = t.mu.domainsStale || newIncarnation
 	if direct {
 		m.LastSeen, m.Reachable, m.indirect = t.now(), true, false
@@ -251,11 +253,9 @@
 	return out
 }
 
-func (t *Table) isLocal(m *member) bool { return m.Region() == t.self.GetRegion() }
-
 // timeout returns the time without a heartbeat after which m is unreachable.
 func (t *Table) timeout(m *member) time.Duration {
-	if t.isLocal(m) {
+	if m.local {
 		return max(localTimeout, 6*t.interval(m))
 	}
 	return max(remoteTimeout, 4*t.interval(m))
@@ -264,7 +264,7 @@
 // interval returns the interval between heartbeats to or from m.
 func (t *Table) interval(m *member) time.Duration {
 	scaled := time.Duration(len(t.mu.members)) * intervalPerMember
-	if t.isLocal(m) {
+	if m.local {
 		return max(localInterval, scaled/2)
 	}
 	return max(remoteInterval, scaled)
@@ -285,7 +285,7 @@
 	for _, d := range t.domains() {
 		relay, relayed := t.relayFor(d, now)
 		if relay != nil {
-			dueMembers = append(dueMembers, destination{address: relay.Address(), remote: !t.isLocal(relay), relay: true, details: d.details.due(t.mu.loadChange, d.keepsDetails(), !t.isLocal(relay), now)})
+			dueMembers = append(dueMembers, destination{address: relay.Address(), remote: !relay.local, relay: true, details: d.details.due(t.mu.loadChange, d.keepsDetails(), !relay.local, now)})
 		}
 		for _, m := range d.members {
 			// Members of other domains may send only to relays in the local one.
@@ -301,7 +301,7 @@
 			}
 			if t.due(m.lastSent, sendInterval, now) {
 				m.lastSent = now
-				dueMembers = append(dueMembers, destination{address: m.Address(), remote: !t.isLocal(m), ownDomain: d.name == t.self.GetDomain(), details: m.details.due(t.mu.loadChange, keepsDetails(m), !t.isLocal(m), now), overdue: overdue})
+				dueMembers = append(dueMembers, destination{address: m.Address(), remote: !m.local, ownDomain: d.name == t.self.GetDomain(), details: m.details.due(t.mu.loadChange, keepsDetails(m), !m.local, now), overdue: overdue})
 			}
 		}
 	}
