--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -15,13 +15,21 @@
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
-// remoteRegions returns the other regions in which a call may run.
+// remoteRegions returns the other regions in which a call may run; none for a call that
+// was forwarded, as a request takes at most one hop.
 func (g *Gateway) remoteRegions(c *call, team *deployment.Team, exclude map[string]bool) []placement.RegionView {
+	if c.forwarded {
+		return nil
+	}
 	now := time.Now()
 	views := g.Regions.Views(c.service, len(c.body), func(region string) bool {
 		return !exclude[region] && deployment.RegionAllowed(c.route, team, region)
 	}, now)
-	if s := g.Catalog.Current().Config.Services[c.service]; s != nil && s.Engine != nil && len(views) > 0 {
+	config := g.Catalog.Current().Config
+	if config == nil || len(views) == 0 {
+		return views
+	}
+	if s := config.Services[c.service]; s != nil && s.Engine != nil {
 		q, m := c.placementQuery(g.Settings.Region, team, now), g.Tracker.Model(s)
 		for i := range views {
 			views[i].AddPrompt(q, m)
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -3,8 +3,14 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/balance"
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
@@ -38,3 +44,44 @@
 		}
 	}
 }
+
+// Guards against a body that leaves the regions that its route and its team allow, and
+// against a request that is forwarded twice.
+func TestRegionsOfCallKeepResidencyAndOneHop(t *testing.T) {
+	g := newTestGateway()
+	g.Settings.Region = "east"
+	g.Catalog = catalog.New(nil, nil, event.Nop(), time.Now)
+	g.Regions = balance.NewRegions(&peerv1.Identity{Region: "east", PeerAddress: "10.0.0.1:9"}, g.Settings, nil)
+	var members []heartbeat.Member
+	for _, region := range []string{"south", "west"} {
+		members = append(members, heartbeat.Member{Reachable: true, LastSeen: time.Now(), Interval: time.Hour, Heartbeat: &peerv1.FleetRow{
+			Instance: &peerv1.Identity{Region: region, PeerAddress: region + ":9"}, Ready: true, Pools: []*peerv1.PoolUse{{Service: "orders", Slots: 40}},
+		}})
+	}
+	g.Regions.Update(members, nil, time.Now())
+	for _, c := range []struct {
+		name      string
+		route     deployment.Route
+		team      *deployment.Team
+		forwarded bool
+		exclude   map[string]bool
+		want      map[string]bool
+	}{
+		{"no rule", deployment.Route{}, nil, false, nil, map[string]bool{"south": true, "west": true}},
+		{"route", deployment.Route{AllowedRegions: []string{"east", "west"}}, nil, false, nil, map[string]bool{"west": true}},
+		{"team", deployment.Route{}, &deployment.Team{AllowedRegions: []string{"south"}}, false, nil, map[string]bool{"south": true}},
+		{"route and team", deployment.Route{AllowedRegions: []string{"west"}}, &deployment.Team{AllowedRegions: []string{"south"}}, false, nil, nil},
+		{"tried before", deployment.Route{}, nil, false, map[string]bool{"west": true}, map[string]bool{"south": true}},
+		{"forwarded", deployment.Route{}, nil, true, nil, nil},
+	} {
+		got := g.remoteRegions(&call{service: "orders", route: &c.route, forwarded: c.forwarded}, c.team, c.exclude)
+		for _, v := range got {
+			if !c.want[v.Name] || v.FreeSlots == 0 {
+				t.Errorf("%s: %+v", c.name, v)
+			}
+		}
+		if len(got) != len(c.want) {
+			t.Errorf("%s: %d regions, want %d", c.name, len(got), len(c.want))
+		}
+	}
+}
