--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -27,11 +27,13 @@
 	// none counts.
 	staleFactor   = 0.5
 	noneIntervals = 4
-	// exclusion is how long a region gets no hop of a service after one that it
-	// refused, and no hop at all after maxFailures in a row that did not reach it.
+	// exclusion is how long a region gets no hop after maxFailures in a row that did
+	// not reach it, and refusalRest how long it gets none of a service after one that it
+	// refused: a slot is free again soon, and another request may be in time there.
 	// instanceExclusion is how long an instance gets none after one that did not reach
-	// it.
+	// it or that it refused because it stops.
 	exclusion         = time.Second
+	refusalRest       = 250 * time.Millisecond
 	maxFailures       = 2
 	instanceExclusion = 2 * time.Second
 	// needyFactor is how much more of the capacity of other regions a region may use
@@ -50,14 +52,16 @@
 	// maxTransit bounds how many requests may be under way for each that a target is
 	// to run: a request spends a part of its time on the link.
 	maxTransit = 3
-	// A permit is idle while its holder has no request for it. While a needy region
-	// uses less than idleUse of what it may, the number of permits grows by growth a
-	// second, at most to maxGrowth times the room; above busyUse it falls by shrinking
-	// a second. With the limit of 2, 26 % of the requests for which a full region had
-	// no place were served elsewhere in TestPlainServiceUsesOtherRegions without it.
+	// A permit is idle while its holder has no request for it. While others use less
+	// than idleUse of what they may, the number of permits grows by growth a second, at
+	// most to maxGrowth times the room; above busyUse it falls by shrinking a second.
+	// An instance that holds no permit then may still send one request at a time, unless
+	// one was refused within singleRest. Without both, requests that are restricted to
+	// another region are refused although that region has free targets.
 	idleUse, busyUse  = 0.5, 0.75
 	growth, shrinking = 1.5, 4.0
-	maxGrowth         = 3.0
+	maxGrowth         = 4.0
+	singleRest        = 3 * time.Second
 	// durationGain is the weight of a new hop in the average duration.
 	durationGain = 0.05
 	// linkFraction is the part of an instance's link for bodies of hops.
@@ -125,6 +129,7 @@
 	failed        map[string]time.Time // last such hop, by peer address
 	hops          map[string]*hopState // by service
 	needyAt       map[string]time.Time // last report of a need, by service
+	growth        map[string]float64   // factor of the number of permits, by service; 0 for 1
 }
 
 // pool is the state of a service in a region.
@@ -147,8 +152,7 @@
 type hopState struct {
 	inFlight      int
 	excludedUntil time.Time
-	// growth is the factor of the number of permits, 0 for 1; see growth.
-	growth float64
+	refusedAt     time.Time // last refusal
 	// duration is the average time of a hop; 0 if not measured.
 	duration time.Duration
 	// correction is the average time by which first bytes were later than expected, at
@@ -212,7 +216,7 @@
 }
 
 func newRegion() *region {
-	return &region{hops: map[string]*hopState{}, failed: map[string]time.Time{}, needyAt: map[string]time.Time{}}
+	return &region{hops: map[string]*hopState{}, failed: map[string]time.Time{}, needyAt: map[string]time.Time{}, growth: map[string]float64{}}
 }
 
 // merge replaces the state of a region by that which its members report.
@@ -405,6 +409,13 @@
 	return now.Before(s.excludedUntil) || h != nil && now.Before(h.excludedUntil)
 }
 
+func (h *hopState) lastRefusal() time.Time {
+	if h == nil {
+		return time.Time{}
+	}
+	return h.refusedAt
+}
+
 func (h *hopState) count() int {
 	if h == nil {
 		return 0
@@ -427,7 +438,7 @@
 // each instance is held by one after the other.
 func (r *Regions) permits(name, service string, now time.Time) int {
 	s := r.mu.regions[name]
-	total := int(s.trust * float64(s.pools[service].usable) * s.transit(service) * s.hops[service].permitGrowth())
+	total := int(s.trust * float64(s.pools[service].usable) * s.transit(service) * max(s.growth[service], 1))
 	if total <= 0 {
 		return 0
 	}
@@ -451,7 +462,11 @@
 	phase := float64(xxhash.Sum64String(name+"\x00"+service)%4096)/4096 + float64(now.UnixNano()/int64(rotation))*(math.Phi-1)
 	phase -= math.Floor(phase)
 	ofRegion := held(total, before/sum, (before+own)/sum, phase)
-	return held(ofRegion, r.mu.before, r.mu.after, math.Mod(phase+float64(now.UnixNano()/int64(rotation))*(math.Sqrt2-1), 1))
+	n := held(ofRegion, r.mu.before, r.mu.after, math.Mod(phase+float64(now.UnixNano()/int64(rotation))*(math.Sqrt2-1), 1))
+	if p := s.pools[service]; n == 0 && s.trust == 1 && p.idle() && now.Sub(s.hops[service].lastRefusal()) >= singleRest {
+		return 1
+	}
+	return n
 }
 
 // held returns how many of n permits lie between two fractions of them.
@@ -478,29 +493,28 @@
 	return s.weight
 }
 
-func (h *hopState) permitGrowth() float64 {
-	if h == nil {
-		return 1
-	}
-	return max(h.growth, 1)
-}
+// idle reports whether other regions use little of what they may, and the targets have
+// free slots.
+func (p *pool) idle() bool { return !p.needy && float64(p.used) < idleUse*float64(p.usable) }
 
 // updateGrowth adapts the number of permits of other regions to their use. The caller
 // holds r.mu.
 func (r *Regions) updateGrowth(now time.Time) {
-	elapsed := min(max(now.Sub(r.mu.updated).Seconds(), 0), 1)
+	elapsed := 0.0
+	if !r.mu.updated.IsZero() {
+		elapsed = min(max(now.Sub(r.mu.updated).Seconds(), 0), 1)
+	}
 	r.mu.updated = now
 	for _, s := range r.mu.regions {
-		for service, h := range s.hops {
-			p, since := s.pools[service], r.mu.needySince[service]
-			switch use := float64(p.used) / float64(max(p.usable, 1)); {
-			case use >= busyUse || s.trust < 1:
-				h.growth = max(h.permitGrowth()*math.Pow(shrinking, -elapsed), 1)
-			case since.IsZero() || now.Sub(since) < r.mu.settle:
-				h.growth = 1
-			case use < idleUse:
-				h.growth = min(h.permitGrowth()*math.Pow(growth, elapsed), maxGrowth)
+		for service, p := range s.pools {
+			g := max(s.growth[service], 1)
+			switch {
+			case s.trust < 1 || p.needy || float64(p.used) >= busyUse*float64(p.usable):
+				g = max(g*math.Pow(shrinking, -elapsed), 1)
+			case p.idle():
+				g = min(g*math.Pow(growth, elapsed), maxGrowth)
 			}
+			s.growth[service] = g
 		}
 	}
 }
@@ -626,9 +640,11 @@
 const (
 	// Ran means that the request has run, or may have.
 	Ran Outcome = iota
-	// Refused means that the region had no place for the request, Unreachable that the
-	// instance was not reached or did not answer.
+	// Refused means that the region had no place for the request, Stopping that the
+	// instance takes no requests, and Unreachable that it was not reached or did not
+	// answer.
 	Refused
+	Stopping
 	Unreachable
 )
 
@@ -655,7 +671,10 @@
 		return
 	case Refused:
 		s.failures = 0
-		state.excludedUntil = now.Add(exclusion)
+		state.refusedAt, state.excludedUntil = now, now.Add(refusalRest)
+		s.growth[h.service] = 1
+	case Stopping:
+		s.failed[h.address] = now
 	case Unreachable:
 		s.failed[h.address] = now
 		if s.failures++; s.failures >= maxFailures {
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -36,6 +36,6 @@
 	SettingsReloaded        = define(841, "settings reloaded", zapcore.InfoLevel, "the settings file changed; seeds apply now, other fields at the next start")
 	SettingsRejected        = define(842, "settings rejected", zapcore.ErrorLevel, "the settings file has errors; the settings in force stay")
 	ProcessResumed          = define(843, "process resumed", zapcore.WarnLevel, "the process was frozen or its machine suspended; targets count as warming up until their list has been read")
-	ForwardNotTaken         = define(870, "forwarded request not taken", zapcore.InfoLevel, "another region refused a forwarded request, or its instance was not reached; the service, or after two failures in a row the region, gets no hop of this instance for a second")
+	ForwardNotTaken         = define(870, "forwarded request not taken", zapcore.InfoLevel, "another region refused a forwarded request, or its instance was not reached; that service there rests for a quarter of a second, the instance for two, or after two failures in a row the region for one")
 	OwnWeightChanged        = define(871, "own weight changed", zapcore.InfoLevel, "the instance reports less or more of its capacity as usable; fields give the load that decided. Directories send fewer or more callers to it")
 )
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -50,7 +50,7 @@
 		h.End(outcome, time.Now())
 		if outcome != balance.Ran {
 			g.Log.Emit(event.ForwardNotTaken, zap.String("request", c.ID), zap.String("region", choice.Region), zap.String("address", h.Address()),
-				zap.String("service", c.service), zap.Bool("reached", outcome == balance.Refused), zap.String("reason", f.err.Message))
+				zap.String("service", c.service), zap.Bool("reached", outcome != balance.Unreachable), zap.String("reason", f.err.Message))
 		}
 		return nil, f
 	}
@@ -66,8 +66,10 @@
 		return balance.Ran // the caller has gone, or its time is over
 	case f.outcome == placement.Unreachable, f.outcome == placement.Refused, f.outcome == placement.ConnectionLost:
 		return balance.Unreachable
-	case f.err.Ran == result.NotRun && (f.err.Code == result.NoSlot || f.err.Code == result.NotReady || f.err.Code == result.ShuttingDown):
+	case f.err.Ran == result.NotRun && f.err.Code == result.NoSlot:
 		return balance.Refused
+	case f.err.Ran == result.NotRun && (f.err.Code == result.NotReady || f.err.Code == result.ShuttingDown):
+		return balance.Stopping
 	}
 	return balance.Ran
 }
