--- a/internal/balance/meter.go
+++ b/internal/balance/meter.go
@@ -21,10 +21,14 @@
 	recoveryInterval = 3 * time.Second
 	// permilleStep and delayStep are the steps in which figures are reported. A figure
 	// is lowered only if it is more than deadBand steps below, so that changes of
-	// ordinary load are not reported.
+	// ordinary load are not reported. It falls by a quarter if that is more than a step,
+	// so that a freeze of seconds does not count for minutes.
 	permilleStep = 50
 	delayStep    = 20
 	deadBand     = 3
+	// maxPermille bounds the processor time that is reported. A process may use more
+	// than its share for a moment.
+	maxPermille = 1000
 )
 
 // Sample is one reading of what an instance uses.
@@ -72,7 +76,7 @@
 	}
 	first := m.mu.samples[0]
 	if elapsed := now.Sub(first.at); elapsed >= meterWindow/4 && m.cpuShare > 0 {
-		m.mu.cpu.add(1000*(s.CPU-first.CPU).Seconds()/(elapsed.Seconds()*m.cpuShare), permilleStep, now)
+		m.mu.cpu.add(min(1000*(s.CPU-first.CPU).Seconds()/(elapsed.Seconds()*m.cpuShare), maxPermille), permilleStep, now)
 	}
 	if m.memoryBytes > 0 {
 		m.mu.memory.add(1000*float64(s.Memory)/float64(m.memoryBytes), permilleStep, now)
@@ -114,7 +118,7 @@
 	case e.lowSince.IsZero():
 		e.lowSince = now
 	case now.Sub(e.lowSince) >= recoveryInterval:
-		e.reported -= step
+		e.reported -= max(step, e.reported/4/step*step)
 		e.lowSince = now
 	}
 }
--- a/internal/balance/meter_test.go
+++ b/internal/balance/meter_test.go
@@ -66,6 +66,25 @@
 	}
 }
 
+// Guards against a freeze of some seconds that keeps callers away for minutes.
+func TestFreezeIsForgotten(t *testing.T) {
+	m := &metering{Meter: NewMeter(small), now: time.Unix(100, 0)}
+	m.run(5*time.Second, steady(0.3), 0, nil)
+	m.now = m.now.Add(8 * time.Second)
+	m.Add(Sample{CPU: m.cpu, SchedulingDelay: 8 * time.Second}, m.now)
+	if w := Weigh(m.Load()); w > 24 {
+		t.Errorf("weight %v after a freeze of 8 s", w)
+	}
+	m.run(10*time.Second, steady(0.3), 0, nil)
+	if w := Weigh(m.Load()); w > 96 {
+		t.Errorf("weight %v 10 s after a freeze", w)
+	}
+	m.run(50*time.Second, steady(0.3), 0, nil)
+	if w := Weigh(m.Load()); w != 192 {
+		t.Errorf("weight %v a minute after a freeze", w)
+	}
+}
+
 // Guards against reports that follow ordinary changes of load: each change of a weight
 // changes responses of the directory.
 func TestOrdinaryLoadChangesNoWeight(t *testing.T) {
--- a/internal/balance/subset.go
+++ b/internal/balance/subset.go
@@ -54,8 +54,8 @@
 type sample struct {
 	instances []Instance
 	weights   []float64
-	// health is relative to the healthiest instance: if all have the same load,
-	// nobody is better off elsewhere.
+	// health is relative to the mean, at most 1: if most instances are in trouble,
+	// callers must not all move to the few others.
 	health []float64
 	total  float64
 	usable int // instances with health
@@ -64,7 +64,7 @@
 
 func newSample(instances []Instance) *sample {
 	s := &sample{instances: instances, weights: make([]float64, len(instances)), health: make([]float64, len(instances)), chosen: make([]bool, len(instances))}
-	known, sum, best := 0, 0.0, 0.0
+	known, sum := 0, 0.0
 	for i := range instances {
 		if instances[i].Capacity > 0 {
 			known++
@@ -72,7 +72,6 @@
 		}
 		if instances[i].Health > 0 {
 			s.usable++
-			best = max(best, instances[i].Health)
 		}
 	}
 	for i := range instances {
@@ -86,8 +85,17 @@
 			s.weights[i] = 1
 		}
 		s.total += s.weights[i]
-		if best > 0 {
-			s.health[i] = instances[i].Health / best
+	}
+	usable, healthy := 0.0, 0.0
+	for i := range instances {
+		if h := instances[i].Health; h > 0 {
+			usable += s.weights[i]
+			healthy += s.weights[i] * h
+		}
+	}
+	for i := range instances {
+		if h := instances[i].Health; h > 0 {
+			s.health[i] = min(h*usable/healthy, 1)
 		}
 	}
 	return s
--- a/internal/balance/subset_test.go
+++ b/internal/balance/subset_test.go
@@ -192,6 +192,22 @@
 			}
 		}
 	}
+	// If most are in trouble, their callers must not all move to the few others.
+	for i := range instances {
+		instances[i].Health = 0.25
+	}
+	instances[7].Health = 1
+	named := func(answers [][]string) (n int) {
+		for _, a := range answers {
+			if slices.Contains(a, instances[7].Address) {
+				n++
+			}
+		}
+		return n
+	}
+	if now, was := named(answersFor(instances, ips)), named(before); now > 2*was {
+		t.Errorf("the only healthy instance is in %d responses, %d before", now, was)
+	}
 	// If all have the same load, nobody is better off elsewhere.
 	for i := range instances {
 		instances[i].Health = 0.5
