--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -25,6 +25,10 @@
 	minRetryFraction = 0.25
 	retryJitter      = 0.6
 	maxRetryFraction = 0.3
+	// otherSubsetCost is the additional delay accepted at a target that the instance
+	// prefers; see markPreferred. It is the time in which a few slots of a full batch
+	// become free.
+	otherSubsetCost = 40 * time.Millisecond
 	// fetchCost is the additional delay accepted at a target that has the shared
 	// prefix cached, compared to one that can fetch it. A fetch takes only a few
 	// milliseconds, but the transfer is charged for and evicts other parts.
@@ -85,6 +89,10 @@
 	WarmingUp bool
 	// Leaving is set if the target said that it leaves, and there is no other one.
 	Leaving bool
+	// Preferred is set for the targets that this instance uses first; see
+	// markPreferred.
+	Preferred  bool
+	preference uint64
 }
 
 // Choice is a placement decision: a target, another region, or a refusal with the
@@ -166,6 +174,9 @@
 		fetch := source != "" && m.FetchTokensPerMS > 0 && !view.Cached
 		delay := m.Delay(q, &view, fetch)
 		cost := delay
+		if !t.Preferred && !view.Cached {
+			cost += otherSubsetCost
+		}
 		switch {
 		case fetch:
 			cost += sourceCost
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -42,6 +42,7 @@
 // then those behind warmupShares, elapsed and onWake, which are leaf locks.
 type Tracker struct {
 	regionByDomain map[string]string
+	instance       string
 	region         string
 	bounds         deployment.Bounds
 	started        time.Time
@@ -62,8 +63,10 @@
 
 // targetState is the estimated state of one target.
 type targetState struct {
-	startedMS   int64
-	service     string
+	startedMS int64
+	service   string
+	// preference orders the targets of a service at this instance; see markPreferred.
+	preference  uint64
 	running     int
 	pending     int
 	prefixCache prefixCache
@@ -96,7 +99,7 @@
 // time since some start, including that in which the process was frozen or its machine
 // suspended. onWake is called after a freeze; it must not block.
 func NewTracker(s *deployment.Settings, shares WarmupShares, now time.Time, elapsed func() time.Duration, onWake func(frozen time.Duration)) *Tracker {
-	t := &Tracker{regionByDomain: s.RegionByDomain, region: s.Region, bounds: s.Bounds, started: now, warmupShares: shares, elapsed: elapsed, onWake: onWake}
+	t := &Tracker{regionByDomain: s.RegionByDomain, instance: s.Instance, region: s.Region, bounds: s.Bounds, started: now, warmupShares: shares, elapsed: elapsed, onWake: onWake}
 	t.mu.lastElapsed = elapsed()
 	t.mu.targets = map[string]*targetState{}
 	t.mu.slowdowns = map[string]*slowdown{}
@@ -109,7 +112,7 @@
 	s := t.mu.targets[e.ID]
 	switch {
 	case s == nil:
-		s = &targetState{startedMS: e.StartedMS, service: e.Service, awaitingFirstByte: map[*Attempt]time.Time{}}
+		s = &targetState{startedMS: e.StartedMS, service: e.Service, preference: rendezvous.Score(t.instance, e.ID), awaitingFirstByte: map[*Attempt]time.Time{}}
 		t.mu.targets[e.ID] = s
 	case s.startedMS == e.StartedMS:
 		return s
@@ -188,6 +191,7 @@
 	if len(out) == 0 {
 		return leaving
 	}
+	markPreferred(out)
 	return out
 }
 
@@ -226,6 +230,7 @@
 	if s.MaxConns > 0 {
 		view.Capacity = min(view.Capacity, int((1-connReserve)*float64(s.MaxConns)))
 	}
+	view.preference = st.preference
 	view.Full = running >= view.Capacity || st.health.probing && st.running > 0
 	if view.WarmingUp = t.warmingUp(v, e, st, now); view.WarmingUp {
 		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(s, e.ID, now)
