--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -29,7 +29,7 @@
 // Release returns the memory to the budget. The zero value may be released.
 func (b *Body) Release() {
 	if b.reserved > 0 {
-		b.budget.put(b.reserved)
+		b.budget.discard(b.reserved)
 		b.reserved = 0
 	}
 }
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"runtime"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -20,12 +22,19 @@
 	// pressureNumerator and pressureDenominator give the fraction of the budget from
 	// which on bodies that stopped arriving are refused.
 	pressureNumerator, pressureDenominator = 3, 4
+	// uncollectedFraction is the part of the budget that discarded buffers may take
+	// until they are collected. The garbage collector alone lets it grow to the size of all
+	// live memory, and beyond that while other processes keep it from the processor.
+	uncollectedFraction = 4
 )
 
 // Budget is the memory for what clients send, over all ports of a process.
 type Budget struct {
 	limit int64
 	used  atomic.Int64
+	// uncollected is the size in bytes of the buffers discarded since the last collection.
+	uncollected atomic.Int64
+	collection  sync.Mutex
 	// exhausted is set by a reservation that failed, until ports have looked for
 	// bodies that stopped arriving.
 	exhausted atomic.Bool
@@ -40,19 +49,9 @@
 	return &Budget{limit: limit}
 }
 
-// Release returns a reservation to its budget. It must be called once.
-type Release func()
-
-// Reserve takes n bytes. It reports false, and takes nothing, if they are not free.
-func (b *Budget) Reserve(n int64) (Release, bool) {
-	if !b.take(n, n) {
-		return nil, false
-	}
-	return func() { b.put(n) }, true
-}
-
 // take reserves n bytes for something that has total bytes with them.
 func (b *Budget) take(n, total int64) bool {
+	b.collect()
 	if b.used.Add(n) > b.limitFor(total) {
 		b.used.Add(-n)
 		b.exhausted.Store(true)
@@ -73,6 +72,28 @@
 
 func (b *Budget) put(n int64) { b.used.Add(-n) }
 
+// discard returns the n bytes of a buffer that is not in use any more.
+func (b *Budget) discard(n int64) {
+	b.used.Add(-n)
+	b.uncollected.Add(n)
+}
+
+// collect frees the memory of discarded buffers if it is too much. Those who need
+// memory meanwhile wait, as they would add to it.
+func (b *Budget) collect() {
+	if b.uncollected.Load() <= b.limit/uncollectedFraction {
+		return
+	}
+	b.collection.Lock()
+	defer b.collection.Unlock()
+	discarded := b.uncollected.Load()
+	if discarded <= b.limit/uncollectedFraction {
+		return
+	}
+	runtime.GC()
+	b.uncollected.Add(-discarded)
+}
+
 // Used returns the number of bytes that are reserved.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -56,8 +58,7 @@
 			t.Errorf("%+v: %d bytes are still reserved", c, b.Used())
 		}
 	}
-	held, ok := b.Reserve(880 << 10)
-	if !ok {
+	if !b.take(880<<10, 880<<10) {
 		t.Fatal("nothing is free")
 	}
 	if _, err := ReadBody(bytes.NewReader(make([]byte, 64<<10)), 64<<10, 1<<20, b); err != ErrNoMemory {
@@ -66,7 +67,28 @@
 	if small, err := ReadBody(strings.NewReader("small"), 5, 1<<20, b); err != nil || string(small.Bytes) != "small" {
 		t.Errorf("a small body was refused: %v", err)
 	}
-	held()
+	b.put(880 << 10)
+}
+
+// Guards against bodies that are refused one after the other and whose buffers fill
+// the memory until the garbage collector would run by itself.
+func TestDiscardedBuffersAreCollected(t *testing.T) {
+	const size = 1 << 20
+	defer debug.SetGCPercent(debug.SetGCPercent(-1))
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	b := NewBudget(8 << 20)
+	for range 64 {
+		if _, err := ReadBody(bytes.NewReader(make([]byte, size+1)), -1, size, b); err != ErrTooLarge {
+			t.Fatal(err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	// Each body takes its size twice: here, and as the buffers of ReadBody.
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 3*b.Limit() {
+		t.Errorf("64 bodies take %d MB with a budget of %d", grown>>20, b.Limit()>>20)
+	}
 }
 
 // testServer serves h on a port with limits.
