--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -56,8 +56,7 @@
 	}
 	d.expectedDelay = choice.Delay
 	entry := v.Targets[choice.Target]
-	team := v.Config.Teams[c.team]
-	q := c.placementQuery(g.Settings.Region, team, time.Now())
+	q := g.placementQuery(v, c, time.Now())
 	fetchFrom := ""
 	if cacheHolder := v.Targets[choice.FetchFrom]; cacheHolder != nil {
 		fetchFrom = cacheHolder.Address
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -128,10 +128,12 @@
 
 // placementQuery returns what placement.Choose needs to know about the call in the
 // local region.
-func (c *call) placementQuery(region string, team *deployment.Team, now time.Time) *placement.Query {
+func (g *Gateway) placementQuery(v *catalog.View, c *call, now time.Time) *placement.Query {
+	team, region := v.Config.Teams[c.team], g.Settings.Region
 	key, tokens := placement.SharedPrefix(c.PromptParts)
 	return &placement.Query{
 		PromptTokens: c.PromptTokens, PrefixKey: key, PrefixTokens: tokens, Objective: c.route.FirstByteObjective,
-		Remaining: c.deadline.Sub(now), LocalAllowed: deployment.RegionAllowed(c.route, team, region), Jitter: rand.Float64(),
+		UrgentObjective: g.urgencyOf(v.Config).moreUrgent(c.service, c.route.PriorityFor(team)),
+		Remaining:       c.deadline.Sub(now), LocalAllowed: deployment.RegionAllowed(c.route, team, region), Jitter: rand.Float64(),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 	Config
 	targetConns    *targetconn.Pool
 	targetShare    connShare
+	urgency        atomic.Pointer[urgency]
 	responseMemory *dispatch.MemoryBudget
 	draining       atomic.Bool
 	refusing       atomic.Bool // the last part of the drain, without new requests
@@ -208,7 +209,7 @@
 	}
 	now := time.Now()
 	team := v.Config.Teams[c.team]
-	q := c.placementQuery(g.Settings.Region, team, now)
+	q := g.placementQuery(v, c, now)
 	targets := g.Tracker.Targets(v, c.service, q.PrefixKey, exclude, now)
 	var regions []placement.RegionView
 	if !c.forwarded {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,6 +11,21 @@
 	// delay causes a refusal: a request that would be late takes capacity from
 	// those that can still meet the objective.
 	maxDelayFraction = 0.8
+	// concurrentPrompts is the number of prompts like that of the request for which a
+	// target must leave time: the request itself, and one that another instance places
+	// before either hears of the other.
+	concurrentPrompts = 2
+	// minUrgentDelay is the fraction of UrgentObjective up to which the expected delay of
+	// a more urgent request keeps no request away from a target, and idleDelayFactor the
+	// multiple of the delay at the same target without load. Without them the longest
+	// prompts, which alone take longer than the objective, would never be served.
+	minUrgentDelay  = 0.1
+	idleDelayFactor = 2
+	// ownTimeMargin is the delay beyond its own time on an idle target that a request
+	// may have even if the sum exceeds maxDelayFraction, as a fraction of the objective:
+	// the prompts of some requests take longer than the objective, but their callers
+	// wait for them.
+	ownTimeMargin = 0.2
 	// localDelayFraction is the fraction of the objective up to which the local
 	// region is chosen without considering others.
 	localDelayFraction = 0.45
@@ -46,6 +61,9 @@
 	// regions; empty if there is none.
 	PrefixOwnerRegion string
 	Objective         time.Duration
+	// UrgentObjective is the least objective among the more urgent requests of the
+	// service; 0 if there are none.
+	UrgentObjective time.Duration
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
 	// Jitter is a random number from 0 to 1 that differs between requests.
@@ -115,8 +133,8 @@
 		local.Reason = "own region has room"
 		return local
 	}
-	remote := bestRegion(regions)
-	limit := min(time.Duration(maxDelayFraction*float64(q.Objective)), q.Remaining)
+	remote := bestRegion(q, regions)
+	limit := delayLimit(q, targets, m)
 	if remote != nil {
 		remoteDelay := remote.Delay + remote.RoundTrip
 		if remoteDelay <= limit && (local.Target == "" || local.Leaving || remoteDelay+remoteMargin < local.Delay) {
@@ -130,6 +148,51 @@
 	return Choice{Delay: local.Delay, RetryAfter: retryAfter(q, local.Delay, q.Jitter), Reason: "no place in time"}
 }
 
+// delayLimit returns the expected delay above which a request is refused.
+func delayLimit(q *Query, targets []TargetView, m *LatencyModel) time.Duration {
+	limit := time.Duration(maxDelayFraction * float64(q.Objective))
+	if len(targets) > 0 {
+		idle := TargetView{Engine: targets[0].Engine, Slots: 1, Slowdown: 1}
+		limit = max(limit, m.Delay(q, &idle, false)+time.Duration(ownTimeMargin*float64(q.Objective)))
+	}
+	return min(limit, q.Remaining)
+}
+
+// leavesTimeForUrgent reports whether more urgent requests are still served in time at t
+// if q runs there. Without it, requests with a long objective fill the targets while
+// urgent ones with a short objective are refused. fetch is set if t copies the shared
+// prefix.
+func leavesTimeForUrgent(q *Query, t *TargetView, fetch bool, m *LatencyModel) bool {
+	if q.UrgentObjective <= 0 {
+		return true
+	}
+	delay := m.Delay(&Query{}, t, false)
+	if delay <= urgentDelayLimit(q.UrgentObjective, ownTime(q, t, fetch, m)) {
+		return true
+	}
+	idle := TargetView{Engine: t.Engine, Slots: t.Slots, Slowdown: t.Slowdown}
+	return delay <= idleDelayFactor*m.Delay(&Query{}, &idle, false)
+}
+
+// urgentDelayLimit returns the expected delay of urgent requests with an objective above
+// which a target takes no less urgent one that it must work on for own.
+func urgentDelayLimit(objective, own time.Duration) time.Duration {
+	return max(time.Duration(maxDelayFraction*float64(objective))-concurrentPrompts*own, time.Duration(minUrgentDelay*float64(objective)))
+}
+
+// ownTime returns the time that a target needs for the prompt of the request before it
+// can go on with others.
+func ownTime(q *Query, t *TargetView, fetch bool, m *LatencyModel) time.Duration {
+	if !t.Engine {
+		return 0
+	}
+	tokens := q.PromptTokens
+	if t.Cached || fetch {
+		tokens -= min(q.PrefixTokens, q.PromptTokens)
+	}
+	return time.Duration(float64(tokens) / m.TokensPerMS * float64(time.Millisecond))
+}
+
 // retryAfter returns the delay after which a refused request should be retried: when
 // the requests ahead of it are expected to be done, but no sooner than a fraction of
 // the objective, since an immediate retry meets the same queue. jitter, from 0 to 1,
@@ -164,8 +227,13 @@
 		// as having it, so that all instances let the owner prefill it.
 		view.Cached = t.Cached || holder == "" && t.ID == owner
 		fetch := source != "" && m.FetchTokensPerMS > 0 && !view.Cached
-		delay := m.Delay(q, &view, fetch)
-		cost := delay
+		// Only what a target is known to have shortens the time: the owner prefills the
+		// prefix for the first request.
+		known := fetch && holder != ""
+		if !leavesTimeForUrgent(q, t, known, m) {
+			continue
+		}
+		cost := m.Delay(q, &view, fetch)
 		switch {
 		case fetch:
 			cost += sourceCost
@@ -173,7 +241,8 @@
 			cost += time.Duration(cachedBonus * float64(prefillTime(q, m)))
 		}
 		if best.Target == "" || cost < bestCost {
-			best, bestCost = Choice{Target: t.ID, Cached: view.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: delay}, cost
+			delay := m.Delay(q, t, known)
+			best, bestCost = Choice{Target: t.ID, Cached: t.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: delay}, cost
 			if fetch {
 				best.FetchFrom = source
 			}
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -22,6 +22,12 @@
 	RoundTrip time.Duration
 }
 
+// hasRoom reports whether the region takes a further request of q without making more
+// urgent ones late. What its targets have cached is not known here.
+func (r *RegionView) hasRoom(q *Query) bool {
+	return r.FreeSlots > 0 && (q.UrgentObjective <= 0 || r.Delay <= urgentDelayLimit(q.UrgentObjective, 0))
+}
+
 // prefixOwnerRegion returns the region of the prefix owner if it has free slots and
 // an acceptable delay, and if no local target that may be used has the prefix cached.
 func prefixOwnerRegion(q *Query, targets []TargetView, regions []RegionView) *RegionView {
@@ -35,18 +41,18 @@
 	}
 	for i := range regions {
 		r := &regions[i]
-		if r.Name == q.PrefixOwnerRegion && r.FreeSlots > 0 && r.Delay+r.RoundTrip < time.Duration(ownerDelayFraction*float64(q.Objective)) {
+		if r.Name == q.PrefixOwnerRegion && r.hasRoom(q) && r.Delay+r.RoundTrip < time.Duration(ownerDelayFraction*float64(q.Objective)) {
 			return r
 		}
 	}
 	return nil
 }
 
-func bestRegion(regions []RegionView) *RegionView {
+func bestRegion(q *Query, regions []RegionView) *RegionView {
 	var best *RegionView
 	for i := range regions {
 		r := &regions[i]
-		if r.FreeSlots > 0 && (best == nil || r.Delay+r.RoundTrip < best.Delay+best.RoundTrip) {
+		if r.hasRoom(q) && (best == nil || r.Delay+r.RoundTrip < best.Delay+best.RoundTrip) {
 			best = r
 		}
 	}
