--- a/internal/balance/meter_test.go
+++ b/internal/balance/meter_test.go
@@ -33,6 +33,9 @@
 	}
 }
 
+// weight is what a caller's choice of an instance follows.
+func weight(load *peerv1.InstanceLoad) float64 { return Capacity(load) * Health(load) }
+
 func steady(use float64) func(int) float64 { return func(int) float64 { return use } }
 
 // Guards against callers that stay with an instance in trouble, and against callers that
@@ -47,20 +50,20 @@
 	} {
 		m := &metering{Meter: NewMeter(small), now: time.Unix(100, 0)}
 		m.run(5*time.Second, steady(0.5), 0, nil)
-		full := Weigh(m.Load())
+		full := weight(m.Load())
 		if full != 192 {
 			t.Errorf("%s: weight %v without trouble, want 192", name, full)
 		}
 		m.run(time.Second, steady(c.use), c.delay, nil)
-		if w := Weigh(m.Load()); w > full/2 {
+		if w := weight(m.Load()); w > full/2 {
 			t.Errorf("%s: weight %v after a second of trouble, %v before", name, w, full)
 		}
 		m.run(3*time.Second, steady(0.3), 0, nil)
-		if w := Weigh(m.Load()); w > full/2 {
+		if w := weight(m.Load()); w > full/2 {
 			t.Errorf("%s: weight %v is back after 3 s", name, w)
 		}
 		m.run(time.Minute, steady(0.3), 0, nil)
-		if w := Weigh(m.Load()); w != full {
+		if w := weight(m.Load()); w != full {
 			t.Errorf("%s: weight %v a minute after the trouble, want %v", name, w, full)
 		}
 	}
@@ -74,7 +77,7 @@
 	last := m.Load()
 	m.run(10*time.Minute, func(step int) float64 { return 0.55 + 0.2*math.Sin(float64(step)/50) }, 10*time.Millisecond, func() {
 		load := m.Load()
-		weights[Weigh(load)] = true
+		weights[weight(load)] = true
 		if !proto.Equal(load, last) {
 			reports++
 		}
@@ -86,25 +89,27 @@
 	}
 }
 
-func TestWeigh(t *testing.T) {
+// Guards against a weight by the processor share of an instance that lacks another
+// resource, and against trouble that lowers the weight of an instance without figures.
+func TestCapacityAndHealth(t *testing.T) {
 	large := &peerv1.InstanceLoad{CpuMillicores: 800, MemoryMb: 536, LinkKbytesPerS: 25000, Descriptors: 8192}
 	for _, c := range []struct {
-		name string
-		load *peerv1.InstanceLoad
-		want float64
+		name             string
+		load             *peerv1.InstanceLoad
+		capacity, health float64
 	}{
-		{"none", nil, 0},
-		{"large", large, 800},
-		{"small", NewMeter(small).Load(), 192},
-		{"no other figures", &peerv1.InstanceLoad{CpuMillicores: 500}, 500},
-		{"slow link", &peerv1.InstanceLoad{CpuMillicores: 800, LinkKbytesPerS: 250}, 125},
-		{"little memory", &peerv1.InstanceLoad{CpuMillicores: 800, MemoryMb: 114}, 200},
-		{"few descriptors", &peerv1.InstanceLoad{CpuMillicores: 800, Descriptors: 400}, 100},
-		{"memory nearly used", &peerv1.InstanceLoad{CpuMillicores: 800, MemoryUsedPermille: 900}, 100},
-		{"unknown capacity", &peerv1.InstanceLoad{SchedulingDelayMs: 5000}, 0},
+		{"none", nil, 0, 1},
+		{"large", large, 800, 1},
+		{"small", NewMeter(small).Load(), 192, 1},
+		{"no other figures", &peerv1.InstanceLoad{CpuMillicores: 500}, 500, 1},
+		{"slow link", &peerv1.InstanceLoad{CpuMillicores: 800, LinkKbytesPerS: 250}, 125, 1},
+		{"little memory", &peerv1.InstanceLoad{CpuMillicores: 800, MemoryMb: 114}, 200, 1},
+		{"few descriptors", &peerv1.InstanceLoad{CpuMillicores: 800, Descriptors: 400}, 100, 1},
+		{"memory nearly used", &peerv1.InstanceLoad{CpuMillicores: 800, MemoryUsedPermille: 900}, 800, 0.125},
+		{"unknown capacity", &peerv1.InstanceLoad{SchedulingDelayMs: 5000}, 0, 1},
 	} {
-		if got := Weigh(c.load); got != c.want {
-			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		if capacity, health := Capacity(c.load), Health(c.load); capacity != c.capacity || health != c.health {
+			t.Errorf("%s: capacity %v and health %v, want %v and %v", c.name, capacity, health, c.capacity, c.health)
 		}
 	}
 }
--- a/internal/balance/weigh.go
+++ b/internal/balance/weigh.go
@@ -5,9 +5,9 @@
 const (
 	// linkPerMillicore (kbytes/s), memoryPerMillicore (MB) and
 	// descriptorsPerMillicore are what the work of a thousandth of a core needs. An
-	// instance with less of one of them is weighed by that one. They are chosen below
-	// what the smallest instances of the known deployments have, so that the
-	// processor share decides there.
+	// instance with less of one of them is weighed by that one. The instances of the
+	// known deployments have at least twice as much, so that their processor share
+	// decides.
 	linkPerMillicore        = 2
 	memoryPerMillicore      = 0.25
 	descriptorsPerMillicore = 4
@@ -33,13 +33,21 @@
 // healthStep reduces the weight of an instance whose load reaches a value.
 type healthStep struct{ from, factor float64 }
 
-// The steps are few and far apart, so that ordinary changes of load change no response
-// of the directory. Below 900 permille an instance still has processor time for a
-// burst; the Go runtime's soft memory limit is at 600 permille (package instance).
+// The steps are few and far apart, because each change of a weight changes responses of
+// the directory, and callers then drop connections.
 var (
-	cpuSteps         = []healthStep{{900, 0.5}, {975, 0.25}}
-	memorySteps      = []healthStep{{750, 0.5}, {850, 0.125}}
-	descriptorSteps  = []healthStep{{750, 0.5}, {900, 0.125}}
+	// Below 900 permille an instance has processor time for a burst. From 975 on it
+	// has hardly any, and requests wait.
+	cpuSteps = []healthStep{{900, 0.5}, {975, 0.25}}
+	// The Go runtime's soft memory limit is at 600 permille (package instance). Above
+	// 750 permille the garbage collector does not keep to it, and the process is
+	// terminated at 1000.
+	memorySteps = []healthStep{{750, 0.5}, {850, 0.125}}
+	// An instance without descriptors refuses connections. A request takes up to two,
+	// so that the last tenth suffices for few requests.
+	descriptorSteps = []healthStep{{750, 0.5}, {900, 0.125}}
+	// A request waits for the processor several times, so that it takes a multiple of
+	// the delay longer.
 	schedulingMSStep = []healthStep{{80, 0.5}, {240, 0.25}, {1000, 0.125}}
 )
 
@@ -64,6 +72,3 @@
 		stepFactor(descriptorSteps, load.GetDescriptorsUsedPermille()), stepFactor(schedulingMSStep, load.GetSchedulingDelayMs()),
 	)
 }
-
-// Weigh returns the weight of an instance among others; 0 if its capacity is unknown.
-func Weigh(load *peerv1.InstanceLoad) float64 { return Capacity(load) * Health(load) }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -149,7 +149,7 @@
 	req := &peerv1.ForwardRequest{
 		From: g.Self, RequestId: hopID(c), Hop: 1, Team: c.team, Method: c.method, Host: c.host, Body: c.body,
 		RemainingMs: uint32(max(time.Until(c.deadline).Milliseconds(), 1)), Route: c.route.Name, Attempt: uint32(c.possibleRuns),
-		PublishedChange: v.PublishedChange, WaitedMs: uint32(max(time.Since(c.arrived).Milliseconds(), 0)),
+		PublishedChange: v.PublishedChange,
 	}
 	// An instance of an earlier version finds no route for a path that is not UTF-8.
 	setText(req, &req.Path, pathField, c.path)
