--- a/internal/balance/subset.go
+++ b/internal/balance/subset.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -24,7 +25,25 @@
 	Health float64
 }
 
+// Sort puts instances into the order in which Subset draws, which is the same for all
+// callers.
+func Sort[E any](instances []E, address func(*E) string) {
+	type ranked struct {
+		instance E
+		rank     uint64
+	}
+	order := make([]ranked, len(instances))
+	for i := range instances {
+		order[i] = ranked{instances[i], rendezvous.Score("directory", address(&instances[i]))}
+	}
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	for i := range order {
+		instances[i] = order[i].instance
+	}
+}
+
 // Subset returns the addresses of the instances that a caller should use, at most limit.
+// The instances are in the order of Sort.
 // Callers choose among them at random, so that the expected load of an instance follows
 // its capacity: a systematic sample is drawn with probability proportional to size. The
 // order of the instances is the same for all callers, and the start of the sample is
@@ -105,39 +124,23 @@
 // and the others share the remaining draws.
 func (s *sample) draw(phase float64, k int) {
 	rest := s.total
-	order := make([]int, 0, len(s.weights))
-	for i := range s.weights {
-		order = append(order, i)
-	}
-	slices.SortFunc(order, func(a, b int) int {
-		switch {
-		case s.weights[a] > s.weights[b]:
-			return -1
-		case s.weights[a] < s.weights[b]:
-			return 1
+	for more := true; more; { // each certain instance may make others certain
+		more = false
+		for i, w := range s.weights {
+			if !s.chosen[i] && k > 0 && w*float64(k) >= rest {
+				s.chosen[i], more = true, true
+				rest -= w
+				k--
+			}
 		}
-		return 0
-	})
-	for len(order) > 0 && k > 0 && s.weights[order[0]]*float64(k) >= rest {
-		s.chosen[order[0]] = true
-		rest -= s.weights[order[0]]
-		order = order[1:]
-		k--
-	}
-	scores := make([]uint64, len(s.weights))
-	for _, i := range order {
-		scores[i] = rendezvous.Score("directory", s.instances[i].Address)
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		if scores[a] < scores[b] {
-			return -1
-		}
-		return 1
-	})
 	const rounding = 1e-9 // must not lose the last draw
 	position := phase
-	for _, i := range order {
-		position += s.weights[i] * float64(k) / rest
+	for i, w := range s.weights {
+		if s.chosen[i] {
+			continue
+		}
+		position += w * float64(k) / rest
 		if position >= 1-rounding {
 			s.chosen[i] = true
 			position--
--- a/internal/balance/subset_test.go
+++ b/internal/balance/subset_test.go
@@ -42,9 +42,16 @@
 	return worst
 }
 
+// sortedSubset returns the answer to a caller, whatever the order of the instances.
+func sortedSubset(instances []Instance, ip string) []string {
+	instances = slices.Clone(instances)
+	Sort(instances, func(x *Instance) string { return x.Address })
+	return Subset(instances, ip, 64)
+}
+
 func answersFor(instances []Instance, ips []string) (out [][]string) {
 	for _, ip := range ips {
-		out = append(out, Subset(instances, ip, 64))
+		out = append(out, sortedSubset(instances, ip))
 	}
 	return out
 }
@@ -116,7 +123,7 @@
 			instances = append(instances, x)
 		}
 		ip := strangers(1, rng)[0]
-		got := Subset(instances, ip, 64)
+		got := sortedSubset(instances, ip)
 		if len(got) < min(usable, minAddresses) || len(got) > 64 {
 			t.Fatalf("%d addresses of %d usable instances", len(got), usable)
 		}
@@ -128,7 +135,7 @@
 			}
 			seen[a] = true
 		}
-		if !slices.Equal(got, Subset(instances, ip, 64)) {
+		if !slices.Equal(got, sortedSubset(instances, ip)) {
 			t.Fatal("two requests got different responses")
 		}
 	}
@@ -143,13 +150,13 @@
 			for i := range n {
 				instances = append(instances, Instance{Address: fmt.Sprint(i), Capacity: capacity, Health: 1})
 			}
-			if got := len(Subset(instances, "10.0.0.1", 64)); got != n {
+			if got := len(sortedSubset(instances, "10.0.0.1")); got != n {
 				t.Errorf("%d of %d instances of capacity %v", got, n, capacity)
 			}
 		}
 	}
 	instances := []Instance{{"old-1", 0, 1}, {"old-2", 0, 1}, {"a", 400, 1}, {"b", 400, 1}, {"c", 400, 1}}
-	if got := Subset(instances, "10.0.0.1", 64); len(got) != 5 {
+	if got := sortedSubset(instances, "10.0.0.1"); len(got) != 5 {
 		t.Errorf("%v: instances of the previous version must count as average ones", got)
 	}
 }
@@ -205,6 +212,7 @@
 
 func BenchmarkSubset(b *testing.B) {
 	instances := twoSizes(12, 62)
+	Sort(instances, func(x *Instance) string { return x.Address })
 	for b.Loop() {
 		Subset(instances, "10.7.3.9", 64)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,6 +35,8 @@
 	deadline time.Time
 	// conn is the connection of the caller; nil if the request was forwarded.
 	conn net.Conn
+	// connCheckedAt is when the kernel was asked about conn before the first attempt.
+	connCheckedAt time.Time
 
 	route   *deployment.Route
 	service string
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -20,6 +20,10 @@
 	// maxArrivalDelay is longer than the time that any caller waits. The kernel reports
 	// longer times if it does not know.
 	maxArrivalDelay = 5 * time.Minute
+	// connCheckAge is the time for which an answer of the kernel about a connection
+	// holds for the first attempt. It covers the placement of a request whose body has
+	// arrived; while a body arrives, the caller may disconnect.
+	connCheckAge = 5 * time.Millisecond
 )
 
 // callerConn is what the kernel knows about the connection of a caller.
@@ -49,11 +53,13 @@
 }
 
 // callerLeft returns an error if the caller of a request has disconnected. It asks the
-// kernel, since net/http notices that only some time after the request was read. At the
-// other end of a hop only ctx tells.
+// kernel, since net/http notices that only some time after the request was read, unless
+// arrivalOf has just done so. At the other end of a hop only ctx tells.
 func (c *call) callerLeft(ctx context.Context) *result.Error {
+	justChecked := time.Since(c.connCheckedAt) < connCheckAge
+	c.connCheckedAt = time.Time{}
 	if ctx.Err() == nil {
-		if c.conn == nil {
+		if c.conn == nil || justChecked {
 			return nil
 		}
 		if state, ok := readCallerConn(c.conn); !ok || !state.closed {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -39,13 +39,9 @@
 	publishedChangeField = ":published-change"
 )
 
-const (
-	// maxHopInstances bounds the instances of a region that are asked to run a request
-	// in one attempt; each refusal costs a round trip.
-	maxHopInstances = 2
-	// maxHopPicks bounds the random picks for an instance other than the first one.
-	maxHopPicks = 8
-)
+// maxHopInstances bounds the instances of a region that are asked to run a request in
+// one attempt; each refusal costs a round trip.
+const maxHopInstances = 2
 
 // forward sends a call to an instance of another region and waits for the head of
 // the response. If the instance refuses it, another one of the region is tried.
@@ -53,7 +49,7 @@
 	refusedBy := ""
 	var refusal *failure
 	for range maxHopInstances {
-		address, ok := g.pickOtherInstance(region, refusedBy)
+		address, ok := g.pickInstance(region, refusedBy)
 		if !ok {
 			break
 		}
@@ -69,22 +65,14 @@
 	return nil, notRunFailure(placement.Inconclusive, true, "no instance of region %s is reachable", region)
 }
 
-// pickOtherInstance returns the address of an instance of a region other than the one
-// given.
-func (g *Gateway) pickOtherInstance(region, except string) (address string, ok bool) {
-	for range maxHopPicks {
-		if address, ok = g.pickInstance(region); !ok || address != except {
-			return address, ok
-		}
-	}
-	return "", false
-}
+// hopRefusals are the codes with which an instance refuses a forwarded request before
+// it was sent to a target. The value is set if the reason is the instance's own, so that
+// another one of its region may run the request.
+var hopRefusals = map[result.Code]bool{result.HopRefused: true, result.NotReady: true, result.ShuttingDown: true, result.NoSlot: false}
 
 // refusedByInstance reports whether f is the refusal of another instance for a reason
-// of its own, so that another one of its region may run the request.
-func refusedByInstance(f *failure) bool {
-	return f.err.Ran == result.NotRun && (f.err.Code == result.HopRefused || f.err.Code == result.NotReady || f.err.Code == result.ShuttingDown)
-}
+// of its own.
+func refusedByInstance(f *failure) bool { return f.err.Ran == result.NotRun && hopRefusals[f.err.Code] }
 
 // forwardTo sends a call to the instance at address.
 func (g *Gateway) forwardTo(ctx context.Context, address string, v *catalog.View, c *call, lastEventID string) (*targetResponse, *failure) {
@@ -276,13 +264,10 @@
 		e.Ran = result.MayHaveRun
 	}
 	e.RetryAfter = time.Duration(t.GetRetryAfterMs()) * time.Millisecond
-	return &failure{err: e, outcome: placement.Inconclusive, uncounted: e.Ran == result.NotRun && refusedWithoutTarget[e.Code]}
+	_, refused := hopRefusals[e.Code]
+	return &failure{err: e, outcome: placement.Inconclusive, uncounted: e.Ran == result.NotRun && refused}
 }
 
-// refusedWithoutTarget are the codes with which an instance refuses a forwarded request
-// before it was sent to a target.
-var refusedWithoutTarget = map[result.Code]bool{result.NoSlot: true, result.ShuttingDown: true, result.HopRefused: true, result.NotReady: true}
-
 // PeerServer serves the protocol between instances.
 type PeerServer struct {
 	peerv1connect.UnimplementedPeerHandler
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -41,11 +41,11 @@
 }
 
 // pickInstance returns the address of a random instance of a region, out of those
-// that are reachable and ready.
-func (g *Gateway) pickInstance(region string) (address string, ok bool) {
+// that are reachable and ready, without the one at except.
+func (g *Gateway) pickInstance(region, except string) (address string, ok bool) {
 	n := 0
 	for _, m := range g.Members.Members() {
-		if m.Reachable && m.Region() == region && m.Heartbeat.GetReady() {
+		if m.Reachable && m.Region() == region && m.Heartbeat.GetReady() && m.Address() != except {
 			if n++; rand.IntN(n) == 0 {
 				address = m.Address()
 			}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -116,7 +116,7 @@
 	arrived, left := arrivalOf(r, now)
 	c := &call{
 		Request: platform.ParseRequest(r.Header), host: stripPort(r.Host), method: r.Method, path: pathAndQuery(r.RequestURI),
-		header: platform.ForwardedRequestHeaders(r.Header), arrived: arrived, conn: httpframing.Conn(r.Context()),
+		header: platform.ForwardedRequestHeaders(r.Header), arrived: arrived, conn: httpframing.Conn(r.Context()), connCheckedAt: now,
 	}
 	c.keyHash, c.APIKey = hashAPIKey(c.APIKey), ""
 	v := g.Catalog.Current()
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -93,17 +93,19 @@
 	c := &i.directoryCache.mu
 	if c.entries == nil || now.Sub(c.at) >= heartbeatReadInterval {
 		c.entries, c.at = make([]directoryEntry, 1, len(c.entries)+1), now
+		c.entries[0] = directoryEntry{balance.Instance{Address: i.settings.Listen.Callers}, i.settings.Region, i.settings.Domain}
 		for _, m := range i.heartbeats.Members() {
 			c.entries = i.directoryCache.appendMember(c.entries, &m, now)
 		}
+		balance.Sort(c.entries, func(e *directoryEntry) string { return e.Address })
+		c.own = slices.IndexFunc(c.entries, func(e directoryEntry) bool { return e.Address == i.settings.Listen.Callers })
 	}
-	load := i.meter.Load()
-	own := directoryEntry{balance.Instance{Address: i.settings.Listen.Callers, Capacity: balance.Capacity(load)}, i.settings.Region, i.settings.Domain}
+	entries, load := slices.Clone(c.entries), i.meter.Load()
+	own := &entries[c.own]
+	own.Capacity = balance.Capacity(load)
 	if i.gateway.Ready() {
 		own.Health = balance.Health(load)
 	}
-	entries := slices.Clone(c.entries)
-	entries[0] = own
 	return entries
 }
 
@@ -112,8 +114,11 @@
 type directoryCache struct {
 	mu struct {
 		sync.Mutex
-		at      time.Time
-		entries []directoryEntry // the first one stands for this instance
+		at time.Time
+		// entries are in the order of balance.Sort. The one of this instance, at own,
+		// has no load.
+		entries []directoryEntry
+		own     int
 		// silentUntil is until when instances count as silent, by peer address.
 		silentUntil map[string]time.Time
 	}
