--- a/cmd/loadtool/soak.go
+++ b/cmd/loadtool/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/fleet"
+	"github.com/wigeonhill/wigeonhill/internal/load"
 	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
@@ -19,8 +21,41 @@
 	meanFaultInterval = 2 * time.Second
 	// maxFaultDuration exceeds the duration of every lease of the system.
 	maxFaultDuration = 8 * time.Second
+
+	// The strongest burst at the default rate takes most of the engines' slots, so that
+	// requests wait or leave their region while faults take some of them.
+	meanBurstInterval                  = 10 * time.Second
+	minBurstDuration, maxBurstDuration = 2 * time.Second, 6 * time.Second
+	minBurstFactor, maxBurstFactor     = 2.0, 6.0
+
+	// crowdClients is the number of clients outside the limits that are connected to an
+	// instance at the same time, more than the smallest instances have connections for.
+	crowdClients = 300
+	// crowdMaxBody is max_body of the smallest instances, in bytes.
+	crowdMaxBody = 1 << 20
 )
 
+// soakSettings are those of the instances of a region in turn. The second and third
+// have bounds that a crowd of clients reaches.
+var soakSettings = []string{"", `
+[bounds]
+max_body = 4MiB
+max_streams = 500
+team_buffer = 64MiB
+process_buffer = 64MiB
+max_peer_connections = 256
+`, `
+[bounds]
+max_body = 1MiB
+max_header = 16KiB
+max_streams = 100
+stream_buffer = 256KiB
+team_buffer = 16MiB
+process_buffer = 16MiB
+intake_buffer = 16MiB
+max_peer_connections = 128
+`}
+
 type soakCommand struct {
 	loadFlags
 	Keep bool `long:"keep" description:"keep the temporary directory with settings, logs and journals"`
@@ -43,7 +78,9 @@
 	if err != nil {
 		return err
 	}
-	f, err := fleet.New(fleet.DemoSpec(bin, dir))
+	spec := fleet.DemoSpec(bin, dir)
+	spec.SettingsInTurn = soakSettings
+	f, err := fleet.New(spec)
 	if err != nil {
 		return err
 	}
@@ -53,15 +90,68 @@
 	}
 	faultCtx, cancel := context.WithTimeout(ctx, opts.Duration)
 	defer cancel()
+	var usages []*usagePeak
+	var recorders sync.WaitGroup
+	recordCtx, stopRecording := context.WithCancel(ctx)
+	defer stopRecording()
+	for _, p := range f.Instances {
+		u, err := newUsagePeak(p)
+		if err != nil {
+			return err
+		}
+		usages = append(usages, u)
+		recorders.Go(func() { u.record(recordCtx) })
+	}
+	opts.Bursts = randomBursts(c.Seed, opts.Duration)
 	injector := &faultInjector{f: f, rng: rand.New(rand.NewPCG(c.Seed, 2)), begin: time.Now(), affected: map[*fleet.Proc]bool{}}
 	var faults sync.WaitGroup
 	faults.Go(func() { injector.run(faultCtx) })
 	res, err := runLoad(ctx, f.Plan(), opts, c.Out)
 	faults.Wait()
+	stopRecording()
+	recorders.Wait()
 	if err != nil {
 		return err
 	}
-	return printResult(res)
+	var errs []error
+	for _, u := range usages {
+		errs = append(errs, u.check())
+	}
+	return errors.Join(append(errs, printResult(res))...)
+}
+
+// randomBursts returns the bursts of callers in a run.
+func randomBursts(seed uint64, duration time.Duration) (out []load.Burst) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * float64(meanBurstInterval))
+		if at >= duration {
+			return out
+		}
+		b := load.Burst{At: at, Duration: minBurstDuration + time.Duration(rng.Int64N(int64(maxBurstDuration-minBurstDuration))), Factor: minBurstFactor + rng.Float64()*(maxBurstFactor-minBurstFactor)}
+		out = append(out, b)
+		at += b.Duration
+	}
+}
+
+// crowd connects clients outside the limits to a port of an instance. The instance may
+// have no other fault, so that its process is the one whose use is checked.
+func (s *faultInjector) crowd(ctx context.Context) {
+	s.withInstance(func(p *fleet.Proc) {
+		address, kinds := p.Address, append(standin.BodyClients(crowdHead(s.f.Teams[0].Key), crowdMaxBody), standin.HeadClients(crowdHead(s.f.Teams[0].Key))...)
+		if s.randomIndex(3) == 0 {
+			address, kinds = []string{p.PeerAddress, p.OperatorAddress}[s.randomIndex(2)], standin.HeadClients("GET / HTTP/1.1\r\nHost: x\r\n")
+		}
+		client, d := kinds[s.randomIndex(len(kinds))], s.randomDuration(maxFaultDuration/20, maxFaultDuration/2)
+		s.logf("%d clients at %s (%s) for %v: %s", crowdClients, p.Name, address, d.Round(time.Millisecond), client.Name)
+		ctx, cancel := context.WithTimeout(ctx, d)
+		defer cancel()
+		standin.Crowd(ctx, address, crowdClients, client)
+	})
+}
+
+func crowdHead(key string) string {
+	return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\n"
 }
 
 // faultInjector injects random faults. A process has at most one fault at a time.
@@ -119,7 +209,7 @@
 
 // injectFault starts a fault of a random kind and ends it after a while.
 func (s *faultInjector) injectFault(ctx context.Context) {
-	kinds := []func(context.Context){s.kill, s.terminate, s.suspend, s.suspend, s.engineFault, s.engineFault, s.configFault, s.publish}
+	kinds := []func(context.Context){s.kill, s.terminate, s.suspend, s.suspend, s.engineFault, s.engineFault, s.configFault, s.publish, s.crowd, s.crowd}
 	kinds[s.randomIndex(len(kinds))](ctx)
 }
 
--- a/internal/fleet/files.go
+++ b/internal/fleet/files.go
@@ -79,5 +79,5 @@
 [peers]
 bootstrap = %s
 insecure = true
-%s`, in.Name, in.Region, in.Domain, in.Address, in.PeerAddress, in.OperatorAddress, f.ConfigService.Address, strings.Join(bootstrap, ", "), f.Spec.ExtraSettings)
+%s%s`, in.Name, in.Region, in.Domain, in.Address, in.PeerAddress, in.OperatorAddress, f.ConfigService.Address, strings.Join(bootstrap, ", "), f.Spec.ExtraSettings, in.settings)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,6 +71,9 @@
 				if err != nil {
 					return nil, err
 				}
+				if n := len(spec.SettingsInTurn); n > 0 {
+					proc.settings = spec.SettingsInTurn[i%n]
+				}
 				*group.list = append(*group.list, proc)
 			}
 		}
--- a/internal/fleet/proc.go
+++ b/internal/fleet/proc.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,9 +23,10 @@
 	// State is the state published in the instance list; empty means live.
 	State string
 
-	logPath string
-	argv    []string
-	mu      struct {
+	logPath  string
+	argv     []string
+	settings string // of Spec.SettingsInTurn
+	mu       struct {
 		sync.Mutex
 		cmd  *exec.Cmd
 		done chan struct{} // closed once the process has exited and been reaped
@@ -89,6 +91,9 @@
 	}
 }
 
+// SettingsPath returns the path of the settings file of an instance.
+func (p *Proc) SettingsPath() string { return strings.TrimSuffix(p.logPath, ".log") + ".ini" }
+
 // Signal sends sig to the process; it does nothing if the process was never
 // started.
 func (p *Proc) Signal(sig os.Signal) error {
--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -30,6 +30,9 @@
 	MaxRun, ServiceMaxRun time.Duration
 	// ExtraSettings is appended to the settings file of each instance.
 	ExtraSettings string
+	// SettingsInTurn are appended too, one to each instance of a region in turn, so
+	// that instances are of unequal capacity.
+	SettingsInTurn []string
 }
 
 // DemoSpec returns the fleet of the demo: three regions, each with three
--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -233,6 +233,8 @@
 	// maxDescriptors bounds the descriptors of an instance in its settings; 0 for no
 	// bound.
 	maxDescriptors int
+	// cpuShare is the fraction of a core in the settings of an instance.
+	cpuShare float64
 }
 
 func (d *testDeployment) storeAddress() string {
@@ -247,7 +249,7 @@
 var deploymentCount atomic.Int32
 
 func newTestDeployment(t testing.TB) *testDeployment {
-	d := &testDeployment{t: t, store: newFakeStore(t), nextIP: 1, port: 21000 + 20*int(deploymentCount.Add(1)), memoryMB: 284}
+	d := &testDeployment{t: t, store: newFakeStore(t), nextIP: 1, port: 21000 + 20*int(deploymentCount.Add(1)), memoryMB: 284, cpuShare: 0.4}
 	return d
 }
 
@@ -331,7 +333,7 @@
 control = %q
 directory = "%s:%d"
 [limits]
-cpu_share = 0.4
+cpu_share = %g
 memory_mb = %d
 max_fds = %d
 [bounds]
@@ -349,7 +351,7 @@
 [platform]
 address = %q
 `, domain, d.nextIP, ip, domain, regionByDomain[domain], d.port+8, d.port+15, seeds, ip, d.port, ip, d.port+1, control, ip, d.port+2,
-		d.memoryMB, d.maxDescriptors, d.storeAddress())
+		d.cpuShare, d.memoryMB, d.maxDescriptors, d.storeAddress())
 	path = filepath.Join(d.t.TempDir(), "node.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
--- a/internal/instance/soak_test.go
+++ b/internal/instance/soak_test.go
@@ -13,11 +13,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
 // Environment variables of the soak test: the settings file of an instance that
@@ -38,11 +40,13 @@
 	meanFaultInterval   = 250 * time.Millisecond
 	maxFaultDuration    = 3 * time.Second
 	soakCallers         = 12
+	burstCallers        = 40
+	burstPause          = 50 * time.Millisecond // between two requests of a caller of a burst
 	eventsPerStream     = 5
 	soakTimeout         = 3 * time.Second
 	boundRegion         = "east" // the only region that the route "bound" allows
 	boundDomain         = "a"
-	defaultPerDomain    = 2
+	defaultPerDomain    = 3 // one instance of each capacity
 )
 
 // TestMain runs an instance instead of the tests if soakInstanceEnv is set, so
@@ -77,7 +81,8 @@
 
 // TestSoak runs instances as processes, with proxies in front of the store and
 // the targets, injects random faults into all of them, and checks what callers and
-// targets see:
+// targets see. The instances are of unequal capacity. Among the faults are bursts of
+// callers and crowds of clients outside the limits at one instance.
 //   - a request that must run at most once does so;
 //   - a request that was refused as not run has not run and does not run later;
 //   - a success is the complete response of a target that ran this very request;
@@ -85,7 +90,8 @@
 //   - a response that a target broke off does not look complete, whatever its framing;
 //   - the team is that of the API key, the key reaches no target, and a request that
 //     is restricted to a region runs nowhere else;
-//   - once the faults have ended, every instance serves again.
+//   - once the faults have ended, every instance serves again;
+//   - the memory and the descriptors of a process stay within its settings.
 func TestSoak(t *testing.T) {
 	seeds, duration := ciSeeds, defaultSoakDuration
 	if from, to, ok := strings.Cut(os.Getenv(soakSeedsEnv), "-"); ok {
@@ -114,6 +120,8 @@
 	mu         sync.Mutex // guards rng and responses
 	rng        *rand.Rand
 	responses  []soakResponse
+	// bursts and crowds count those that were started.
+	bursts, crowds atomic.Int32
 }
 
 // soakResponse is the response to one request, as the caller received it.
@@ -140,10 +148,12 @@
 	if n, err := strconv.Atoi(os.Getenv(soakPerDomainEnv)); err == nil {
 		perDomain = n
 	}
-	for range perDomain {
+	for n := range perDomain {
+		capacity := soakCapacities[n%len(soakCapacities)]
+		s.deployment.cpuShare, s.deployment.memoryMB, s.deployment.maxDescriptors = capacity.cpuShare, capacity.memoryMB, capacity.maxDescriptors
 		for domain := range regionByDomain {
 			path, ip := s.deployment.writeSettings(domain)
-			p := &instanceProcess{s: s, path: path, ip: ip, address: net.JoinHostPort(ip, strconv.Itoa(s.deployment.port))}
+			p := &instanceProcess{s: s, path: path, ip: ip, address: net.JoinHostPort(ip, strconv.Itoa(s.deployment.port)), capacity: capacity}
 			p.start()
 			s.processes = append(s.processes, p)
 		}
@@ -186,11 +196,17 @@
 	for _, p := range s.processes {
 		s.waitUntilServing(p)
 	}
+	usageCtx, stopUsage := context.WithCancel(context.Background())
+	defer stopUsage()
+	var usage sync.WaitGroup
+	for _, p := range s.processes {
+		usage.Go(func() { p.recordUsage(usageCtx) })
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
 	var wg sync.WaitGroup
 	for range soakCallers {
-		wg.Go(func() { s.runCaller(ctx) })
+		wg.Go(func() { s.runCaller(ctx, func() *instanceProcess { return s.processes[s.intN(len(s.processes))] }, 0) })
 	}
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(s.intN(int(2 * meanFaultInterval))))
@@ -200,6 +216,11 @@
 	for _, p := range s.processes {
 		s.waitUntilServing(p)
 	}
+	stopUsage()
+	usage.Wait()
+	for _, p := range s.processes {
+		p.verifyUsage()
+	}
 	s.verify()
 }
 
@@ -218,16 +239,40 @@
 	served = true
 }
 
-// runCaller sends requests until ctx is done. It reuses connections until they
-// are closed.
-func (s *soak) runCaller(ctx context.Context) {
+// runCaller sends requests to the instances that pick returns until ctx is done, with
+// a pause after each. It reuses connections until they are closed.
+func (s *soak) runCaller(ctx context.Context, pick func() *instanceProcess, pause time.Duration) {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	defer transport.CloseIdleConnections()
 	kinds := []string{"safe", "unsafe", "stream", "bound"}
-	for ctx.Err() == nil {
-		p := s.processes[s.intN(len(s.processes))]
-		s.send(&http.Client{Transport: transport, Timeout: 2 * soakTimeout}, p.address, kinds[s.intN(len(kinds))])
+	for ; ctx.Err() == nil; time.Sleep(pause) {
+		s.send(&http.Client{Transport: transport, Timeout: 2 * soakTimeout}, pick().address, kinds[s.intN(len(kinds))])
+	}
+}
+
+// runBurst lets many callers send requests to p for a while.
+func (s *soak) runBurst(p *instanceProcess, duration time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range burstCallers {
+		wg.Go(func() { s.runCaller(ctx, func() *instanceProcess { return p }, burstPause) })
+	}
+	wg.Wait()
+}
+
+// runCrowd connects clients of a random kind outside the limits to a port of p for a
+// while.
+func (s *soak) runCrowd(p *instanceProcess, duration time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	port := s.deployment.port
+	kinds := append(standin.BodyClients(crowdHead, crowdMaxBody), standin.HeadClients(crowdHead)...)
+	if s.intN(3) == 0 { // readiness, directory or instances
+		port, kinds = port+1+s.intN(3), standin.HeadClients("GET / HTTP/1.1\r\nHost: shop.example\r\n")
 	}
+	client := kinds[s.intN(len(kinds))]
+	standin.Crowd(ctx, net.JoinHostPort(p.ip, strconv.Itoa(port)), crowdCount(client), client)
 }
 
 // send sends a request and records the response.
@@ -263,7 +308,7 @@
 func (s *soak) injectFault() {
 	duration := time.Duration(s.intN(int(maxFaultDuration)))
 	target, p := s.targets[s.intN(len(s.targets))], s.processes[s.intN(len(s.processes))]
-	switch s.intN(10) {
+	switch s.intN(12) {
 	case 0:
 		p.kill()
 		time.Sleep(duration / 4)
@@ -294,6 +339,12 @@
 		s.listTarget(target, "draining")
 		time.Sleep(duration)
 		s.listTarget(target, "ready")
+	case 8:
+		s.bursts.Add(1)
+		s.runBurst(p, duration)
+	case 9:
+		s.crowds.Add(1)
+		s.runCrowd(p, duration)
 	default:
 		target.proxy.setFault(networkFault(1 + s.intN(int(faultKinds)-1)))
 		time.Sleep(duration)
@@ -336,7 +387,7 @@
 			}
 		}
 	}
-	s.t.Logf("%d requests, served %v", len(s.responses), served)
+	s.t.Logf("%d requests, served %v, %d bursts, %d crowds", len(s.responses), served, s.bursts.Load(), s.crowds.Load())
 }
 
 // reportViolation fails the test and prints what the instances logged about the
--- a/internal/load/generate.go
+++ b/internal/load/generate.go
@@ -67,7 +67,8 @@
 func (r *Request) Idempotent() bool { return r.Kind != Booking }
 
 // Generate returns all requests of a run in the order of their due times. The
-// same arguments give the same requests. Arrivals are a Poisson process.
+// same arguments give the same requests. Arrivals are a Poisson process; a burst acts
+// from the first request after its start.
 func Generate(p *Plan, o Options) []*Request {
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
 	regions := p.Regions()
@@ -88,7 +89,7 @@
 	}
 	var out []*Request
 	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() / o.Rate * float64(time.Second))
+		at += time.Duration(rng.ExpFloat64() / o.rateAt(at) * float64(time.Second))
 		if at >= o.Duration {
 			return out
 		}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -193,3 +193,28 @@
 		t.Fatal("another seed gave the same requests")
 	}
 }
+
+// Guards against bursts that are missing from the load or change it outside their time.
+func TestBurstsRaiseTheRate(t *testing.T) {
+	p := &Plan{Instances: []Instance{{Region: "a"}}, Teams: []Team{{Name: "x", LoadWeight: 1}}}
+	o := Options{Seed: 7, Rate: 100, Duration: 30 * time.Second, Mix: DefaultMix(), Bursts: []Burst{{At: 10 * time.Second, Duration: 10 * time.Second, Factor: 4}}}
+	var counts [3]int
+	for _, r := range Generate(p, o) {
+		counts[r.At/(10*time.Second)]++
+	}
+	for i, want := range []int{1000, 4000, 1000} {
+		if float64(counts[i]) < 0.9*float64(want) || float64(counts[i]) > 1.1*float64(want) {
+			t.Errorf("%v requests in each 10 s, want about 1000, 4000 and 1000", counts)
+			break
+		}
+	}
+	before := Generate(p, Options{Seed: 7, Rate: 100, Duration: 30 * time.Second, Mix: DefaultMix()})
+	for i, r := range Generate(p, o) {
+		if r.At >= 10*time.Second {
+			break
+		}
+		if !reflect.DeepEqual(r, before[i]) {
+			t.Fatalf("request %d before the burst differs", i)
+		}
+	}
+}
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -58,6 +58,26 @@
 	// caller, in the order in which regions appear in the plan. Missing weights
 	// count as 1.
 	RegionWeights []float64 `json:"home_weights,omitempty"`
+	Bursts        []Burst   `json:"bursts,omitempty"`
+}
+
+// Burst is a time in which callers send more requests.
+type Burst struct {
+	At       time.Duration `json:"at_ns"` // since the start of the run
+	Duration time.Duration `json:"duration_ns"`
+	// Factor is what the rate is multiplied by; those of overlapping bursts multiply.
+	Factor float64 `json:"factor"`
+}
+
+// rateAt returns the rate at a time since the start of the run.
+func (o *Options) rateAt(at time.Duration) float64 {
+	rate := o.Rate
+	for _, b := range o.Bursts {
+		if at >= b.At && at < b.At+b.Duration {
+			rate *= b.Factor
+		}
+	}
+	return rate
 }
 
 // Mix gives the relative number of requests of each kind.
