--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -100,8 +100,11 @@
 
 type peerCounts struct {
 	sound, faulty uint32
-	startedAt     time.Time
-	seen          time.Time
+	// recoveringMS is the age of the window when the report was sent, and startedAt
+	// its begin.
+	recoveringMS uint32
+	startedAt    time.Time
+	seen         time.Time
 }
 
 // New returns Windows without any window.
@@ -211,7 +214,8 @@
 	w.note(Change{Target: target, Cause: t.cause, Ended: true, Lasted: now.Sub(t.startedAt)})
 }
 
-// Merge applies what another instance reports about its window.
+// Merge applies what another instance reports about its window. It is called again with
+// the same report until the next one arrives.
 func (w *Windows) Merge(peer string, use *peerv1.TargetUse, now time.Time) {
 	if use.GetRecoveringMs() == 0 {
 		if t := w.targets[use.GetTarget()]; t != nil {
@@ -221,12 +225,17 @@
 	}
 	t := w.state(use.GetTarget())
 	old, startedAt := t.peers[peer], now.Add(-time.Duration(use.GetRecoveringMs())*time.Millisecond)
-	counts := peerCounts{sound: use.GetSound(), faulty: use.GetFaulty(), startedAt: startedAt, seen: now}
+	counts := peerCounts{sound: use.GetSound(), faulty: use.GetFaulty(), recoveringMS: use.GetRecoveringMs(), startedAt: startedAt, seen: now}
+	if counts.sound == old.sound && counts.faulty == old.faulty && counts.recoveringMS == old.recoveringMS {
+		// Counted from now, the begin would move on until the next report, and a window
+		// that the others have ended would look like a new one; see Adopt.
+		counts.startedAt = old.startedAt
+	}
 	t.peers[peer] = counts
 	if use.GetRunning() > 0 {
 		t.lastBusy = now
 	}
-	if counts.sound < old.sound || counts.faulty < old.faulty || startedAt.Sub(old.startedAt) > idleStep {
+	if counts.sound < old.sound || counts.faulty < old.faulty || counts.startedAt.Sub(old.startedAt) > idleStep {
 		old = peerCounts{} // the peer began a new window
 	}
 	if t.active && (counts.sound > old.sound || counts.faulty > old.faulty) {
@@ -279,6 +288,14 @@
 	}
 }
 
+// EndedAt returns when the last window of a target ended; zero if none has.
+func (w *Windows) EndedAt(target string) time.Time {
+	if t := w.targets[target]; t != nil {
+		return t.endedAt
+	}
+	return time.Time{}
+}
+
 // Suspend ends the window of a target that gets no request until Recovering is called.
 func (w *Windows) Suspend(target string, now time.Time) {
 	if t := w.targets[target]; t != nil && t.active {
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -167,3 +167,27 @@
 		t.Errorf("window %d while others find the target down", limit(t, w, now))
 	}
 }
+
+// Guards against pacing a target again because the last report of a window that the
+// others have ended stays in force until their next heartbeat.
+func TestRepeatedReportIsNotAdoptedAfterTheEnd(t *testing.T) {
+	w := New()
+	use := &peerv1.TargetUse{Target: "x", RecoveringMs: 500}
+	now := start
+	w.Recovering("x", 1, 8, Returned, now)
+	for i := range 60 {
+		now = now.Add(100 * time.Millisecond)
+		w.Merge("p", use, now)
+		w.Merge("q", use, now)
+		w.Adopt("x", 1, 8, now)
+		if size := limit(t, w, now); (size == -1) != (now.Sub(start) >= 3*idleStep) {
+			t.Fatalf("round %d: window %d", i, size)
+		}
+	}
+	use = &peerv1.TargetUse{Target: "x", RecoveringMs: 100}
+	w.Merge("p", use, now)
+	w.Merge("q", use, now)
+	if w.Adopt("x", 1, 8, now); w.Active() != 1 {
+		t.Error("a new window of the others is not adopted")
+	}
+}
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -61,7 +61,8 @@
 
 // SetPeerHeartbeats applies the heartbeats of the other instances of the local
 // region, by peer address: the load that they put on targets, and the parts that
-// targets have cached.
+// targets have cached. The last heartbeat of an instance is passed again until the next
+// one arrives; a heartbeat must not be changed afterwards.
 func (t *Tracker) SetPeerHeartbeats(heartbeats map[string]*peerv1.FleetRow, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -69,32 +70,40 @@
 	for _, s := range t.mu.targets {
 		clear(s.peerLoads)
 	}
-	reports := map[*targetState]*downReports{}
+	reports, received := map[*targetState]*downReports{}, make(map[string]receivedHeartbeat, len(heartbeats))
 	for peer, hb := range heartbeats {
 		if t.mu.lastSequence[peer] != hb.GetSequence() {
 			t.mu.lastSequence[peer] = hb.GetSequence()
 			t.mergeCachedParts(hb, now)
 		}
+		receivedAt := now
+		if last := t.mu.received[peer]; last.row == hb {
+			receivedAt = last.at
+		}
+		received[peer] = receivedHeartbeat{hb, receivedAt}
 		unreliable := avoidsMostTargets(hb, len(t.mu.targets))
 		for _, u := range hb.GetTargets() {
 			if s := t.mu.targets[u.GetTarget()]; s != nil {
 				t.mu.windows.Merge(peer, u, now)
 				s.peerLoads[peer] = peerLoad{int(u.GetRunning()), int(u.GetPendingTokens()), u.GetAvoided() && !unreliable}
-				if u.GetAvoided() {
+				if u.GetAvoided() && !receivedAt.Before(s.incarnationSince) {
 					r := reports[s]
 					if r == nil {
 						r = &downReports{target: u.GetTarget()}
 						reports[s] = r
 					}
-					r.add(u.GetRefuses(), unreliable)
+					r.add(u.GetRefuses(), unreliable, receivedAt)
 				}
 			}
 		}
 	}
+	t.mu.received = received
 	for s, r := range reports {
 		if r.suggestRestart() {
 			s.restartSuspectedUntil = now.Add(restartSuspicionPeriod)
-			if !s.health.down {
+			// Reports stay in force until the sender's next heartbeat. Those received before
+			// the last window ended are older than the results that ended it.
+			if !s.health.down && r.newest.After(t.mu.windows.EndedAt(r.target)) {
 				t.mu.windows.Suspected(r.target, s.startedMS, s.slots, now)
 			}
 		}
@@ -106,15 +115,24 @@
 	}
 }
 
+// receivedHeartbeat is the last heartbeat of another instance, and when
+// SetPeerHeartbeats first got it.
+type receivedHeartbeat struct {
+	row *peerv1.FleetRow
+	at  time.Time
+}
+
 // downReports counts the instances that found a target down: all, those to which it
 // refused connections, and those of the latter that are reliable.
 type downReports struct {
 	target                        string
 	all, refused, reliablyRefused int
+	newest                        time.Time // when the last of them was received
 }
 
-func (r *downReports) add(refused, unreliable bool) {
+func (r *downReports) add(refused, unreliable bool, receivedAt time.Time) {
 	r.all++
+	r.newest = later(r.newest, receivedAt)
 	if refused {
 		r.refused++
 		if !unreliable {
--- a/internal/placement/pacing_test.go
+++ b/internal/placement/pacing_test.go
@@ -536,6 +536,47 @@
 	}
 }
 
+// Guards against pacing a target again, and keeping a restart suspected, because of
+// reports that were sent before the window ended, or before the target's new incarnation
+// was listed, and that stay in force until the next heartbeat.
+func TestDownReportsOlderThanEvidenceDoNotCount(t *testing.T) {
+	down := &peerv1.FleetRow{Targets: []*peerv1.TargetUse{{Target: "t-0", Avoided: true, Refuses: true}}}
+	again := &peerv1.FleetRow{Targets: []*peerv1.TargetUse{{Target: "t-0", Avoided: true, Refuses: true}}}
+	sound := &peerv1.FleetRow{Targets: []*peerv1.TargetUse{{Target: "t-0", Sound: 40, RecoveringMs: 900}}}
+	rounds := func(c *cluster, rows map[string]*peerv1.FleetRow) (paced, suspected bool) {
+		tr := c.trackers[0]
+		for range 3 {
+			c.now = c.now.Add(100 * time.Millisecond)
+			tr.SetPeerHeartbeats(rows, c.now)
+		}
+		_, paced = tr.mu.windows.Limit("t-0", c.now)
+		return paced, c.now.Before(tr.mu.targets["t-0"].restartSuspectedUntil)
+	}
+	c := newCluster(1, 4)
+	tr := c.trackers[0]
+	tr.Targets(c.view, "model", "", nil, c.now)
+	if paced, suspected := rounds(c, map[string]*peerv1.FleetRow{"p": down}); !paced || !suspected {
+		t.Errorf("found down: paced %v, restart suspected %v", paced, suspected)
+	}
+	if paced, _ := rounds(c, map[string]*peerv1.FleetRow{"p": down, "q": sound}); paced {
+		t.Error("paced because of a report that is older than the end of the window")
+	}
+	if paced, _ := rounds(c, map[string]*peerv1.FleetRow{"p": again, "q": sound}); !paced {
+		t.Error("not paced although found down after the end of the window")
+	}
+	e := *c.view.Targets["t-0"]
+	e.StartedMS++
+	c.view.Targets["t-0"] = &e
+	c.now = c.now.Add(time.Millisecond)
+	tr.Targets(c.view, "model", "", nil, c.now)
+	if _, suspected := rounds(c, map[string]*peerv1.FleetRow{"p": again}); suspected {
+		t.Error("restart suspected because of a report about the earlier incarnation")
+	}
+	if _, suspected := rounds(c, map[string]*peerv1.FleetRow{"p": down}); !suspected {
+		t.Error("restart not suspected although the new incarnation was found down")
+	}
+}
+
 type windowAt struct {
 	at   time.Time
 	size int
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -57,13 +57,14 @@
 	mu       struct {
 		sync.Mutex
 		targets      map[string]*targetState
-		slowdowns    map[string]*slowdown     // by service
-		holdTimes    map[string]time.Duration // by service; see TargetView.HoldTime
-		partUpdates  []partUpdate             // parts that targets have cached, newest last
-		lastSequence map[string]uint64        // sequence number of the last heartbeat, by peer address
-		lastElapsed  time.Duration            // at the last call of noteTime
-		lastNow      time.Time                // of the last call of noteTime
-		awakeSince   time.Time                // end of the last freeze
+		slowdowns    map[string]*slowdown         // by service
+		holdTimes    map[string]time.Duration     // by service; see TargetView.HoldTime
+		partUpdates  []partUpdate                 // parts that targets have cached, newest last
+		lastSequence map[string]uint64            // sequence number of the last heartbeat, by peer address
+		received     map[string]receivedHeartbeat // by peer address
+		lastElapsed  time.Duration                // at the last call of noteTime
+		lastNow      time.Time                    // of the last call of noteTime
+		awakeSince   time.Time                    // end of the last freeze
 		windows      *pace.Windows
 		list         listState
 		learners     map[string]*learner // by service
@@ -73,12 +74,15 @@
 
 // targetState is the estimated state of one target.
 type targetState struct {
-	startedMS   int64
-	service     string
-	slots       int
-	running     int
-	pending     int
-	prefixCache prefixCache
+	startedMS int64
+	// incarnationSince is when this incarnation replaced another one here; zero if none
+	// is known. Older reports that the target is down concern the earlier one.
+	incarnationSince time.Time
+	service          string
+	slots            int
+	running          int
+	pending          int
+	prefixCache      prefixCache
 	// cacheTokens is the size of the KV cache estimated to hold shared prefixes.
 	cacheTokens int
 	slowdown    slowdown
@@ -145,6 +149,9 @@
 	// Attempts at an earlier incarnation go on counting until they end, and what was
 	// sent to it may have reached this one.
 	s.startedMS, s.service, s.slots = e.StartedMS, e.Service, e.Slots
+	if known {
+		s.incarnationSince = now
+	}
 	s.prefixCache, s.peerLoads = prefixCache{}, map[string]peerLoad{}
 	s.sumPeerLoads()
 	s.slowdown = t.serviceSlowdown(e.Service).initial()
