--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -72,11 +72,17 @@
 	})
 	n, a, b := cluster.startInstance("n", "north"), cluster.startInstance("a", "south"), cluster.startInstance("b", "south")
 	resp := n.startStream(t.Context())
-	for _, s := range []*testInstance{a, b} {
-		if s.gate.Running() == 1 {
-			_ = s.peerServer.Close()
-		}
+	// Looked up before the loss: the stream then runs at the other instance, which must
+	// not be closed, too.
+	atA, atB := a.gate.Running(), b.gate.Running()
+	if atA+atB != 1 {
+		t.Fatalf("%d attempts at a, %d at b", atA, atB)
+	}
+	lost := a
+	if atB == 1 {
+		lost = b
 	}
+	_ = lost.peerServer.Close()
 	recv(t, kill)
 	if r := readResponse(resp); r.text() != "w1 " || !strings.HasSuffix(r.body, "[DONE]\n\n") {
 		t.Fatalf("%+v", r)
