--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -135,7 +135,7 @@
 	key, tokens := placement.SharedPrefix(c.PromptParts)
 	return &placement.Query{
 		PromptTokens: c.PromptTokens, PrefixKey: key, PrefixTokens: tokens, Objective: c.route.FirstByteObjective,
-		UrgentObjective: g.urgencyOf(v.Config).moreUrgent(c.service, c.route.PriorityFor(team)),
-		Remaining:       c.deadline.Sub(now), LocalAllowed: deployment.RegionAllowed(c.route, team, region), Jitter: rand.Float64(),
+		Engine: v.Config.Services[c.service] != nil && v.Config.Services[c.service].Engine != nil, UrgentObjective: g.urgencyOf(v.Config).moreUrgent(c.service, c.route.Priority),
+		Remaining: c.deadline.Sub(now), LocalAllowed: deployment.RegionAllowed(c.route, team, region), Jitter: rand.Float64(),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,8 +218,8 @@
 	}
 	choice := placement.Choose(q, targets, regions, g.Tracker.Model(v.Config.Services[c.service]))
 	if choice.Target == "" && choice.Region == "" {
-		return choice, v, result.New(result.NoSlot, result.NotRun, "no place in time: %d targets here, %d other regions, expected delay %s",
-			len(targets), len(regions), choice.Delay.Round(time.Millisecond)).WithRetryAfter(choice.RetryAfter)
+		return choice, v, result.New(result.NoSlot, result.NotRun, "%s: %d targets here, %d other regions, expected delay %s",
+			choice.Reason, len(targets), len(regions), choice.Delay.Round(time.Millisecond)).WithRetryAfter(choice.RetryAfter)
 	}
 	return choice, v, nil
 }
--- a/internal/gateway/urgency.go
+++ b/internal/gateway/urgency.go
@@ -33,9 +33,11 @@
 	return u
 }
 
-// moreUrgent returns the least objective among the requests of a service with a more
-// urgent priority; 0 if there are none. Regions in which these may not run count, too:
-// what a region cannot serve in time is refused there as elsewhere.
+// moreUrgent returns the least objective among the requests of a service whose routes
+// have a more urgent priority; 0 if there are none. Priorities of teams do not count:
+// they order requests at a target, and a team must not close targets to others.
+// Regions in which the urgent routes may not run count, too: long prompts that such a
+// region takes without this limit fill its targets until they time out there.
 func (u *urgency) moreUrgent(service string, priority int) time.Duration {
 	least := time.Duration(0)
 	for p, o := range u.objectives[service] {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -11,20 +11,20 @@
 	// delay causes a refusal: a request that would be late takes capacity from
 	// those that can still meet the objective.
 	maxDelayFraction = 0.8
-	// concurrentPrompts is the number of prompts like that of the request for which a
-	// target must leave time: the request itself, and one that another instance places
-	// before either hears of the other.
+	// concurrentPrompts is the number of prompts like that of a less urgent request for
+	// which a target must leave time: that of the request, and those that other instances
+	// place before they hear of it.
 	concurrentPrompts = 2
 	// minUrgentDelay is the fraction of UrgentObjective up to which the expected delay of
 	// a more urgent request keeps no request away from a target, and idleDelayFactor the
-	// multiple of the delay at the same target without load. Without them the longest
-	// prompts, which alone take longer than the objective, would never be served.
+	// multiple of the delay that it has without load at the usual speed: a target that
+	// only decodes is open to every request. Without them the longest prompts, which alone take longer
+	// than the objective of urgent requests, would never be served.
 	minUrgentDelay  = 0.1
 	idleDelayFactor = 2
-	// ownTimeMargin is the delay beyond its own time on an idle target that a request
-	// may have even if the sum exceeds maxDelayFraction, as a fraction of the objective:
-	// the prompts of some requests take longer than the objective, but their callers
-	// wait for them.
+	// ownTimeMargin is the delay beyond its own time that a request may have even if the
+	// sum exceeds maxDelayFraction, as a fraction of the objective: some prompts take
+	// longer than the objective, but their callers wait for them.
 	ownTimeMargin = 0.2
 	// localDelayFraction is the fraction of the objective up to which the local
 	// region is chosen without considering others.
@@ -61,6 +61,8 @@
 	// regions; empty if there is none.
 	PrefixOwnerRegion string
 	Objective         time.Duration
+	// Engine is set if the targets of the service are engines.
+	Engine bool
 	// UrgentObjective is the least objective among the more urgent requests of the
 	// service; 0 if there are none.
 	UrgentObjective time.Duration
@@ -112,8 +114,10 @@
 	// FetchFrom is a target from which Target can copy the shared prefix instead of
 	// prefilling it; empty if Target has it cached or there is no source.
 	FetchFrom string
-	// Cached is set if Target is estimated to have the shared prefix cached.
-	Cached bool
+	// Cached is set if Target is estimated to have the shared prefix cached. Presumed is
+	// set if no target is known to have it, so that the prefix owner, at which Target has
+	// it cached or from which it copies it, may have to prefill it first.
+	Cached, Presumed bool
 	// WarmingUp is set if Target may be warming up, and Leaving if it is leaving.
 	WarmingUp, Leaving bool
 	// Delay is the expected time to the first byte.
@@ -125,71 +129,62 @@
 
 // Choose returns where the request should run.
 func Choose(q *Query, targets []TargetView, regions []RegionView, m *LatencyModel) Choice {
-	if r := prefixOwnerRegion(q, targets, regions); r != nil {
+	if r := prefixOwnerRegion(q, targets, regions, m); r != nil {
 		return Choice{Region: r.Name, Delay: r.Delay + r.RoundTrip, Reason: "region of the prefix owner"}
 	}
-	local := bestTarget(q, targets, m)
+	local, localOwn := bestTarget(q, targets, m)
 	if local.Target != "" && !local.Leaving && local.Delay <= time.Duration(localDelayFraction*float64(q.Objective)) {
 		local.Reason = "own region has room"
 		return local
 	}
-	remote := bestRegion(q, regions)
-	limit := delayLimit(q, targets, m)
-	if remote != nil {
-		remoteDelay := remote.Delay + remote.RoundTrip
-		if remoteDelay <= limit && (local.Target == "" || local.Leaving || remoteDelay+remoteMargin < local.Delay) {
+	if remote := bestRegion(q, regions, m); remote != nil {
+		own := promptTime(q, q.PromptTokens, m)
+		remoteDelay := remote.Delay + remote.RoundTrip + own
+		if remoteDelay <= delayLimit(q, own) && (local.Target == "" || local.Leaving || remoteDelay+remoteMargin < local.Delay) {
 			return Choice{Region: remote.Name, Delay: remoteDelay, Reason: "other region is faster"}
 		}
 	}
-	if local.Target != "" && local.Delay <= limit {
+	if local.Target != "" && local.Delay <= delayLimit(q, localOwn) {
 		local.Reason = "own region is no worse"
 		return local
 	}
-	return Choice{Delay: local.Delay, RetryAfter: retryAfter(q, local.Delay, q.Jitter), Reason: "no place in time"}
+	reason := "no place in time"
+	if local.Target == "" && local.Delay > 0 {
+		reason = "no place that leaves time for more urgent requests"
+	}
+	return Choice{Delay: local.Delay, RetryAfter: retryAfter(q, local.Delay, q.Jitter), Reason: reason}
 }
 
-// delayLimit returns the expected delay above which a request is refused.
-func delayLimit(q *Query, targets []TargetView, m *LatencyModel) time.Duration {
-	limit := time.Duration(maxDelayFraction * float64(q.Objective))
-	if len(targets) > 0 {
-		idle := TargetView{Engine: targets[0].Engine, Slots: 1, Slowdown: 1}
-		limit = max(limit, m.Delay(q, &idle, false)+time.Duration(ownTimeMargin*float64(q.Objective)))
-	}
+// delayLimit returns the expected delay above which a request is refused whose prompt
+// takes own.
+func delayLimit(q *Query, own time.Duration) time.Duration {
+	limit := max(time.Duration(maxDelayFraction*float64(q.Objective)), own+time.Duration(ownTimeMargin*float64(q.Objective)))
 	return min(limit, q.Remaining)
 }
 
-// leavesTimeForUrgent reports whether more urgent requests are still served in time at t
-// if q runs there. Without it, requests with a long objective fill the targets while
-// urgent ones with a short objective are refused. fetch is set if t copies the shared
-// prefix.
-func leavesTimeForUrgent(q *Query, t *TargetView, fetch bool, m *LatencyModel) bool {
-	if q.UrgentObjective <= 0 {
-		return true
-	}
-	delay := m.Delay(&Query{}, t, false)
-	if delay <= urgentDelayLimit(q.UrgentObjective, ownTime(q, t, fetch, m)) {
-		return true
-	}
-	idle := TargetView{Engine: t.Engine, Slots: t.Slots, Slowdown: t.Slowdown}
-	return delay <= idleDelayFactor*m.Delay(&Query{}, &idle, false)
+// leavesTimeForUrgent reports whether requests with a more urgent objective are still
+// served in time where they have to expect delay, and idle without load, if a request
+// whose prompt takes own runs there. Without it, requests with a long objective fill the
+// targets while urgent ones with a short objective are refused.
+func leavesTimeForUrgent(objective, delay, idle, own time.Duration) bool {
+	limit := time.Duration(maxDelayFraction*float64(objective)) - concurrentPrompts*own
+	return objective <= 0 || delay <= max(limit, time.Duration(minUrgentDelay*float64(objective)), idleDelayFactor*idle)
 }
 
-// urgentDelayLimit returns the expected delay of urgent requests with an objective above
-// which a target takes no less urgent one that it must work on for own.
-func urgentDelayLimit(objective, own time.Duration) time.Duration {
-	return max(time.Duration(maxDelayFraction*float64(objective))-concurrentPrompts*own, time.Duration(minUrgentDelay*float64(objective)))
+// unprefilled returns the number of prompt tokens that a target has to prefill. has is
+// set if it has the shared prefix cached or copies it.
+func unprefilled(q *Query, has bool) int {
+	if has {
+		return q.PromptTokens - min(q.PrefixTokens, q.PromptTokens)
+	}
+	return q.PromptTokens
 }
 
-// ownTime returns the time that a target needs for the prompt of the request before it
-// can go on with others.
-func ownTime(q *Query, t *TargetView, fetch bool, m *LatencyModel) time.Duration {
-	if !t.Engine {
+// promptTime returns the time to prefill tokens; 0 at plain services.
+func promptTime(q *Query, tokens int, m *LatencyModel) time.Duration {
+	if !q.Engine {
 		return 0
 	}
-	tokens := q.PromptTokens
-	if t.Cached || fetch {
-		tokens -= min(q.PrefixTokens, q.PromptTokens)
-	}
 	return time.Duration(float64(tokens) / m.TokensPerMS * float64(time.Millisecond))
 }
 
@@ -206,12 +201,13 @@
 // bestTarget chooses the target with the least expected delay, and the target from
 // which it copies the shared prefix. Targets that have the prefix cached are
 // preferred to those that would have to prefill or copy it. The choice names no
-// target if none accepts a request.
-func bestTarget(q *Query, targets []TargetView, m *LatencyModel) Choice {
+// target if none accepts a request; its delay is then that of the best target that is
+// left to more urgent requests. promptTime is that at the target.
+func bestTarget(q *Query, targets []TargetView, m *LatencyModel) (best Choice, own time.Duration) {
 	if !q.LocalAllowed {
-		return Choice{}
+		return Choice{}, 0
 	}
-	best, bestCost := Choice{}, time.Duration(0)
+	var bestCost, leftToUrgent time.Duration
 	owner, holder := PrefixOwner(q.PrefixKey, targets), lastCached(targets)
 	source, sourceCost := holder, fetchCost
 	if holder == "" {
@@ -229,9 +225,16 @@
 		fetch := source != "" && m.FetchTokensPerMS > 0 && !view.Cached
 		// Only what a target is known to have shortens the time: the owner prefills the
 		// prefix for the first request.
-		known := fetch && holder != ""
-		if !leavesTimeForUrgent(q, t, known, m) {
-			continue
+		copied := fetch && holder != ""
+		prompt := promptTime(q, unprefilled(q, t.Cached || copied), m)
+		if q.UrgentObjective > 0 {
+			idle := TargetView{Engine: t.Engine, Slots: t.Slots, Slowdown: 1}
+			if !leavesTimeForUrgent(q.UrgentObjective, m.Delay(&Query{}, t, false), m.Delay(&Query{}, &idle, false), prompt) {
+				if delay := m.Delay(q, t, copied); leftToUrgent == 0 || delay < leftToUrgent {
+					leftToUrgent = delay
+				}
+				continue
+			}
 		}
 		cost := m.Delay(q, &view, fetch)
 		switch {
@@ -241,14 +244,19 @@
 			cost += time.Duration(cachedBonus * float64(prefillTime(q, m)))
 		}
 		if best.Target == "" || cost < bestCost {
-			delay := m.Delay(q, t, known)
-			best, bestCost = Choice{Target: t.ID, Cached: t.Cached && q.PrefixKey != "", WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: delay}, cost
+			best, bestCost, own = Choice{
+				Target: t.ID, Cached: view.Cached && q.PrefixKey != "", Presumed: q.PrefixKey != "" && holder == "",
+				WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: m.Delay(q, t, copied),
+			}, cost, prompt
 			if fetch {
 				best.FetchFrom = source
 			}
 		}
 	}
-	return best
+	if best.Target == "" {
+		best.Delay = leftToUrgent
+	}
+	return best, own
 }
 
 // lastCached returns the target that has used the shared prefix most recently;
--- a/internal/placement/heartbeats.go
+++ b/internal/placement/heartbeats.go
@@ -193,7 +193,8 @@
 		}
 	}
 	if p.Capacity > 0 {
-		p.DelayMs = uint32(bestTarget(&Query{LocalAllowed: true}, targets, t.Model(s)).Delay.Milliseconds())
+		best, _ := bestTarget(&Query{LocalAllowed: true}, targets, t.Model(s))
+		p.DelayMs = uint32(best.Delay.Milliseconds())
 	}
 	return p
 }
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -22,15 +22,16 @@
 	RoundTrip time.Duration
 }
 
-// hasRoom reports whether the region takes a further request of q without making more
-// urgent ones late. What its targets have cached is not known here.
-func (r *RegionView) hasRoom(q *Query) bool {
-	return r.FreeSlots > 0 && (q.UrgentObjective <= 0 || r.Delay <= urgentDelayLimit(q.UrgentObjective, 0))
+// hasRoom reports whether the region takes a further request, whose prompt takes own,
+// by the rules of its instances.
+func (r *RegionView) hasRoom(q *Query, own time.Duration, m *LatencyModel) bool {
+	idle := TargetView{Engine: q.Engine, Slots: 1, Slowdown: 1}
+	return r.FreeSlots > 0 && leavesTimeForUrgent(q.UrgentObjective, r.Delay, m.Delay(&Query{}, &idle, false), own)
 }
 
 // prefixOwnerRegion returns the region of the prefix owner if it has free slots and
 // an acceptable delay, and if no local target that may be used has the prefix cached.
-func prefixOwnerRegion(q *Query, targets []TargetView, regions []RegionView) *RegionView {
+func prefixOwnerRegion(q *Query, targets []TargetView, regions []RegionView, m *LatencyModel) *RegionView {
 	if q.PrefixOwnerRegion == "" {
 		return nil
 	}
@@ -41,18 +42,18 @@
 	}
 	for i := range regions {
 		r := &regions[i]
-		if r.Name == q.PrefixOwnerRegion && r.hasRoom(q) && r.Delay+r.RoundTrip < time.Duration(ownerDelayFraction*float64(q.Objective)) {
+		if r.Name == q.PrefixOwnerRegion && r.hasRoom(q, promptTime(q, unprefilled(q, true), m), m) && r.Delay+r.RoundTrip < time.Duration(ownerDelayFraction*float64(q.Objective)) {
 			return r
 		}
 	}
 	return nil
 }
 
-func bestRegion(q *Query, regions []RegionView) *RegionView {
+func bestRegion(q *Query, regions []RegionView, m *LatencyModel) *RegionView {
 	var best *RegionView
 	for i := range regions {
 		r := &regions[i]
-		if r.hasRoom(q) && (best == nil || r.Delay+r.RoundTrip < best.Delay+best.RoundTrip) {
+		if r.hasRoom(q, promptTime(q, q.PromptTokens, m), m) && (best == nil || r.Delay+r.RoundTrip < best.Delay+best.RoundTrip) {
 			best = r
 		}
 	}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -352,20 +352,20 @@
 		return nil
 	}
 	running, pending := st.load()
-	view := TargetView{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Slowdown: 1, Cached: c.Cached}
-	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, objective: q.Objective, window: t.mu.windows.Begin(e.ID), expected: t.Model(s).Delay(q, &view, c.FetchFrom != "")}
+	// What the owner is only presumed to have counts as load, and its time is that of the
+	// whole prompt.
+	cached, copied := c.Cached && !c.Presumed, c.FetchFrom != "" && !c.Presumed
+	view := TargetView{Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending, Slowdown: 1, Cached: cached}
+	a := &Attempt{tracker: t, state: st, target: e.ID, incarnation: e.StartedMS, startedAt: now, objective: q.Objective, window: t.mu.windows.Begin(e.ID), expected: t.Model(s).Delay(q, &view, copied)}
 	a.chosenDelay, a.cached = c.Delay, c.Cached
-	if c.FetchFrom == "" { // the time of a fetch is not known
+	if c.FetchFrom == "" && !c.Presumed { // the time of a fetch is not known
 		a.sample = sample{engine: s.Engine != nil, tokens: q.PromptTokens, ahead: pending, running: running, slots: e.Slots}
-		if c.Cached {
+		if cached {
 			a.sample.tokens -= min(q.PrefixTokens, q.PromptTokens)
 		}
 	}
 	if s.Engine != nil {
-		a.pending = q.PromptTokens
-		if c.Cached || c.FetchFrom != "" {
-			a.pending -= min(q.PrefixTokens, q.PromptTokens)
-		}
+		a.pending = unprefilled(q, cached || copied)
 		a.prefix = deployment.PromptPart{ID: q.PrefixKey, Tokens: q.PrefixTokens}
 		st.prefixCache.add(a.prefix, int(cacheFraction*float64(s.Engine.KVCacheTokens)), now)
 	}
