--- a/internal/lease/ledger_test.go
+++ b/internal/lease/ledger_test.go
@@ -366,3 +366,15 @@
 		t.Fatalf("refund of 500/1200 of 600: %v", r)
 	}
 }
+
+// Guards invariant I7 against a leader whose clock runs 1% fast: the clocks of the
+// simulation deviate by half of that, and its other slack hides a refill that is too
+// high.
+func TestRefillWithFastClock(t *testing.T) {
+	const rate, elapsed = 1000.0, 100 * time.Second
+	b := newBucket(0, 0, rate, teamBurst)
+	b.advance(elapsed+elapsed/100, rate, teamBurst, math.Inf(1))
+	if b.level > rate*elapsed.Seconds() {
+		t.Errorf("%.0f tokens in %s at %.0f a second", b.level, elapsed, rate)
+	}
+}
