--- a/internal/crash/decide.go
+++ b/internal/crash/decide.go
@@ -14,8 +14,7 @@
 	minPartCrashes    = 3
 	// jointWindow is the time within which several targets may crash for one reason,
 	// such as the loss of a failure domain. Their crashes count as one, except for
-	// a request that no target has ever answered, and for a part that none has
-	// answered if no target crashed without it meanwhile.
+	// a request that no target has ever answered.
 	jointWindow = 100 * time.Millisecond
 	// decideWindow is the time after a crash in which its suspects are weighed.
 	decideWindow = time.Minute
@@ -160,30 +159,20 @@
 
 // independent returns how many of the crashes, which must be sorted by time, count
 // for s: those that may have had one reason count once, unless an attempt with s
-// began between them. A reason outside the prompts, such as the loss of a failure
-// domain, would also have hit targets that ran no attempt with a new part.
+// began between them.
 func (t *Tracker) independent(s Suspect, crashes []*crash) int {
-	_, sound := t.mu.sound.get(s)
-	if !s.Part && !sound {
+	if _, sound := t.mu.sound.get(s); !s.Part && !sound {
 		return len(crashes)
 	}
 	n, last := 0, time.Duration(0)
 	for _, c := range crashes {
-		if n == 0 || c.at-last >= jointWindow || c.beganSince(s, last) || !sound && !t.crashedWithout(s, c.at) {
+		if n == 0 || c.at-last >= jointWindow || c.beganSince(s, last) {
 			n, last = n+1, c.at
 		}
 	}
 	return n
 }
 
-// crashedWithout reports whether a target crashed within jointWindow of the given time
-// without s being a suspect.
-func (t *Tracker) crashedWithout(s Suspect, at time.Duration) bool {
-	return slices.ContainsFunc(t.mu.crashes, func(c *crash) bool {
-		return !c.suspects[s] && c.at-at < jointWindow && at-c.at < jointWindow
-	})
-}
-
 // crashesNaming returns the crashes that name all suspects, without those that a
 // block of others explains, sorted by time.
 func (t *Tracker) crashesNaming(suspects []Suspect) []*crash {
