--- a/cmd/wigeonhill/main.go
+++ b/cmd/wigeonhill/main.go
@@ -38,6 +38,7 @@
 	add("explain", "explain a request", "Prints the log lines of several instances that name a request, in order of time, and the cause of its end.", &explainCommand{})
 	add("check", "check settings and configuration", "Checks a settings file and a configuration offline. Prints every error with its line. Exit code 2 if there are errors.", &checkCommand{})
 	add("status", "show the status of a running instance", "Shows the state of a running instance and the reasons for its decisions.", newStatusCommand())
+	add("route", "say where a request would go", "Asks a running instance where it would send a request now, and why. Sends no request and changes nothing. Exit code 1 if the request has no route, its key is not known, or the instance does not answer.", &routeCommand{})
 	add("version", "print the version", "Prints the version.", &versionCommand{})
 	_, err := p.ParseArgs(args)
 	return exitCode(err)
--- a/cmd/wigeonhill/serve_test.go
+++ b/cmd/wigeonhill/serve_test.go
@@ -55,6 +55,11 @@
 		{[]string{"bogus"}, exitInvalid},
 		{[]string{"serve"}, exitInvalid},
 		{[]string{"status", "-a", "127.0.0.1:1", "overview"}, exitFailure},
+		{[]string{"route"}, exitInvalid},
+		{[]string{"route", "--instance", "127.0.0.1"}, exitInvalid},
+		{[]string{"route", "--instance", "127.0.0.1:1", "--header", "no colon"}, exitInvalid},
+		{[]string{"route", "--instance", "127.0.0.1:1", "--header", "A:", "b"}, exitInvalid},
+		{[]string{"route", "--instance", "127.0.0.1:1", "--host", "h"}, exitFailure},
 	} {
 		if got := run(c.args); got != c.want {
 			t.Errorf("%v: exit code %d, want %d", c.args, got, c.want)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,7 +187,7 @@
 			c.failedAttempts++
 		}
 		last = f
-		exclude[choice.Target+choice.Region] = true
+		exclude[placeOf(choice)] = true
 		if !g.canRetry(ctx, c, d, f) {
 			return g.finishFailed(c, d, f, f.err)
 		}
@@ -196,6 +196,10 @@
 	}
 }
 
+// placeOf returns the name under which the target or region of a choice is excluded
+// from further attempts.
+func placeOf(c placement.Choice) string { return c.Target + c.Region }
+
 // choosePlacement decides where the next attempt runs, using the newest state of
 // the catalog, which it returns.
 func (g *Gateway) choosePlacement(c *call, exclude map[string]bool) (placement.Choice, *catalog.View, error) {
@@ -203,22 +207,49 @@
 	if err := c.resolve(v); err != nil {
 		return placement.Choice{}, v, err
 	}
-	if cause := g.Crashes.Blocked(c.suspects()); cause != nil {
-		return placement.Choice{}, v, result.New(result.RequestBlocked, result.NotRun, "this request or a part of its prompt crashed targets: %v", cause)
+	if err := g.checkBlocked(c); err != nil {
+		return placement.Choice{}, v, err
 	}
 	now := time.Now()
+	d := g.decide(g.Tracker, v, c, c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], now), exclude, now)
+	return d.choice, v, d.refusal()
+}
+
+// checkBlocked returns the error for a call that may crash targets, nil for others.
+func (g *Gateway) checkBlocked(c *call) error {
+	if cause := g.Crashes.Blocked(c.suspects()); cause != nil {
+		return result.New(result.RequestBlocked, result.NotRun, "this request or a part of its prompt crashed targets: %v", cause)
+	}
+	return nil
+}
+
+// decision is where an attempt runs, and what that was decided by.
+type decision struct {
+	choice  placement.Choice
+	query   *placement.Query
+	targets []placement.TargetView
+	regions []placement.RegionView
+}
+
+// decide decides where the next attempt of a resolved call runs. q is what
+// placementQuery returned for it; tracker is that of the gateway, or a copy.
+func (g *Gateway) decide(tracker *placement.Tracker, v *catalog.View, c *call, q *placement.Query, exclude map[string]bool, now time.Time) decision {
 	team := v.Config.Teams[c.team]
-	q := c.placementQuery(g.Settings.Region, team, now)
-	targets := g.Tracker.Targets(v, c.service, q.PrefixKey, exclude, now)
-	var regions []placement.RegionView
+	d := decision{query: q, targets: tracker.Targets(v, c.service, q.PrefixKey, exclude, now)}
 	if !c.forwarded {
-		regions = g.remoteRegions(c, team, exclude)
-		q.PrefixOwnerRegion = g.Tracker.PrefixOwnerRegion(v, c.service, q.PrefixKey, func(region string) bool { return deployment.RegionAllowed(c.route, team, region) })
+		d.regions = g.remoteRegions(c, team, exclude)
+		q.PrefixOwnerRegion = tracker.PrefixOwnerRegion(v, c.service, q.PrefixKey, func(region string) bool { return deployment.RegionAllowed(c.route, team, region) })
 	}
-	choice := placement.Choose(q, targets, regions, g.Tracker.Model(v.Config.Services[c.service]))
-	if choice.Target == "" && choice.Region == "" {
-		return choice, v, result.New(result.NoSlot, result.NotRun, "no place in time: %d targets here, %d other regions, expected delay %s",
-			len(targets), len(regions), choice.Delay.Round(time.Millisecond)).WithRetryAfter(choice.RetryAfter)
+	d.choice = placement.Choose(q, d.targets, d.regions, tracker.Model(v.Config.Services[c.service]))
+	return d
+}
+
+// refusal returns the error of a decision against every target and region, nil for
+// other decisions.
+func (d *decision) refusal() error {
+	if d.choice.Target != "" || d.choice.Region != "" {
+		return nil
 	}
-	return choice, v, nil
+	return result.New(result.NoSlot, result.NotRun, "no place in time: %d targets here, %d other regions, expected delay %s",
+		len(d.targets), len(d.regions), d.choice.Delay.Round(time.Millisecond)).WithRetryAfter(d.choice.RetryAfter)
 }
--- /dev/null
+++ b/internal/gateway/routereport_test.go
@@ -0,0 +1,290 @@
+package gateway
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/clock"
+	"github.com/wigeonhill/wigeonhill/internal/crash"
+	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
+	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
+	"github.com/wigeonhill/wigeonhill/internal/placement"
+	"github.com/wigeonhill/wigeonhill/internal/quota"
+	"github.com/wigeonhill/wigeonhill/internal/result"
+	"github.com/wigeonhill/wigeonhill/internal/routereport"
+)
+
+const testKey = "a-key-that-nobody-may-see"
+
+type fixedMembers []heartbeat.Member
+
+func (m fixedMembers) Members() []heartbeat.Member { return m }
+
+type wholeShare struct{}
+
+func (wholeShare) Share(limit int, _ string) int { return limit }
+
+// routeState is a gateway with a random state at a virtual time.
+type routeState struct {
+	g    *Gateway
+	view *catalog.View
+	now  time.Time
+	req  *routereport.Request
+}
+
+// newRouteState returns the state of a seed; equal seeds give equal states.
+func newRouteState(seed uint64) *routeState {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	s := &routeState{now: time.Unix(50_000, 0)}
+	pick := func(names ...string) string { return names[rng.IntN(len(names))] }
+	engine := &deployment.Service{Name: "model", MaxConns: 500, Warmup: 3 * time.Second, WarmupRate: 3, Engine: &deployment.Engine{Slots: 8, KVCacheTokens: 290_000, KVBytesPerToken: 18432, LinkBytesPerSecond: 4.6e10}}
+	plain := &deployment.Service{Name: "plain", MaxConns: 100}
+	config := &deployment.Config{
+		Version: 7, Services: map[string]*deployment.Service{"model": engine, "plain": plain},
+		TeamByKeyHash: map[string]string{hashAPIKey(testKey): "hotel"},
+		Teams:         map[string]*deployment.Team{"hotel": {Name: "hotel", Rate: float64(rng.IntN(3) * 10), Burst: 20}},
+		Routes: []*deployment.Route{
+			{Name: "long", Host: "h", Prefix: "/long", Kind: deployment.Idempotent, MaxTargets: 2, FirstByteObjective: 1500 * time.Millisecond, Timeout: 6 * time.Second, Priority: 2, Split: []deployment.WeightedService{{Service: "model", Weight: 1}}},
+			{Name: "split", Host: "h", Prefix: "/split", Kind: deployment.Idempotent, MaxTargets: 2, FirstByteObjective: 300 * time.Millisecond, Timeout: 3 * time.Second, Split: []deployment.WeightedService{{Service: "model", Weight: 1}, {Service: "plain", Weight: 3}}},
+		},
+	}
+	if rng.IntN(4) == 0 {
+		config.Teams["hotel"].AllowedRegions = []string{pick("east", "west")}
+	}
+	s.view = &catalog.View{PublishedState: deployment.PublishedState{Config: config, Evacuated: map[string]bool{"a2": rng.IntN(3) == 0}}, Targets: map[string]*catalog.Entry{},
+		TargetsReadAt: s.now.Add(-500 * time.Millisecond), TargetsSource: "store"}
+	for i := range 3 + rng.IntN(8) {
+		id := fmt.Sprint("t-", i)
+		e := &catalog.Entry{Target: deployment.Target{ID: id, Service: pick("model", "model", "plain"), Domain: pick("a", "a", "a2", "b"), Slots: 8, StartedMS: 1, Leaving: rng.IntN(10) == 0}, ReadAt: s.now}
+		if rng.IntN(6) == 0 {
+			e.WarmupUntil = s.now.Add(time.Second)
+		}
+		s.view.Targets[id] = e
+	}
+	settings := &deployment.Settings{Instance: "entry-1", Region: "east", Domain: "a", RegionByDomain: map[string]string{"a": "east", "a2": "east", "b": "west", "c": "south"}, MemoryBytes: 256 << 20,
+		Bounds: deployment.Bounds{WarmupRateFactor: 1.5, WarmupSlack: 3, DrainDelay: 3 * time.Second}}
+	start := s.now
+	tracker := placement.NewTracker(settings, wholeShare{}, s.now.Add(-time.Hour), func() time.Duration { return s.now.Sub(start) }, func(time.Duration) {})
+	var members fixedMembers
+	for i := range rng.IntN(6) {
+		region := pick("east", "west", "south")
+		domain := map[string]string{"east": "a", "west": "b", "south": "c"}[region]
+		members = append(members, heartbeat.Member{Reachable: rng.IntN(5) > 0, LastSeen: s.now.Add(-time.Duration(i+1) * 10 * time.Millisecond), Heartbeat: &peerv1.FleetRow{
+			Instance: &peerv1.Identity{Instance: fmt.Sprint("other-", i), PeerAddress: fmt.Sprint("10.0.0.", i), Region: region, Domain: domain}, Ready: rng.IntN(5) > 0,
+			Pools: []*peerv1.PoolUse{{Service: "model", DelayMs: uint32(rng.IntN(900)), Running: uint32(rng.IntN(20)), Capacity: 16}},
+		}})
+	}
+	catalogManager := catalog.New(nil, nil, event.Nop(), func() time.Time { return s.now })
+	s.g = New(Config{Settings: settings, Self: &peerv1.Identity{}, Catalog: catalogManager, Members: members, Tracker: tracker, Quota: quota.New("a", []string{"a", "b", "c"}),
+		Crashes: crash.New(crash.Config{Clock: &clock.Virtual{}}), Log: event.Nop()})
+	s.g.draining.Store(rng.IntN(10) == 0)
+	s.disturb(rng)
+	path := pick("/long/x?secret="+testKey, "/split/y")
+	s.req = &routereport.Request{Host: "h:80", Path: path, Method: "POST", Header: http.Header{"Api-Key": {testKey}, "X-Request-Id": {"r"}}}
+	if rng.IntN(2) == 0 {
+		s.req.Header.Set("X-Token-Usage", "14000,100")
+		s.req.Header.Set("X-Prompt-Prefix", "part-1:13000,own:1000")
+	}
+	return s
+}
+
+// disturb sends requests to targets, and charges the team, at random.
+func (s *routeState) disturb(rng *rand.Rand) {
+	ids := make([]string, 0, len(s.view.Targets))
+	for id := range s.view.Targets {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	var running []*placement.Attempt
+	for range rng.IntN(120) {
+		s.now = s.now.Add(time.Duration(rng.IntN(40)) * time.Millisecond)
+		e := s.view.Targets[ids[rng.IntN(len(ids))]]
+		switch k := rng.IntN(10); {
+		case k < 6:
+			q := &placement.Query{PromptTokens: 14000, PrefixKey: fmt.Sprint("part-", rng.IntN(3)), PrefixTokens: 13000, Objective: time.Second}
+			if a := s.g.Tracker.Begin(s.view, e, s.view.Config.Services[e.Service], q, placement.Choice{Delay: time.Millisecond}, s.now); a != nil {
+				a.Sent(s.now)
+				running = append(running, a)
+			}
+		case k < 8 && len(running) > 0:
+			i := rng.IntN(len(running))
+			running[i].FirstByte(s.now)
+			running[i].End(placement.Outcome(rng.IntN(int(placement.AddressReused)+1)), s.now)
+			running = slices.Delete(running, i, i+1)
+		case k == 8:
+			s.g.Tracker.SetHealthy(e.ID, 0, s.now)
+		case k == 9:
+			s.g.Quota.Admit(s.view.Config.Teams["hotel"], float64(rng.IntN(4)), s.now)
+		}
+	}
+}
+
+// decideFor makes the decision for a request as choosePlacement does.
+func (s *routeState) decideFor(t *testing.T, service string) decision {
+	t.Helper()
+	c := newCall(s.req.Header, s.req.Host, s.req.Method, s.req.Path, s.now)
+	if err := c.resolve(s.view); err != nil {
+		t.Fatal(err)
+	}
+	c.service = service
+	c.setDeadline()
+	d := s.g.decide(s.g.Tracker, s.view, c, c.placementQuery("east", s.view.Config.Teams[c.team], s.now), nil, s.now)
+	slices.SortFunc(d.targets, func(a, b placement.TargetView) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(d.regions, func(a, b placement.RegionView) int { return cmp.Compare(a.Name, b.Name) })
+	return d
+}
+
+// Guards against a report that differs from the decision about a request in the same
+// state, one that changes the state, and one that shows a key. Of two equal states, one
+// is reported about before the decision; a thousand random states in virtual time.
+func TestRouteReportIsWhatIsDecidedNext(t *testing.T) {
+	count := map[string]int{}
+	for seed := range uint64(1000) {
+		asked, plain := newRouteState(seed), newRouteState(seed)
+		var report *routereport.Report
+		// By then windows have ended and caches have lapsed; that must not show earlier.
+		if _, err := asked.g.routeReport(asked.req, asked.view, asked.now.Add(20*time.Second)); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		for range 1 + seed%3 {
+			var err error
+			if report, err = asked.g.routeReport(asked.req, asked.view, asked.now); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+		}
+		checkNoKey(t, report)
+		if report.Draining != plain.g.Draining() {
+			t.Fatalf("seed %d: draining %t", seed, report.Draining)
+		}
+		for i := range report.Placements {
+			p := &report.Placements[i]
+			before, after := plain.decideFor(t, p.Service), asked.decideFor(t, p.Service)
+			if !reflect.DeepEqual(before.targets, after.targets) || !reflect.DeepEqual(before.regions, after.regions) {
+				t.Fatalf("seed %d: the state differs after a report:\n%+v\n%+v", seed, before, after)
+			}
+			checkPlacement(t, seed, p, &before, plain.view)
+			count[fmt.Sprint("target ", before.choice.Target != "", ", region ", before.choice.Region != "")]++
+		}
+		team := plain.view.Config.Teams["hotel"]
+		want := plain.g.Quota.Admit(team, 1, plain.now)
+		if got := asked.g.Quota.Admit(team, 1, asked.now); got != want {
+			t.Fatalf("seed %d: the quota decides %+v after a report, %+v without", seed, got, want)
+		}
+		if overRate := report.Refusal != nil && report.Refusal.Name == result.OverRate.String(); overRate == want.Admitted {
+			t.Fatalf("seed %d: refusal %+v, the quota decides %+v", seed, report.Refusal, want)
+		} else if overRate {
+			count["over rate"]++
+			if ms := routereport.Millis(want.RetryAfter); report.Refusal.RetryAfterMS != ms {
+				t.Fatalf("seed %d: Retry-After %d ms, want %d", seed, report.Refusal.RetryAfterMS, ms)
+			}
+		}
+	}
+	for _, kind := range []string{"target true, region false", "target false, region true", "target false, region false", "over rate"} {
+		if count[kind] < 20 {
+			t.Errorf("only %d states with %s", count[kind], kind)
+		}
+	}
+	t.Log(count)
+}
+
+// checkPlacement checks the report of one service against the decision. Ties between
+// targets are broken by the order of a map, in the report as for requests.
+func checkPlacement(t *testing.T, seed uint64, p *routereport.Placement, d *decision, v *catalog.View) {
+	t.Helper()
+	expected := map[string]routereport.Target{}
+	for _, target := range p.Targets {
+		expected[target.ID] = target
+	}
+	switch {
+	case placeOf(d.choice) == "":
+		if p.First != nil || p.Refusal == nil || p.Refusal.Name != result.NoSlot.String() {
+			t.Fatalf("seed %d: %+v, decided %+v", seed, p, d.choice)
+		}
+		// The random part of the delay differs from request to request.
+		low, high := time.Duration(0), time.Duration(0)
+		for jitter, at := range map[float64]*time.Duration{0: &low, 1: &high} {
+			q := *d.query
+			q.Jitter = jitter
+			*at = placement.Choose(&q, d.targets, d.regions, placement.LatencyModelOf(v.Config.Services[p.Service])).RetryAfter
+		}
+		if ms := p.Refusal.RetryAfterMS; ms < routereport.Millis(low) || ms > routereport.Millis(high) {
+			t.Fatalf("seed %d: Retry-After %d ms, want %s to %s", seed, ms, low, high)
+		}
+	case p.First == nil || p.First.Region != d.choice.Region || p.First.Reason != d.choice.Reason || p.First.ExpectedMS != routereport.Millis(d.choice.Delay):
+		t.Fatalf("seed %d: %+v, decided %+v", seed, p.First, d.choice)
+	case p.First.Target != d.choice.Target:
+		if a, b := expected[p.First.Target], expected[d.choice.Target]; a.Rule != b.Rule || a.ExpectedMS != b.ExpectedMS {
+			t.Fatalf("seed %d: target %+v, decided %+v", seed, a, b)
+		}
+	case p.First.Target != "" && (expected[p.First.Target].Rule != "" || expected[p.First.Target].ExpectedMS != p.First.ExpectedMS):
+		t.Fatalf("seed %d: first choice %+v, listed as %+v", seed, p.First, expected[p.First.Target])
+	}
+	if p.Second != nil && (p.Second.Target+p.Second.Region == p.First.Target+p.First.Region) {
+		t.Fatalf("seed %d: the second choice is the first: %+v", seed, p.Second)
+	}
+	if (p.First != nil) != (p.Second != nil || p.SecondRefusal != nil) {
+		t.Fatalf("seed %d: second choice of %+v", seed, p)
+	}
+	listed := 0
+	for _, e := range v.Targets {
+		if e.Service == p.Service && (e.Domain == "a" || e.Domain == "a2") {
+			listed++
+		}
+	}
+	if len(p.Targets) != listed || len(p.Regions) != 2 {
+		t.Fatalf("seed %d: %d targets of %d, %d regions", seed, len(p.Targets), listed, len(p.Regions))
+	}
+}
+
+func checkNoKey(t *testing.T, report *routereport.Report) {
+	t.Helper()
+	var out bytes.Buffer
+	if err := report.WriteText(&out); err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, secret := range []string{testKey, hashAPIKey(testKey)} {
+		if strings.Contains(out.String(), secret) || bytes.Contains(text, []byte(secret)) {
+			t.Fatalf("the report shows a key:\n%s\n%s", out.String(), text)
+		}
+	}
+}
+
+// Guards against requests without a report for which the report would be made up, and
+// against errors that show the key.
+func TestRouteReportErrors(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		change func(s *routeState)
+		want   result.Code
+	}{
+		{"no configuration", func(s *routeState) { s.view.Config = nil }, result.NotReady},
+		{"unknown host", func(s *routeState) { s.req.Host = "other" }, result.UnknownRoute},
+		{"unknown path", func(s *routeState) { s.req.Path = "/x?" + testKey }, result.UnknownRoute},
+		{"unknown key", func(s *routeState) { s.req.Header.Set("Api-Key", testKey+"x") }, result.UnknownKey},
+		{"no key", func(s *routeState) { s.req.Header.Del("Api-Key") }, result.UnknownKey},
+		{"unknown service", func(s *routeState) { clear(s.view.Config.Services) }, result.NoTarget},
+	} {
+		s := newRouteState(1)
+		x.change(s)
+		report, err := s.g.routeReport(s.req, s.view, s.now)
+		if err == nil || report != nil || result.FromError(err).Code != x.want || strings.Contains(err.Error(), testKey) {
+			t.Errorf("%s: %v", x.name, err)
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -14,10 +14,12 @@
 	"github.com/labstack/echo/v4"
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 	"github.com/wigeonhill/wigeonhill/internal/intake"
+	"github.com/wigeonhill/wigeonhill/internal/quota"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/platform"
 )
@@ -114,23 +116,13 @@
 func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request) (*call, intake.Body, error) {
 	now := time.Now()
 	arrived, left := arrivalOf(r, now)
-	c := &call{
-		Request: platform.ParseRequest(r.Header), host: stripPort(r.Host), method: r.Method, path: pathAndQuery(r.RequestURI),
-		header: platform.ForwardedRequestHeaders(r.Header), arrived: arrived, conn: httpframing.Conn(r.Context()),
-	}
-	c.keyHash, c.APIKey = hashAPIKey(c.APIKey), ""
+	c := newCall(r.Header, r.Host, r.Method, r.RequestURI, arrived)
+	c.conn = httpframing.Conn(r.Context())
 	v := g.Catalog.Current()
 	if err := c.resolve(v); err != nil {
 		return c, intake.Body{}, err
 	}
-	timeout := c.CallerTimeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	c.deadline = arrived.Add(timeout)
-	if t := arrived.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.deadline) {
-		c.deadline = t
-	}
+	c.setDeadline()
 	if !now.Before(c.deadline) {
 		return c, intake.Body{}, result.New(result.DeadlineTooNear, result.NotRun, "the request waited %s to be read", now.Sub(arrived).Round(time.Millisecond))
 	}
@@ -141,6 +133,27 @@
 	return c, body, err
 }
 
+// newCall returns the call for a request of a caller, without its body. target is the
+// request target as the caller sent it.
+func newCall(h http.Header, host, method, target string, arrived time.Time) *call {
+	c := &call{Request: platform.ParseRequest(h), host: stripPort(host), method: method, path: pathAndQuery(target),
+		header: platform.ForwardedRequestHeaders(h), arrived: arrived}
+	c.keyHash, c.APIKey = hashAPIKey(c.APIKey), ""
+	return c
+}
+
+// setDeadline sets the deadline of a resolved call.
+func (c *call) setDeadline() {
+	timeout := c.CallerTimeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	c.deadline = c.arrived.Add(timeout)
+	if t := c.arrived.Add(c.route.Timeout); c.route.Timeout > 0 && t.Before(c.deadline) {
+		c.deadline = t
+	}
+}
+
 // pathAndQuery returns the path and query of a request target as the caller sent
 // them. The absolute form, which callers send to proxies, names the host too (RFC 9112,
 // 3.2.2). A target of another form ("*" or an authority) is returned unchanged and
@@ -173,18 +186,33 @@
 // admit charges a request to the quota of its team. team is nil if none applies;
 // otherwise units is what a refund has to return.
 func (g *Gateway) admit(c *call) (team *deployment.Team, units float64, err error) {
-	v := g.Catalog.Current()
-	if v.Config == nil || c.team == "" || v.Config.Teams[c.team] == nil {
+	team = chargedTeam(c, g.Catalog.Current())
+	if team == nil {
 		return nil, 0, nil
 	}
-	team = v.Config.Teams[c.team]
 	units = c.QuotaUnits(team)
 	decision := g.Quota.Admit(team, units, time.Now())
-	if decision.Admitted {
-		return team, units, nil
+	if err := overRate(c, decision, units); err != nil {
+		return nil, 0, err
+	}
+	return team, units, nil
+}
+
+// chargedTeam returns the team to whose quota a call is charged; nil if none is.
+func chargedTeam(c *call, v *catalog.View) *deployment.Team {
+	if v.Config == nil || c.team == "" {
+		return nil
+	}
+	return v.Config.Teams[c.team]
+}
+
+// overRate returns the error for a call that the quota does not admit, nil for others.
+func overRate(c *call, d quota.Decision, units float64) error {
+	if d.Admitted {
+		return nil
 	}
-	return nil, 0, result.New(result.OverRate, result.NotRun, "team %s is over its allowance: level %.0f, part of the rate %.2f, request %.0f",
-		c.team, decision.Level, decision.Share, units).WithRetryAfter(decision.RetryAfter)
+	return result.New(result.OverRate, result.NotRun, "team %s is over its allowance: level %.0f, part of the rate %.2f, request %.0f",
+		c.team, d.Level, d.Share, units).WithRetryAfter(d.RetryAfter)
 }
 
 // finishResponse completes the response to a request that was dispatched: it logs
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/gateway"
 	"github.com/wigeonhill/wigeonhill/internal/placement"
+	"github.com/wigeonhill/wigeonhill/internal/routereport"
 )
 
 const (
@@ -25,6 +26,7 @@
 func (i *Instance) metricsServer(r *prometheus.Registry) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	mux.Handle("GET "+routereport.Path, routereport.Handler(func(r *routereport.Request) (*routereport.Report, error) { return i.gateway.RouteReport(r) }))
 	return newSmallServer(mux)
 }
 
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
@@ -107,6 +108,18 @@
 // New returns Windows without any window.
 func New() *Windows { return &Windows{targets: map[string]*window{}} }
 
+// Copy returns a copy that does not change with w. Changes returns none of the earlier
+// changes of w at the copy.
+func (w *Windows) Copy() *Windows {
+	c := &Windows{targets: make(map[string]*window, len(w.targets)), active: w.active, generation: w.generation}
+	for id, t := range w.targets {
+		copied := *t
+		copied.peers = maps.Clone(t.peers)
+		c.targets[id] = &copied
+	}
+	return c
+}
+
 func (w *Windows) state(target string) *window {
 	t := w.targets[target]
 	if t == nil {
--- a/internal/placement/estimates.go
+++ b/internal/placement/estimates.go
@@ -228,7 +228,18 @@
 	return b
 }
 
-func (h *health) usable(now time.Time) bool { return !h.down && !now.Before(h.backoffUntil) }
+func (h *health) usable(now time.Time) bool { return h.rule(now) == "" }
+
+// rule returns the rule by which the target is not usable; empty if it is.
+func (h *health) rule(now time.Time) Rule {
+	switch {
+	case h.down:
+		return RuleDown
+	case now.Before(h.backoffUntil):
+		return RuleBackoff
+	}
+	return ""
+}
 
 // markDown makes the target unusable until a health check succeeds. After a failed
 // probe request, a backoff applies whatever the health checks report.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -197,6 +197,12 @@
 // without those in exclude. Targets that said in a response that they leave are only
 // among them if there are no others.
 func (t *Tracker) Targets(v *catalog.View, service, prefixKey string, exclude map[string]bool, now time.Time) []TargetView {
+	return t.targets(v, service, prefixKey, exclude, now, nil)
+}
+
+// targets is Targets. It calls note, if that is not nil, for each listed target of the
+// service in the local region.
+func (t *Tracker) targets(v *catalog.View, service, prefixKey string, exclude map[string]bool, now time.Time, note func(*Candidate)) []TargetView {
 	s := v.Config.Services[service]
 	if s == nil {
 		return nil
@@ -205,21 +211,53 @@
 	defer t.mu.Unlock()
 	t.noteTime(now)
 	var out, leaving []TargetView
+	var resorts []*Candidate // those of leaving
 	for _, e := range v.Targets {
-		if e.Service != service || t.regionByDomain[e.Domain] != t.region || v.Evacuated[e.Domain] || exclude[e.ID] || e.Leaving {
+		if e.Service != service || t.regionByDomain[e.Domain] != t.region {
+			continue
+		}
+		if rule := listingRule(v, e, exclude); rule != "" {
+			if note != nil {
+				note(&Candidate{View: TargetView{ID: e.ID, Slots: e.Slots}, Entry: e, Rule: rule})
+			}
 			continue
 		}
 		st := t.stateOf(e, now)
-		if !st.health.usable(now) {
+		if rule := st.health.rule(now); rule != "" {
+			if note != nil {
+				note(t.candidate(e, st, TargetView{ID: e.ID, Slots: e.Slots}, rule, now))
+			}
 			continue
 		}
-		view := t.targetView(v, s, e, st, prefixKey, now)
-		if st.leavingSince.IsZero() {
+		view, rule := t.targetView(v, s, e, st, prefixKey, now)
+		var c *Candidate
+		if note != nil {
+			c = t.candidate(e, st, view, rule, now)
+			c.Viewed = true
+		}
+		switch {
+		case st.leavingSince.IsZero():
 			out = append(out, view)
-		} else if t.lastResort(st, now) {
+		case t.lastResort(st, now):
 			view.Leaving = true
 			leaving = append(leaving, view)
+			if c != nil {
+				c.View.Leaving = true
+				resorts = append(resorts, c)
+			}
+			continue // noted when it is known whether there are others
+		case c != nil:
+			c.Viewed, c.Rule = false, RuleSaidLeaving
 		}
+		if c != nil {
+			note(c)
+		}
+	}
+	for _, c := range resorts {
+		if len(out) > 0 {
+			c.Viewed, c.Rule = false, RuleSaidLeaving
+		}
+		note(c)
 	}
 	if len(out) == 0 {
 		return leaving
@@ -247,7 +285,8 @@
 	return ownerRegion
 }
 
-func (t *Tracker) targetView(v *catalog.View, s *deployment.Service, e *catalog.Entry, st *targetState, prefixKey string, now time.Time) TargetView {
+// targetView returns the view of a target, and the rule by which it is full, if it is.
+func (t *Tracker) targetView(v *catalog.View, s *deployment.Service, e *catalog.Entry, st *targetState, prefixKey string, now time.Time) (TargetView, Rule) {
 	running, pending := st.load()
 	view := TargetView{
 		ID: e.ID, Running: running, Slots: e.Slots, Engine: s.Engine != nil, PendingTokens: pending,
@@ -262,15 +301,24 @@
 	if s.MaxConns > 0 {
 		view.Capacity = min(view.Capacity, int((1-connReserve)*float64(s.MaxConns)))
 	}
-	view.Full = running >= view.Capacity || st.health.probing && st.running > 0
-	if view.WarmingUp = t.warmingUp(v, e, st, now); view.WarmingUp {
-		view.Full = view.Full || st.countRecentSends(now) >= t.warmupLimit(v, s, e.ID, now)
-	} else if t.vouchUsed(v, s, e.ID, st, now) {
-		view.Full = true
+	view.WarmingUp = t.warmingUp(v, e, st, now)
+	var rule Rule
+	switch {
+	case running >= view.Capacity:
+		rule = RuleCapacity
+	case st.health.probing && st.running > 0:
+		rule = RuleProbing
+	case view.WarmingUp && st.countRecentSends(now) >= t.warmupLimit(v, s, e.ID, now):
+		rule = RuleWarmup
+	case !view.WarmingUp && t.vouchUsed(v, s, e.ID, st, now):
+		rule = RuleUnconfirmed
 	}
 	t.paceWarmup(v, e, st, now)
-	view.Full = view.Full || t.paced(e.ID, 0, now)
-	return view
+	if rule == "" && t.paced(e.ID, 0, now) {
+		rule = RulePaced
+	}
+	view.Full = rule != ""
+	return view, rule
 }
 
 // oldestWait returns the longest time that a current attempt has waited for its first
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -140,7 +140,29 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.bucket(t, now)
+	return l.admit(l.bucket(t, now), t, units, now)
+}
+
+// Preview returns what Admit would decide now, and changes nothing.
+func (l *Limiter) Preview(t *deployment.Team, units float64, now time.Time) Decision {
+	if t.Rate <= 0 {
+		return Decision{Admitted: true, Share: 1}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	started, known := l.mu.started, l.mu.teams[t.Name]
+	defer func() { l.mu.started = started }()
+	l.markStarted(now)
+	b := newBucket(t, len(l.otherDomains)+1, now)
+	if known != nil {
+		*b = *known // what admit changes is not shared with the copy
+	}
+	b.rate, b.burst = t.Rate, t.Burst
+	return l.admit(b, t, units, now)
+}
+
+// admit is Admit with the bucket b.
+func (l *Limiter) admit(b *bucket, t *deployment.Team, units float64, now time.Time) Decision {
 	b.demand.add(units, now)
 	share := l.refill(b, now)
 	level := b.level - b.estimatedPeerSpend(l, now)
@@ -167,13 +189,19 @@
 	l.markStarted(now)
 	b := l.mu.teams[t.Name]
 	if b == nil {
-		b = &bucket{level: t.Burst * initialBurstFraction / float64(len(l.otherDomains)+1), refilledAt: now, peerSpends: map[string]*peerSpend{}}
+		b = newBucket(t, len(l.otherDomains)+1, now)
 		l.mu.teams[t.Name] = b
 	}
 	b.rate, b.burst = t.Rate, t.Burst
 	return b
 }
 
+// newBucket returns the bucket of a team of which nothing is known. domains is the
+// number of failure domains.
+func newBucket(t *deployment.Team, domains int, now time.Time) *bucket {
+	return &bucket{level: t.Burst * initialBurstFraction / float64(domains), refilledAt: now, peerSpends: map[string]*peerSpend{}}
+}
+
 func (l *Limiter) markStarted(now time.Time) {
 	if l.mu.started.IsZero() {
 		l.mu.started = now
