--- a/cmd/wigeonhill/route.go
+++ b/cmd/wigeonhill/route.go
@@ -15,7 +15,7 @@
 
 // routeCommand asks an instance where it would send a request.
 type routeCommand struct {
-	Instance string   `long:"instance" value-name:"ADDRESS" required:"true" description:"metrics address on the platform, operators' address of serve (IP:port)"`
+	Instance string   `long:"instance" value-name:"ADDRESS" required:"true" description:"metrics address of an instance on the platform (IP:port)"`
 	JSON     bool     `long:"json" description:"print JSON"`
 	Host     string   `long:"host" description:"host of the request"`
 	Path     string   `long:"path" default:"/" description:"path of the request, with its query"`
--- a/internal/routereport/http.go
+++ b/internal/routereport/http.go
@@ -145,7 +145,7 @@
 	if status != http.StatusOK {
 		var e errorBody
 		if json.Unmarshal(body, &e) != nil || e.Error.Name == "" {
-			return nil, nil, errors.Newf("%s has no report: status %d; is it the metrics or operators' address?", address, status)
+			return nil, nil, errors.Newf("%s has no report: status %d; is it the metrics address of an instance on the platform?", address, status)
 		}
 		return nil, nil, errors.Newf("%s (%d): %s", e.Error.Name, e.Error.Code, e.Error.Message)
 	}
--- a/internal/routereport/text.go
+++ b/internal/routereport/text.go
@@ -132,7 +132,7 @@
 		state = append(state, "leaving")
 	}
 	if t.Pacing != nil {
-		state = append(state, fmt.Sprintf("paced %d/%d of %d", t.Pacing.InFlight, t.Pacing.Share, t.Pacing.Limit))
+		state = append(state, fmt.Sprintf("paced: %d of %d (all instances: %d)", t.Pacing.InFlight, t.Pacing.Share, t.Pacing.Limit))
 	}
 	prefix := ""
 	if t.Cached {
