--- a/internal/gateway/routereport.go
+++ b/internal/gateway/routereport.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
@@ -12,6 +13,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/placement"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 	"github.com/wigeonhill/wigeonhill/internal/routereport"
+	"github.com/wigeonhill/wigeonhill/platform"
 )
 
 // lateRule excludes places at which the request would be late.
@@ -25,7 +27,7 @@
 }
 
 func (g *Gateway) routeReport(r *routereport.Request, v *catalog.View, now time.Time) (*routereport.Report, error) {
-	c := newCall(r.Header, r.Host, r.Method, r.Path, now)
+	c, key := newCall(r.Header, r.Host, r.Method, r.Path, now), platform.ParseRequest(r.Header).APIKey
 	if err := c.resolve(v); err != nil {
 		return nil, err
 	}
@@ -34,9 +36,10 @@
 	team := v.Config.Teams[c.team]
 	out := &routereport.Report{
 		Instance: g.Settings.Instance, Region: g.Settings.Region, Domain: g.Settings.Domain, At: now, Draining: g.Draining(),
-		Figures: g.figures(v, members, now), Host: c.host, Path: stripQuery(c.path), Method: c.method,
+		Figures: g.figures(v, members, now), Host: hide(key, c.host), Path: hide(key, stripQuery(c.path)), Method: hide(key, c.method),
 		Route: c.route.Name, Priority: c.route.PriorityFor(team), ObjectiveMS: routereport.Millis(c.route.FirstByteObjective),
 		RemainingMS: routereport.Millis(c.deadline.Sub(now)), Team: c.team, AllowedRegions: g.allowedRegions(c, team),
+		Instances: make([]routereport.Instance, 0, len(members)),
 	}
 	refused := g.refusal()
 	if charged := chargedTeam(c, v); charged != nil {
@@ -58,7 +61,7 @@
 		out.Placements = append(out.Placements, g.placementReport(tracker, v, c, s.Weight, members, now))
 	}
 	if len(out.Placements) > 0 {
-		out.Prompt = promptOf(c, tracker.PrefixOwnerRegion(v, c.service, prefixKeyOf(c), func(region string) bool { return deployment.RegionAllowed(c.route, team, region) }))
+		out.Prompt = promptOf(c, key, tracker.PrefixOwnerRegion(v, c.service, prefixKeyOf(c), func(region string) bool { return deployment.RegionAllowed(c.route, team, region) }))
 	}
 	for i := range members {
 		m := &members[i]
@@ -130,7 +133,7 @@
 func (g *Gateway) regionRows(v *catalog.View, c *call, d *decision, model *placement.LatencyModel, members []heartbeat.Member, now time.Time) []routereport.Region {
 	team := v.Config.Teams[c.team]
 	reports := g.regionReports(c, team, nil, members)
-	var out []routereport.Region
+	out := []routereport.Region{}
 	for _, name := range g.regions() {
 		if name == g.Settings.Region {
 			continue
@@ -200,12 +203,12 @@
 	return key
 }
 
-func promptOf(c *call, ownerRegion string) *routereport.Prompt {
+func promptOf(c *call, apiKey, ownerRegion string) *routereport.Prompt {
 	if !c.HasTokenCounts && len(c.PromptParts) == 0 {
 		return nil
 	}
 	key, tokens := placement.SharedPrefix(c.PromptParts)
-	return &routereport.Prompt{Tokens: c.PromptTokens, Prefix: key, PrefixTokens: tokens, PrefixOwnerRegion: ownerRegion}
+	return &routereport.Prompt{Tokens: c.PromptTokens, Prefix: hide(apiKey, key), PrefixTokens: tokens, PrefixOwnerRegion: ownerRegion}
 }
 
 // choiceOf returns the report of a choice, nil for a refusal.
@@ -226,4 +229,13 @@
 	return &routereport.Refusal{Code: int(e.Code), Name: e.Code.String(), Status: httpStatus(e), Message: e.Message, RetryAfterMS: routereport.Millis(e.RetryAfter)}
 }
 
+// hide returns s without the API key, which a caller may have put where it does not
+// belong.
+func hide(key, s string) string {
+	if key == "" {
+		return s
+	}
+	return strings.ReplaceAll(s, key, "...")
+}
+
 func pointer[T any](x T) *T { return &x }
--- a/internal/gateway/routereport_test.go
+++ b/internal/gateway/routereport_test.go
@@ -91,11 +91,11 @@
 		Crashes: crash.New(crash.Config{Clock: &clock.Virtual{}}), Log: event.Nop()})
 	s.g.draining.Store(rng.IntN(10) == 0)
 	s.disturb(rng)
-	path := pick("/long/x?secret="+testKey, "/split/y")
+	path := pick("/long/x?secret="+testKey, "/split/"+testKey+"/y")
 	s.req = &routereport.Request{Host: "h:80", Path: path, Method: "POST", Header: http.Header{"Api-Key": {testKey}, "X-Request-Id": {"r"}}}
 	if rng.IntN(2) == 0 {
 		s.req.Header.Set("X-Token-Usage", "14000,100")
-		s.req.Header.Set("X-Prompt-Prefix", "part-1:13000,own:1000")
+		s.req.Header.Set("X-Prompt-Prefix", pick("part-1", "part-1", testKey)+":13000,own:1000")
 	}
 	return s
 }
@@ -288,3 +288,28 @@
 		}
 	}
 }
+
+// Guards against a report in the last part of a drain, or about a blocked part of a
+// prompt, that shows a place and not the refusal.
+func TestRouteReportShowsRefusalsBeforePlacement(t *testing.T) {
+	s := newRouteState(1)
+	s.view.Config.Teams["hotel"].Rate = 0
+	s.req.Header.Set("X-Prompt-Prefix", "part-1:13000,own:1000")
+	check := func(want result.Code) {
+		t.Helper()
+		report, err := s.g.routeReport(s.req, s.view, s.now)
+		if err != nil || report.Refusal == nil || report.Refusal.Name != want.String() || len(report.Placements) == 0 {
+			t.Errorf("%v: %+v, want %s", err, report, want)
+		}
+	}
+	s.g.Crashes.Merge(&peerv1.CrashNews{Blocks: blockOf("part-1")})
+	check(result.RequestBlocked)
+	s.g.refusing.Store(true)
+	check(result.ShuttingDown)
+}
+
+// blockOf returns the news of a block of a part of prompts.
+func blockOf(part string) []*peerv1.CrashBlock {
+	s := crash.Suspects(crash.Fingerprint{}, []string{part})[1]
+	return []*peerv1.CrashBlock{{Parts: [][]byte{s.Fingerprint[:]}, Version: 1, RemainingMs: 600_000, Crashes: 5}}
+}
--- a/internal/placement/candidates_test.go
+++ b/internal/placement/candidates_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -168,3 +169,32 @@
 		ChooseEach(longQuery("part-1"), views, engine)
 	}
 }
+
+// Guards against a copy that shares state with the tracker while requests run; only the
+// race detector notices that.
+func TestCopyWhileRequestsRun(t *testing.T) {
+	c := newCluster(2, 4)
+	tr, now := c.trackers[0], c.now
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 200 {
+				for _, e := range c.view.Targets {
+					if a := tr.Begin(c.view, e, c.service, longQuery("part-1"), Choice{}, now); a != nil {
+						a.Sent(now)
+						a.FirstByte(now)
+						a.End(ConnectionLost, now)
+					}
+					tr.SetHealthy(e.ID, 0, now)
+				}
+			}
+		})
+	}
+	for range 200 {
+		candidates := tr.Copy().Candidates(c.view, "model", "part-1", nil, now)
+		if len(candidates) != 4 {
+			t.Errorf("%d candidates", len(candidates))
+		}
+	}
+	wg.Wait()
+}
--- a/internal/routereport/http.go
+++ b/internal/routereport/http.go
@@ -70,8 +70,8 @@
 		req, err := parseRequest(r)
 		if err == nil {
 			mu.Lock()
-			defer mu.Unlock()
 			body, err = report(req)
+			mu.Unlock()
 		}
 		if err != nil {
 			e := result.FromError(err)
