--- a/internal/gateway/routereport.go
+++ b/internal/gateway/routereport.go
@@ -23,10 +23,15 @@
 // decides about requests, on a copy of the state, and changes nothing. The error is a
 // *result.Error for requests that are refused before a service is known.
 func (g *Gateway) RouteReport(r *routereport.Request) (*routereport.Report, error) {
-	return g.routeReport(r, g.Catalog.Current(), time.Now())
+	v, now := g.Catalog.Current(), time.Now()
+	return g.routeReport(r, v, now, func(c *call) *placement.Query {
+		return c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], now)
+	})
 }
 
-func (g *Gateway) routeReport(r *routereport.Request, v *catalog.View, now time.Time) (*routereport.Report, error) {
+// routeReport is RouteReport for a state and a time. query returns the query for a
+// resolved call; what it draws at random decides in the report as for a request.
+func (g *Gateway) routeReport(r *routereport.Request, v *catalog.View, now time.Time, query func(*call) *placement.Query) (*routereport.Report, error) {
 	c, key := newCall(r.Header, r.Host, r.Method, r.Path, now), platform.ParseRequest(r.Header).APIKey
 	if err := c.resolve(v); err != nil {
 		return nil, err
@@ -38,7 +43,7 @@
 		Instance: g.Settings.Instance, Region: g.Settings.Region, Domain: g.Settings.Domain, At: now, Draining: g.Draining(),
 		Figures: g.figures(v, members, now), Host: hide(key, c.host), Path: hide(key, stripQuery(c.path)), Method: hide(key, c.method),
 		Route: c.route.Name, Priority: c.route.PriorityFor(team), ObjectiveMS: routereport.Millis(c.route.FirstByteObjective),
-		RemainingMS: routereport.Millis(c.deadline.Sub(now)), Team: c.team, AllowedRegions: g.allowedRegions(c, team),
+		TimeLeftMS: routereport.Millis(c.deadline.Sub(now)), Team: c.team, AllowedRegions: g.allowedRegions(c, team),
 		Instances: make([]routereport.Instance, 0, len(members)),
 	}
 	refused := g.refusal()
@@ -58,7 +63,7 @@
 			return nil, result.New(result.NoTarget, result.NotRun, "route %s names service %s, which the configuration does not have", c.route.Name, s.Service)
 		}
 		c.service = s.Service
-		out.Placements = append(out.Placements, g.placementReport(tracker, v, c, s.Weight, members, now))
+		out.Placements = append(out.Placements, g.placementReport(tracker, v, c, query(c), s.Weight, members, now))
 	}
 	if len(out.Placements) > 0 {
 		out.Prompt = promptOf(c, key, tracker.PrefixOwnerRegion(v, c.service, prefixKeyOf(c), func(region string) bool { return deployment.RegionAllowed(c.route, team, region) }))
@@ -74,9 +79,8 @@
 }
 
 // placementReport reports the decision for the service of c.
-func (g *Gateway) placementReport(tracker *placement.Tracker, v *catalog.View, c *call, weight float64, members []heartbeat.Member, now time.Time) routereport.Placement {
+func (g *Gateway) placementReport(tracker *placement.Tracker, v *catalog.View, c *call, q *placement.Query, weight float64, members []heartbeat.Member, now time.Time) routereport.Placement {
 	out := routereport.Placement{Service: c.service, Weight: weight}
-	q := c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], now)
 	d := g.decide(tracker, v, c, q, map[string]bool{}, now)
 	out.First, out.Refusal = choiceOf(d.choice), refusalOf(d.refusal())
 	if out.First != nil {
--- a/internal/gateway/routereport_test.go
+++ b/internal/gateway/routereport_test.go
@@ -131,8 +131,21 @@
 	}
 }
 
+// report returns the report about the request after a time.
+func (s *routeState) report(after time.Duration) (*routereport.Report, error) {
+	now := s.now.Add(after)
+	return s.g.routeReport(s.req, s.view, now, func(c *call) *placement.Query { return s.query(c, now) })
+}
+
+// query returns the query for a call with a random part that depends on the state only.
+func (s *routeState) query(c *call, now time.Time) *placement.Query {
+	q := c.placementQuery("east", s.view.Config.Teams[c.team], now)
+	q.Jitter = float64(len(s.view.Targets)%7) / 7
+	return q
+}
+
 // decideFor makes the decision for a request as choosePlacement does.
-func (s *routeState) decideFor(t *testing.T, service string) decision {
+func (s *routeState) decideFor(t *testing.T, service string, exclude map[string]bool) decision {
 	t.Helper()
 	c := newCall(s.req.Header, s.req.Host, s.req.Method, s.req.Path, s.now)
 	if err := c.resolve(s.view); err != nil {
@@ -140,7 +153,7 @@
 	}
 	c.service = service
 	c.setDeadline()
-	d := s.g.decide(s.g.Tracker, s.view, c, c.placementQuery("east", s.view.Config.Teams[c.team], s.now), nil, s.now)
+	d := s.g.decide(s.g.Tracker, s.view, c, s.query(c, s.now), exclude, s.now)
 	slices.SortFunc(d.targets, func(a, b placement.TargetView) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(d.regions, func(a, b placement.RegionView) int { return cmp.Compare(a.Name, b.Name) })
 	return d
@@ -155,12 +168,12 @@
 		asked, plain := newRouteState(seed), newRouteState(seed)
 		var report *routereport.Report
 		// By then windows have ended and caches have lapsed; that must not show earlier.
-		if _, err := asked.g.routeReport(asked.req, asked.view, asked.now.Add(20*time.Second)); err != nil {
+		if _, err := asked.report(20 * time.Second); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
 		for range 1 + seed%3 {
 			var err error
-			if report, err = asked.g.routeReport(asked.req, asked.view, asked.now); err != nil {
+			if report, err = asked.report(0); err != nil {
 				t.Fatalf("seed %d: %v", seed, err)
 			}
 		}
@@ -170,11 +183,17 @@
 		}
 		for i := range report.Placements {
 			p := &report.Placements[i]
-			before, after := plain.decideFor(t, p.Service), asked.decideFor(t, p.Service)
+			before, after := plain.decideFor(t, p.Service, nil), asked.decideFor(t, p.Service, nil)
 			if !reflect.DeepEqual(before.targets, after.targets) || !reflect.DeepEqual(before.regions, after.regions) {
 				t.Fatalf("seed %d: the state differs after a report:\n%+v\n%+v", seed, before, after)
 			}
-			checkPlacement(t, seed, p, &before, plain.view)
+			checkChoice(t, seed, p, p.First, p.Refusal, &before)
+			checkCandidates(t, seed, p, plain.view)
+			if p.First != nil {
+				second := plain.decideFor(t, p.Service, map[string]bool{p.First.Target + p.First.Region: true})
+				checkChoice(t, seed, p, p.Second, p.SecondRefusal, &second)
+				count[fmt.Sprint("second choice ", p.Second != nil)]++
+			}
 			count[fmt.Sprint("target ", before.choice.Target != "", ", region ", before.choice.Region != "")]++
 		}
 		team := plain.view.Config.Teams["hotel"]
@@ -191,7 +210,7 @@
 			}
 		}
 	}
-	for _, kind := range []string{"target true, region false", "target false, region true", "target false, region false", "over rate"} {
+	for _, kind := range []string{"target true, region false", "target false, region true", "target false, region false", "second choice true", "second choice false", "over rate"} {
 		if count[kind] < 20 {
 			t.Errorf("only %d states with %s", count[kind], kind)
 		}
@@ -199,44 +218,38 @@
 	t.Log(count)
 }
 
-// checkPlacement checks the report of one service against the decision. Ties between
+// checkChoice checks a reported choice or refusal against the decision. Ties between
 // targets are broken by the order of a map, in the report as for requests.
-func checkPlacement(t *testing.T, seed uint64, p *routereport.Placement, d *decision, v *catalog.View) {
+func checkChoice(t *testing.T, seed uint64, p *routereport.Placement, choice *routereport.Choice, refusal *routereport.Refusal, d *decision) {
 	t.Helper()
-	expected := map[string]routereport.Target{}
-	for _, target := range p.Targets {
-		expected[target.ID] = target
-	}
-	switch {
-	case placeOf(d.choice) == "":
-		if p.First != nil || p.Refusal == nil || p.Refusal.Name != result.NoSlot.String() {
-			t.Fatalf("seed %d: %+v, decided %+v", seed, p, d.choice)
-		}
-		// The random part of the delay differs from request to request.
-		low, high := time.Duration(0), time.Duration(0)
-		for jitter, at := range map[float64]*time.Duration{0: &low, 1: &high} {
-			q := *d.query
-			q.Jitter = jitter
-			*at = placement.Choose(&q, d.targets, d.regions, placement.LatencyModelOf(v.Config.Services[p.Service])).RetryAfter
-		}
-		if ms := p.Refusal.RetryAfterMS; ms < routereport.Millis(low) || ms > routereport.Millis(high) {
-			t.Fatalf("seed %d: Retry-After %d ms, want %s to %s", seed, ms, low, high)
+	if err := d.refusal(); err != nil {
+		if want := refusalOf(err); choice != nil || refusal == nil || *refusal != *want {
+			t.Fatalf("seed %d: %+v, refusal %+v, decided %+v", seed, choice, refusal, want)
 		}
-	case p.First == nil || p.First.Region != d.choice.Region || p.First.Reason != d.choice.Reason || p.First.ExpectedMS != routereport.Millis(d.choice.Delay):
-		t.Fatalf("seed %d: %+v, decided %+v", seed, p.First, d.choice)
-	case p.First.Target != d.choice.Target:
-		if a, b := expected[p.First.Target], expected[d.choice.Target]; a.Rule != b.Rule || a.ExpectedMS != b.ExpectedMS {
-			t.Fatalf("seed %d: target %+v, decided %+v", seed, a, b)
-		}
-	case p.First.Target != "" && (expected[p.First.Target].Rule != "" || expected[p.First.Target].ExpectedMS != p.First.ExpectedMS):
-		t.Fatalf("seed %d: first choice %+v, listed as %+v", seed, p.First, expected[p.First.Target])
+		return
+	}
+	if refusal != nil || choice == nil || choice.Region != d.choice.Region || choice.Reason != d.choice.Reason || choice.ExpectedMS != routereport.Millis(d.choice.Delay) {
+		t.Fatalf("seed %d: %+v, refusal %+v, decided %+v", seed, choice, refusal, d.choice)
+	}
+	if choice.Target == "" {
+		return
+	}
+	byID := func(id string) routereport.Target {
+		return p.Targets[slices.IndexFunc(p.Targets, func(x routereport.Target) bool { return x.ID == id })]
 	}
-	if p.Second != nil && (p.Second.Target+p.Second.Region == p.First.Target+p.First.Region) {
-		t.Fatalf("seed %d: the second choice is the first: %+v", seed, p.Second)
+	reported, decided := byID(choice.Target), byID(d.choice.Target)
+	if reported.Rule != "" || decided.Rule != "" || reported.ExpectedMS != decided.ExpectedMS {
+		t.Fatalf("seed %d: target %+v, decided %+v", seed, reported, decided)
 	}
-	if (p.First != nil) != (p.Second != nil || p.SecondRefusal != nil) {
-		t.Fatalf("seed %d: second choice of %+v", seed, p)
+	if choice == p.First && reported.ExpectedMS != choice.ExpectedMS {
+		t.Fatalf("seed %d: first choice %+v, listed as %+v", seed, choice, reported)
 	}
+}
+
+// checkCandidates checks that all listed targets of the service and the other regions
+// are reported.
+func checkCandidates(t *testing.T, seed uint64, p *routereport.Placement, v *catalog.View) {
+	t.Helper()
 	listed := 0
 	for _, e := range v.Targets {
 		if e.Service == p.Service && (e.Domain == "a" || e.Domain == "a2") {
@@ -282,7 +295,7 @@
 	} {
 		s := newRouteState(1)
 		x.change(s)
-		report, err := s.g.routeReport(s.req, s.view, s.now)
+		report, err := s.report(0)
 		if err == nil || report != nil || result.FromError(err).Code != x.want || strings.Contains(err.Error(), testKey) {
 			t.Errorf("%s: %v", x.name, err)
 		}
@@ -297,7 +310,7 @@
 	s.req.Header.Set("X-Prompt-Prefix", "part-1:13000,own:1000")
 	check := func(want result.Code) {
 		t.Helper()
-		report, err := s.g.routeReport(s.req, s.view, s.now)
+		report, err := s.report(0)
 		if err != nil || report.Refusal == nil || report.Refusal.Name != want.String() || len(report.Placements) == 0 {
 			t.Errorf("%v: %+v, want %s", err, report, want)
 		}
--- a/internal/routereport/report.go
+++ b/internal/routereport/report.go
@@ -22,7 +22,7 @@
 	Route       string   `json:"route"`
 	Priority    int      `json:"priority"`
 	ObjectiveMS int64    `json:"objective_ms"`
-	RemainingMS int64    `json:"remaining_ms"` // until the deadline
+	TimeLeftMS  int64    `json:"time_left_ms"` // until the deadline
 	Prompt      *Prompt  `json:"prompt,omitempty"`
 	Team        string   `json:"team,omitempty"`
 	Allowance   *Account `json:"allowance,omitempty"`
--- a/internal/routereport/text.go
+++ b/internal/routereport/text.go
@@ -20,7 +20,7 @@
 	w.printf("figures    configuration %d (%s old); targets from %s, revision %d (%s old); oldest heartbeat in the region %d ms\n",
 		f.ConfigVersion, age(f.ConfigAgeMS), f.TargetsSource, f.TargetsRevision, age(f.TargetsAgeMS), f.OldestHeartbeatMS)
 	w.printf("request    %s %s%s\n", r.Method, r.Host, r.Path)
-	w.printf("route      %s, priority %d, objective %d ms, deadline in %d ms\n", r.Route, r.Priority, r.ObjectiveMS, r.RemainingMS)
+	w.printf("route      %s, priority %d, objective %d ms, deadline in %d ms\n", r.Route, r.Priority, r.ObjectiveMS, r.TimeLeftMS)
 	if p := r.Prompt; p != nil {
 		w.printf("prompt     %d tokens", p.Tokens)
 		if p.Prefix != "" {
