--- a/internal/gateway/routereport.go
+++ b/internal/gateway/routereport.go
@@ -172,15 +172,11 @@
 
 func (g *Gateway) figures(v *catalog.View, members []heartbeat.Member, now time.Time) routereport.Figures {
 	f := routereport.Figures{ConfigVersion: v.Config.Version, TargetsRevision: v.TargetsRevision, TargetsSource: v.TargetsSource}
-	// An age longer than the process has run means that the store never answered.
-	published, targets := g.Catalog.Ages()
-	for _, x := range []struct {
-		age time.Duration
-		to  **int64
-	}{{published, &f.ConfigAgeMS}, {targets, &f.TargetsAgeMS}} {
-		if x.age < maxKnownAge {
-			*x.to = pointer(routereport.Millis(x.age))
-		}
+	if published, _ := g.Catalog.Ages(); published < maxKnownAge {
+		f.ConfigAgeMS = pointer(routereport.Millis(published))
+	}
+	if !v.TargetsReadAt.IsZero() {
+		f.TargetsAgeMS = pointer(routereport.Millis(now.Sub(v.TargetsReadAt)))
 	}
 	for i := range members {
 		if m := &members[i]; m.Reachable && m.Region() == g.Settings.Region {
--- a/internal/routereport/report.go
+++ b/internal/routereport/report.go
@@ -41,9 +41,11 @@
 // Figures says how old the figures are by which the instance decides.
 type Figures struct {
 	ConfigVersion int64 `json:"config_version"`
-	// ConfigAgeMS and TargetsAgeMS count from the last confirmation by the store to this
-	// instance; they are absent if there was none.
-	ConfigAgeMS     *int64 `json:"config_age_ms,omitempty"`
+	// ConfigAgeMS is the time since the store confirmed the configuration to this
+	// instance; absent if it never did.
+	ConfigAgeMS *int64 `json:"config_age_ms,omitempty"`
+	// TargetsAgeMS is the time since the reading of the list of targets began, as in
+	// event 834; absent if there is no list.
 	TargetsAgeMS    *int64 `json:"targets_age_ms,omitempty"`
 	TargetsRevision int64  `json:"targets_revision"`
 	// TargetsSource says where the list of targets was read: the store or an instance.
--- a/internal/routereport/routereport_test.go
+++ b/internal/routereport/routereport_test.go
@@ -116,7 +116,7 @@
 	if err := r.WriteText(&out); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"entry-1", "answer of one instance", "draining", "1200 ms old", "unknown time old", "12 tokens left of 100", "target t-1, expected 31 ms: own region has room",
+	for _, want := range []string{"entry-1", "answer of one instance", "draining", "1200 ms old", "age unknown", "12 tokens left of 100", "target t-1, expected 31 ms: own region has room",
 		"second     none: no_slot", "paced: 1 of 2 (all instances: 4)", "it is down (40 ms)", "no instance", "Retry-After 377 ms", "its heartbeats do not arrive"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("no %q in\n%s", want, out.String())
--- a/internal/routereport/text.go
+++ b/internal/routereport/text.go
@@ -17,7 +17,7 @@
 		w.printf("           it is draining: callers are sent to other instances\n")
 	}
 	f := &r.Figures
-	w.printf("figures    configuration %d (%s old); targets from %s, revision %d (%s old); oldest heartbeat in the region %d ms\n",
+	w.printf("figures    configuration %d (%s); targets from %s, revision %d (%s); oldest heartbeat in the region %d ms\n",
 		f.ConfigVersion, age(f.ConfigAgeMS), f.TargetsSource, f.TargetsRevision, age(f.TargetsAgeMS), f.OldestHeartbeatMS)
 	w.printf("request    %s %s%s\n", r.Method, r.Host, r.Path)
 	w.printf("route      %s, priority %d, objective %d ms, deadline in %d ms\n", r.Route, r.Priority, r.ObjectiveMS, r.TimeLeftMS)
@@ -154,9 +154,9 @@
 
 func age(ms *int64) string {
 	if ms == nil {
-		return "unknown time"
+		return "age unknown"
 	}
-	return fmt.Sprintf("%d ms", *ms)
+	return fmt.Sprintf("%d ms old", *ms)
 }
 
 // errWriter keeps the first error of a series of writes.
