--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -93,12 +93,16 @@
 	c := &i.directoryCache.mu
 	if c.entries == nil || now.Sub(c.at) >= heartbeatReadInterval {
 		c.entries, c.at = make([]directoryEntry, 1, len(c.entries)+1), now
-		c.entries[0] = directoryEntry{balance.Instance{Address: i.settings.Listen.Callers}, i.settings.Region, i.settings.Domain}
+		address := i.settings.Listen.Callers
+		c.entries[0] = directoryEntry{balance.Instance{Address: address}, i.settings.Region, i.settings.Domain}
 		for _, m := range i.heartbeats.Members() {
-			c.entries = i.directoryCache.appendMember(c.entries, &m, now)
+			// A heartbeat with this address is that of an instance which had it before.
+			if m.Heartbeat.GetCallersAddress() != address {
+				c.entries = i.directoryCache.appendMember(c.entries, &m, now)
+			}
 		}
 		balance.Sort(c.entries, func(e *directoryEntry) string { return e.Address })
-		c.own = slices.IndexFunc(c.entries, func(e directoryEntry) bool { return e.Address == i.settings.Listen.Callers })
+		c.own = slices.IndexFunc(c.entries, func(e directoryEntry) bool { return e.Address == address })
 	}
 	entries, load := slices.Clone(c.entries), i.meter.Load()
 	own := &entries[c.own]
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -162,13 +162,17 @@
 	return min(limit, q.Remaining)
 }
 
-// leavesTimeForUrgent reports whether requests with a more urgent objective are still
-// served in time where they have to expect delay, and idle without load, if a request
-// whose prompt takes own runs there. Without it, requests with a long objective fill the
-// targets while urgent ones with a short objective are refused.
-func leavesTimeForUrgent(objective, delay, idle, own time.Duration) bool {
-	limit := time.Duration(maxDelayFraction*float64(objective)) - concurrentPrompts*own
-	return objective <= 0 || delay <= max(limit, time.Duration(minUrgentDelay*float64(objective)), idleDelayFactor*idle)
+// leavesTimeForUrgent reports whether more urgent requests are still served in time where
+// they have to expect delay, if a request of q whose prompt takes own runs there. Without
+// it, requests with a long objective fill the targets while urgent ones with a short
+// objective are refused.
+func leavesTimeForUrgent(q *Query, delay, own time.Duration, m *LatencyModel) bool {
+	if q.UrgentObjective <= 0 {
+		return true
+	}
+	idle := TargetView{Engine: q.Engine, Slots: 1, Slowdown: 1}
+	limit := time.Duration(maxDelayFraction*float64(q.UrgentObjective)) - concurrentPrompts*own
+	return delay <= max(limit, time.Duration(minUrgentDelay*float64(q.UrgentObjective)), idleDelayFactor*m.Delay(&Query{}, &idle, false))
 }
 
 // unprefilled returns the number of prompt tokens that a target has to prefill. has is
@@ -202,7 +206,7 @@
 // which it copies the shared prefix. Targets that have the prefix cached are
 // preferred to those that would have to prefill or copy it. The choice names no
 // target if none accepts a request; its delay is then that of the best target that is
-// left to more urgent requests. promptTime is that at the target.
+// left to more urgent requests. own is the time that the prompt takes at the target.
 func bestTarget(q *Query, targets []TargetView, m *LatencyModel) (best Choice, own time.Duration) {
 	if !q.LocalAllowed {
 		return Choice{}, 0
@@ -227,14 +231,12 @@
 		// prefix for the first request.
 		copied := fetch && holder != ""
 		prompt := promptTime(q, unprefilled(q, t.Cached || copied), m)
-		if q.UrgentObjective > 0 {
-			idle := TargetView{Engine: t.Engine, Slots: t.Slots, Slowdown: 1}
-			if !leavesTimeForUrgent(q.UrgentObjective, m.Delay(&Query{}, t, false), m.Delay(&Query{}, &idle, false), prompt) {
-				if delay := m.Delay(q, t, copied); leftToUrgent == 0 || delay < leftToUrgent {
-					leftToUrgent = delay
-				}
-				continue
+		delay := m.Delay(q, t, copied)
+		if !leavesTimeForUrgent(q, m.Delay(&Query{}, t, false), prompt, m) {
+			if leftToUrgent == 0 || delay < leftToUrgent {
+				leftToUrgent = delay
 			}
+			continue
 		}
 		cost := m.Delay(q, &view, fetch)
 		switch {
@@ -246,7 +248,7 @@
 		if best.Target == "" || cost < bestCost {
 			best, bestCost, own = Choice{
 				Target: t.ID, Cached: view.Cached && q.PrefixKey != "", Presumed: q.PrefixKey != "" && holder == "",
-				WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: m.Delay(q, t, copied),
+				WarmingUp: t.WarmingUp, Leaving: t.Leaving, Delay: delay,
 			}, cost, prompt
 			if fetch {
 				best.FetchFrom = source
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -25,8 +25,7 @@
 // hasRoom reports whether the region takes a further request, whose prompt takes own,
 // by the rules of its instances.
 func (r *RegionView) hasRoom(q *Query, own time.Duration, m *LatencyModel) bool {
-	idle := TargetView{Engine: q.Engine, Slots: 1, Slowdown: 1}
-	return r.FreeSlots > 0 && leavesTimeForUrgent(q.UrgentObjective, r.Delay, m.Delay(&Query{}, &idle, false), own)
+	return r.FreeSlots > 0 && leavesTimeForUrgent(q, r.Delay, own, m)
 }
 
 // prefixOwnerRegion returns the region of the prefix owner if it has free slots and
