--- a/cmd/wigeonhill/main.go
+++ b/cmd/wigeonhill/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -28,19 +29,26 @@
 func run(args []string) int {
 	p := flags.NewNamedParser("wigeonhill", flags.HelpFlag|flags.PassDoubleDash)
 	p.ShortDescription = "multi-region inference gateway"
-	add := func(name, short, long string, data any) {
-		if _, err := p.AddCommand(name, short, long, data); err != nil {
+	add := func(name, short, long string, data any) *flags.Command {
+		command, err := p.AddCommand(name, short, long, data)
+		if err != nil {
 			panic(err) // an invalid struct tag; it fails every run of the program
 		}
+		return command
 	}
 	add("serve", "run an instance", "Runs an instance until SIGTERM or SIGINT.", &serveCommand{})
 	add("platform", "run an instance on the platform", "Runs an instance with the settings file written by the platform, until SIGTERM or SIGINT.", &platformCommand{})
 	add("explain", "explain a request", "Prints the log lines of several instances that name a request, in order of time, and the cause of its end.", &explainCommand{})
 	add("check", "check settings and configuration", "Checks a settings file and a configuration offline. Prints every error with its line. Exit code 2 if there are errors.", &checkCommand{})
 	add("status", "show the status of a running instance", "Shows the state of a running instance and the reasons for its decisions.", newStatusCommand())
-	add("route", "say where a request would go", "Asks a running instance where it would send a request now, and why. Sends no request and changes nothing. Exit code 1 if the request has no route, its key is not known, or the instance does not answer.", &routeCommand{})
+	route := add("route", "say where a request would go", "Asks a running instance where it would send a request now, and why. Sends no request and changes nothing. Exit code 1 if the request has no route, its key is not known, or the instance does not answer.", &routeCommand{})
 	add("version", "print the version", "Prints the version.", &versionCommand{})
 	_, err := p.ParseArgs(args)
+	var flagErr *flags.Error
+	// Without an active command, the parser has refused an argument before the command.
+	if errors.As(err, &flagErr) && flagErr.Type != flags.ErrHelp && (p.Active == route || p.Active == nil && slices.Contains(args, route.Name)) {
+		err = routeFlagError(route, flagErr)
+	}
 	return exitCode(err)
 }
 
--- a/cmd/wigeonhill/route.go
+++ b/cmd/wigeonhill/route.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"context"
 	"io"
+	"io/fs"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
 
 	"github.com/wigeonhill/wigeonhill/internal/routereport"
 )
@@ -46,7 +49,12 @@
 
 // request returns the description of the request. stdin is read if a file says so.
 func (c *routeCommand) request(stdin io.Reader) (*routereport.Request, error) {
-	if _, _, err := net.SplitHostPort(c.Instance); err != nil {
+	// A header has the form of an address too, except for the port.
+	_, port, err := net.SplitHostPort(c.Instance)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
 		return nil, errors.New("--instance is not an address of the form IP:port")
 	}
 	r := &routereport.Request{Host: c.Host, Path: c.Path, Method: c.Method}
@@ -62,7 +70,7 @@
 	if c.Headers != "-" {
 		f, err := os.Open(c.Headers)
 		if err != nil {
-			return nil, errors.Wrap(err, "--headers")
+			return nil, errors.Wrap(withoutPath(err), "--headers")
 		}
 		defer f.Close()
 		in = f
@@ -77,5 +85,39 @@
 			return nil, errors.Wrapf(err, "--headers, line %d", n)
 		}
 	}
-	return r, errors.Wrap(s.Err(), "--headers")
+	return r, errors.Wrap(withoutPath(s.Err()), "--headers")
+}
+
+// withoutPath returns err without the name of the file, which is a header with a key if
+// --headers was given for --header.
+func withoutPath(err error) error {
+	var withPath *fs.PathError
+	if errors.As(err, &withPath) {
+		return withPath.Err
+	}
+	return err
+}
+
+// routeFlagError returns the error for a command line of the route command that the
+// parser refuses. It shows names of flags that the command has and nothing else: the
+// parser's own text repeats arguments, which may hold a key.
+func routeFlagError(command *flags.Command, err *flags.Error) error {
+	var names []string
+	for _, option := range command.Options() {
+		if strings.Contains(err.Message, "`"+option.String()+"'") {
+			names = append(names, "--"+option.LongName)
+		}
+	}
+	name := strings.Join(names, ", ")
+	switch {
+	case err.Type == flags.ErrUnknownFlag:
+		return invalidError{errors.New("unknown flag; wigeonhill route --help lists the flags")}
+	case name == "":
+		return invalidError{errors.New("invalid command line; wigeonhill route --help describes it")}
+	case err.Type == flags.ErrRequired:
+		return invalidError{errors.Newf("%s is required", name)}
+	case err.Type == flags.ErrExpectedArgument:
+		return invalidError{errors.Newf("%s needs an argument; one that begins with - is given as %s=ARGUMENT", name, name)}
+	}
+	return invalidError{errors.Newf("invalid use of %s; wigeonhill route --help describes it", name)}
 }
