--- a/internal/routereport/http.go
+++ b/internal/routereport/http.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -62,16 +61,27 @@
 
 // Handler returns the handler for Path. report returns the report or a *result.Error;
 // it must not show the headers of the request. One report is made at a time, so that
-// queries do not take the processor from requests.
+// queries do not take the processor from requests; a query whose client is gone stops
+// waiting.
 func Handler(report func(*Request) (*Report, error)) http.Handler {
-	var mu sync.Mutex
+	making := make(chan struct{}, 1)
+	makeOne := func(ctx context.Context, req *Request) (*Report, error) {
+		select {
+		case making <- struct{}{}:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		defer func() { <-making }()
+		if err := ctx.Err(); err != nil { // select is random if both are ready
+			return nil, err
+		}
+		return report(req)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		status, body := http.StatusOK, any(nil)
 		req, err := parseRequest(r)
 		if err == nil {
-			mu.Lock()
-			body, err = report(req)
-			mu.Unlock()
+			body, err = makeOne(r.Context(), req)
 		}
 		if err != nil {
 			e := result.FromError(err)
