--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,7 +211,11 @@
 		return placement.Choice{}, v, err
 	}
 	now := time.Now()
-	d := g.decide(g.Tracker, v, c, c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], now), exclude, now)
+	var members []heartbeat.Member
+	if !c.forwarded {
+		members = g.Members.Members()
+	}
+	d := g.decide(g.Tracker, v, c, c.placementQuery(g.Settings.Region, v.Config.Teams[c.team], now), exclude, members, now)
 	return d.choice, v, d.refusal()
 }
 
@@ -232,12 +236,13 @@
 }
 
 // decide decides where the next attempt of a resolved call runs. q is what
-// placementQuery returned for it; tracker is that of the gateway, or a copy.
-func (g *Gateway) decide(tracker *placement.Tracker, v *catalog.View, c *call, q *placement.Query, exclude map[string]bool, now time.Time) decision {
+// placementQuery returned for it; tracker is that of the gateway, or a copy. members are
+// the other instances; no decision about a forwarded call needs them.
+func (g *Gateway) decide(tracker *placement.Tracker, v *catalog.View, c *call, q *placement.Query, exclude map[string]bool, members []heartbeat.Member, now time.Time) decision {
 	team := v.Config.Teams[c.team]
 	d := decision{query: q, targets: tracker.Targets(v, c.service, q.PrefixKey, exclude, now)}
 	if !c.forwarded {
-		d.regions = g.remoteRegions(c, team, exclude)
+		d.regions = g.remoteRegions(c, team, exclude, members)
 		q.PrefixOwnerRegion = tracker.PrefixOwnerRegion(v, c.service, q.PrefixKey, func(region string) bool { return deployment.RegionAllowed(c.route, team, region) })
 	}
 	d.choice = placement.Choose(q, d.targets, d.regions, tracker.Model(v.Config.Services[c.service]))
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -26,8 +26,8 @@
 
 // remoteRegions returns the other regions in which a call may run, each as its
 // most recently seen instance describes it.
-func (g *Gateway) remoteRegions(c *call, team *deployment.Team, exclude map[string]bool) []placement.RegionView {
-	newest := g.regionReports(c, team, exclude, g.Members.Members())
+func (g *Gateway) remoteRegions(c *call, team *deployment.Team, exclude map[string]bool, members []heartbeat.Member) []placement.RegionView {
+	newest := g.regionReports(c, team, exclude, members)
 	out := make([]placement.RegionView, 0, len(newest))
 	for _, r := range newest {
 		out = append(out, r.view)
--- a/internal/gateway/routereport.go
+++ b/internal/gateway/routereport.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"encoding/hex"
 	"maps"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -66,7 +68,7 @@
 		out.Placements = append(out.Placements, g.placementReport(tracker, v, c, query(c), s.Weight, members, now))
 	}
 	if len(out.Placements) > 0 {
-		out.Prompt = promptOf(c, key, tracker.PrefixOwnerRegion(v, c.service, prefixKeyOf(c), func(region string) bool { return deployment.RegionAllowed(c.route, team, region) }))
+		out.Prompt = promptOf(c, key)
 	}
 	for i := range members {
 		m := &members[i]
@@ -81,11 +83,12 @@
 // placementReport reports the decision for the service of c.
 func (g *Gateway) placementReport(tracker *placement.Tracker, v *catalog.View, c *call, q *placement.Query, weight float64, members []heartbeat.Member, now time.Time) routereport.Placement {
 	out := routereport.Placement{Service: c.service, Weight: weight}
-	d := g.decide(tracker, v, c, q, map[string]bool{}, now)
+	d := g.decide(tracker, v, c, q, map[string]bool{}, members, now)
+	out.PrefixOwnerRegion = d.query.PrefixOwnerRegion
 	out.First, out.Refusal = choiceOf(d.choice), refusalOf(d.refusal())
 	if out.First != nil {
 		again := *q
-		second := g.decide(tracker, v, c, &again, map[string]bool{placeOf(d.choice): true}, now)
+		second := g.decide(tracker, v, c, &again, map[string]bool{placeOf(d.choice): true}, members, now)
 		out.Second, out.SecondRefusal = choiceOf(second.choice), refusalOf(second.refusal())
 	}
 	model := tracker.Model(v.Config.Services[c.service])
@@ -97,14 +100,15 @@
 // targetReports reports the targets of the own region. The first choice is never
 // excluded by a rule.
 func targetReports(d *decision, candidates []*placement.Candidate, model *placement.LatencyModel, now time.Time) []routereport.Target {
-	alone := map[string]placement.Choice{}
-	for i, choice := range placement.ChooseEach(d.query, d.targets, model) {
+	alone, q := map[string]placement.Choice{}, *d.query
+	q.LocalAllowed = true // the delay is reported where residency forbids the region too
+	for i, choice := range placement.ChooseEach(&q, d.targets, model) {
 		alone[d.targets[i].ID] = choice
 	}
 	out := make([]routereport.Target, 0, len(candidates))
 	for _, c := range candidates {
 		t := routereport.Target{ID: c.Entry.ID, Rule: string(c.Rule), Estimated: c.Viewed, ListedAgeMS: routereport.Millis(now.Sub(c.Entry.ReadAt))}
-		if c.AvoidedUntil.After(now) {
+		if c.Rule == placement.RuleBackoff {
 			t.AvoidedMS = routereport.Millis(c.AvoidedUntil.Sub(now))
 		}
 		if view := &c.View; c.Viewed {
@@ -180,7 +184,10 @@
 	}
 	for i := range members {
 		if m := &members[i]; m.Reachable && m.Region() == g.Settings.Region {
-			f.OldestHeartbeatMS = max(f.OldestHeartbeatMS, routereport.Millis(now.Sub(m.LastSeen)))
+			age := routereport.Millis(now.Sub(m.LastSeen))
+			if f.OldestHeartbeatMS == nil || age > *f.OldestHeartbeatMS {
+				f.OldestHeartbeatMS = &age
+			}
 		}
 	}
 	return f
@@ -198,17 +205,12 @@
 	return a
 }
 
-func prefixKeyOf(c *call) string {
-	key, _ := placement.SharedPrefix(c.PromptParts)
-	return key
-}
-
-func promptOf(c *call, apiKey, ownerRegion string) *routereport.Prompt {
+func promptOf(c *call, apiKey string) *routereport.Prompt {
 	if !c.HasTokenCounts && len(c.PromptParts) == 0 {
 		return nil
 	}
 	key, tokens := placement.SharedPrefix(c.PromptParts)
-	return &routereport.Prompt{Tokens: c.PromptTokens, Prefix: hide(apiKey, key), PrefixTokens: tokens, PrefixOwnerRegion: ownerRegion}
+	return &routereport.Prompt{Tokens: c.PromptTokens, Prefix: hide(apiKey, key), PrefixTokens: tokens}
 }
 
 // choiceOf returns the report of a choice, nil for a refusal.
@@ -229,13 +231,38 @@
 	return &routereport.Refusal{Code: int(e.Code), Name: e.Code.String(), Status: httpStatus(e), Message: e.Message, RetryAfterMS: routereport.Millis(e.RetryAfter)}
 }
 
+// maxEncodings bounds the work for a path of which each decoding leaves another escape.
+const maxEncodings = 4
+
+// hiddenText stands for a key, or for a text with an encoded key.
+const hiddenText = "..."
+
+// escaped matches a percent-encoded byte.
+var escaped = regexp.MustCompile("%[0-9A-Fa-f]{2}")
+
 // hide returns s without the API key, which a caller may have put where it does not
-// belong.
+// belong. It hides all of s if the key is percent-encoded in it, once or several times,
+// or if s is encoded more than maxEncodings times. Broken escapes are left as they are,
+// since a path may have them.
 func hide(key, s string) string {
 	if key == "" {
 		return s
 	}
-	return strings.ReplaceAll(s, key, "...")
+	s = strings.ReplaceAll(s, key, hiddenText)
+	decoded := s
+	for n := 0; escaped.MatchString(decoded); n++ {
+		if n == maxEncodings {
+			return hiddenText
+		}
+		decoded = escaped.ReplaceAllStringFunc(decoded, func(e string) string {
+			b, _ := hex.DecodeString(e[1:]) // escaped matches hexadecimal digits only
+			return string(b)
+		})
+		if strings.Contains(decoded, key) {
+			return hiddenText
+		}
+	}
+	return s
 }
 
 func pointer[T any](x T) *T { return &x }
--- a/internal/gateway/routereport_test.go
+++ b/internal/gateway/routereport_test.go
@@ -153,7 +153,7 @@
 	}
 	c.service = service
 	c.setDeadline()
-	d := s.g.decide(s.g.Tracker, s.view, c, s.query(c, s.now), exclude, s.now)
+	d := s.g.decide(s.g.Tracker, s.view, c, s.query(c, s.now), exclude, s.g.Members.Members(), s.now)
 	slices.SortFunc(d.targets, func(a, b placement.TargetView) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(d.regions, func(a, b placement.RegionView) int { return cmp.Compare(a.Name, b.Name) })
 	return d
@@ -321,6 +321,186 @@
 	check(result.ShuttingDown)
 }
 
+// Guards against a report that shows a key in an encoded path.
+func TestRouteReportHidesEncodedKeys(t *testing.T) {
+	var encoded, twice strings.Builder
+	for i := range len(testKey) {
+		fmt.Fprintf(&encoded, "%%%02x", testKey[i])
+		fmt.Fprintf(&twice, "%%25%02x", testKey[i])
+	}
+	for _, x := range []struct{ path, want string }{
+		{"/long/x", "/long/x"},
+		{"/long/x%20y", "/long/x%20y"},
+		{"/long/100%25", "/long/100%25"},
+		{"/long/100%zz", "/long/100%zz"},
+		{"/long/" + testKey + "/y", "/long/.../y"},
+		{"/long/" + encoded.String() + "/y", "..."},
+		{"/long/" + strings.Replace(testKey, "k", "%6B", 1), "..."},
+		{"/long/" + twice.String(), "..."},
+		{"/long/%25252541", "/long/%25252541"},
+		{"/long/%2525252541", "..."},
+		{"/long/%zz" + encoded.String(), "..."},
+	} {
+		s := newRouteState(1)
+		s.req.Path = x.path
+		report, err := s.report(0)
+		if err != nil {
+			t.Errorf("%s: %v", x.path, err)
+		} else if report.Path != x.want {
+			t.Errorf("%s: the report shows %s, want %s", x.path, report.Path, x.want)
+		}
+	}
+}
+
+// changingMembers lists other members at each call.
+type changingMembers struct {
+	lists []fixedMembers
+	calls int
+}
+
+func (m *changingMembers) Members() []heartbeat.Member {
+	m.calls++
+	return m.lists[(m.calls-1)%len(m.lists)]
+}
+
+// Guards against a first or second choice that the rows of the same report contradict,
+// because heartbeats arrived while the report was made.
+func TestRouteReportReadsMembersOnce(t *testing.T) {
+	regions := 0
+	for seed := range uint64(300) {
+		s := newRouteState(seed)
+		known := s.g.Members.(fixedMembers)
+		members := &changingMembers{lists: []fixedMembers{nil, known, nil, known}}
+		if seed%2 == 0 {
+			members.lists = []fixedMembers{known, nil}
+		}
+		s.g.Members = members
+		report, err := s.report(0)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		for _, p := range report.Placements {
+			for _, choice := range []*routereport.Choice{p.First, p.Second} {
+				if choice == nil || choice.Region == "" {
+					continue
+				}
+				regions++
+				row := p.Regions[slices.IndexFunc(p.Regions, func(r routereport.Region) bool { return r.Name == choice.Region })]
+				if row.Source == "" || row.Rule != "" || row.DelayMS+row.RoundTripMS != choice.ExpectedMS {
+					t.Fatalf("seed %d: choice %+v, row %+v", seed, choice, row)
+				}
+			}
+		}
+		if members.calls != 1 {
+			t.Fatalf("seed %d: the members were read %d times", seed, members.calls)
+		}
+	}
+	if regions < 20 {
+		t.Errorf("only %d choices of regions", regions)
+	}
+}
+
+// Guards against one owner region for all services of a split route: each service has
+// its own targets, and so its own owner.
+func TestRouteReportNamesPrefixOwnerOfEachService(t *testing.T) {
+	s := newRouteState(1)
+	s.view.Config.Teams["hotel"].AllowedRegions = nil
+	s.view.Targets = map[string]*catalog.Entry{
+		"t-0": {Target: deployment.Target{ID: "t-0", Service: "model", Domain: "b", Slots: 8, StartedMS: 1}, ReadAt: s.now},
+		"t-1": {Target: deployment.Target{ID: "t-1", Service: "plain", Domain: "a", Slots: 8, StartedMS: 1}, ReadAt: s.now},
+	}
+	s.req.Path = "/split/x"
+	s.req.Header.Set("X-Token-Usage", "14000,100")
+	s.req.Header.Set("X-Prompt-Prefix", "part-1:13000,own:1000")
+	report, err := s.report(0)
+	if err != nil || len(report.Placements) != 2 {
+		t.Fatalf("%v: %+v", err, report)
+	}
+	if model, plain := report.Placements[0].PrefixOwnerRegion, report.Placements[1].PrefixOwnerRegion; model != "west" || plain != "east" {
+		t.Errorf("owners in %q and %q, want west and east", model, plain)
+	}
+}
+
+// Guards against an expected delay of 0 for targets that only residency excludes.
+func TestRouteReportExpectsDelayWhereResidencyForbids(t *testing.T) {
+	seen := 0
+	for seed := range uint64(200) {
+		s := newRouteState(seed)
+		s.view.Config.Teams["hotel"].AllowedRegions = []string{"west"}
+		forbidden, err := s.report(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.view.Config.Teams["hotel"].AllowedRegions = nil
+		allowed, err := s.report(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, p := range forbidden.Placements {
+			for j, target := range p.Targets {
+				other := allowed.Placements[i].Targets[j]
+				if target.ExpectedMS != other.ExpectedMS || target.Estimated && target.Rule == "" {
+					t.Fatalf("seed %d: %+v, without residency %+v", seed, target, other)
+				}
+				if target.Rule == residencyRule && target.ExpectedMS > 0 {
+					seen++
+				}
+			}
+		}
+	}
+	if seen < 20 {
+		t.Errorf("only %d targets that residency excludes", seen)
+	}
+}
+
+// Guards against an age of heartbeats where there are none.
+func TestRouteReportWithoutOtherInstances(t *testing.T) {
+	s := newRouteState(1)
+	s.g.Members = fixedMembers(nil)
+	report, err := s.report(0)
+	if err != nil || report.Figures.OldestHeartbeatMS != nil {
+		t.Errorf("%v: %+v", err, report.Figures)
+	}
+	s.g.Members = fixedMembers{{Reachable: true, LastSeen: s.now.Add(-20 * time.Millisecond), Heartbeat: &peerv1.FleetRow{Instance: &peerv1.Identity{Region: "east"}}}}
+	if report, err = s.report(0); err != nil || report.Figures.OldestHeartbeatMS == nil || *report.Figures.OldestHeartbeatMS != 20 {
+		t.Errorf("%v: %+v", err, report.Figures)
+	}
+}
+
+// Guards against the end of a backoff for a target that is down: it is used again only
+// after a health check.
+func TestRouteReportGivesOneEndOfAvoidance(t *testing.T) {
+	s := newRouteState(1)
+	s.view.Targets = map[string]*catalog.Entry{"t-0": {Target: deployment.Target{ID: "t-0", Service: "model", Domain: "a", Slots: 8, StartedMS: 1}, ReadAt: s.now}}
+	s.req.Path = "/long/x"
+	attempt := func(outcome placement.Outcome) {
+		t.Helper()
+		a := s.g.Tracker.Begin(s.view, s.view.Targets["t-0"], s.view.Config.Services["model"], &placement.Query{Objective: time.Second}, placement.Choice{}, s.now)
+		if a == nil {
+			t.Fatal("no attempt")
+		}
+		a.Sent(s.now)
+		a.End(outcome, s.now)
+	}
+	check := func(rule placement.Rule, avoided bool) {
+		t.Helper()
+		report, err := s.report(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if x := report.Placements[0].Targets[0]; x.Rule != string(rule) || x.AvoidedMS > 0 != avoided {
+			t.Errorf("%+v, want the rule %q, avoided for a time %t", x, rule, avoided)
+		}
+	}
+	s.g.Tracker.SetHealthy("t-0", 0, s.now)
+	attempt(placement.Rejected)
+	check(placement.RuleBackoff, true)
+	s.now = s.now.Add(time.Second)
+	s.g.Tracker.SetHealthy("t-0", 0, s.now)
+	attempt(placement.Refused)
+	check(placement.RuleDown, false)
+}
+
 // blockOf returns the news of a block of a part of prompts.
 func blockOf(part string) []*peerv1.CrashBlock {
 	s := crash.Suspects(crash.Fingerprint{}, []string{part})[1]
--- a/internal/routereport/report.go
+++ b/internal/routereport/report.go
@@ -51,8 +51,9 @@
 	// TargetsSource says where the list of targets was read: the store or an instance.
 	TargetsSource string `json:"targets_source"`
 	// OldestHeartbeatMS is the age of the oldest heartbeat of a reachable instance of the
-	// own region: the load that others put on targets is as old as that.
-	OldestHeartbeatMS int64 `json:"oldest_heartbeat_ms"`
+	// own region: the load that others put on targets is as old as that. It is absent if
+	// there is no such instance.
+	OldestHeartbeatMS *int64 `json:"oldest_heartbeat_ms,omitempty"`
 }
 
 // Prompt describes the prompt of the request.
@@ -61,13 +62,11 @@
 	// Prefix identifies the shared part of the prompt; empty if it is too short.
 	Prefix       string `json:"prefix,omitempty"`
 	PrefixTokens int    `json:"prefix_tokens,omitempty"`
-	// PrefixOwnerRegion is the region whose target owns the prefix.
-	PrefixOwnerRegion string `json:"prefix_owner_region,omitempty"`
 }
 
 // Account is the allowance of a team as this instance knows it.
 type Account struct {
-	// Unlimited is set if the team has no rate; the other fields are 0 then.
+	// Unlimited is set if the team has no rate; Level, Rate and Share do not apply then.
 	Unlimited bool    `json:"unlimited,omitempty"`
 	Unit      string  `json:"unit"`  // tokens or requests
 	Level     float64 `json:"level"` // what is left, before the request
@@ -90,9 +89,12 @@
 type Placement struct {
 	Service string  `json:"service"`
 	Weight  float64 `json:"weight"` // in the split of the route
+	// PrefixOwnerRegion is the region whose target of the service owns the shared prefix
+	// of the prompt; empty without one.
+	PrefixOwnerRegion string `json:"prefix_owner_region,omitempty"`
 	// First is where the request would go; nil if it would be refused. Second is where
-	// it would go if the attempt there failed without having run; SecondRefusal is set if
-	// it would then be refused.
+	// it would go if the first attempt fails without having run and a retry is allowed;
+	// SecondRefusal is set if it would then be refused.
 	First         *Choice  `json:"first,omitempty"`
 	Refusal       *Refusal `json:"refusal,omitempty"`
 	Second        *Choice  `json:"second,omitempty"`
@@ -119,10 +121,11 @@
 	ID string `json:"id"`
 	// Rule is the rule that excludes the target; empty if it might be chosen.
 	Rule string `json:"rule,omitempty"`
-	// Estimated is set if the instance estimates the state of the target; the figures
-	// below are 0 otherwise.
+	// Estimated is set if the instance estimates the state of the target. Otherwise the
+	// fields from ExpectedMS to CacheAgeMS are 0 or absent.
 	Estimated bool `json:"estimated"`
-	// ExpectedMS is the expected delay if the target got the request.
+	// ExpectedMS is the expected delay if the target got the request, also where Rule
+	// excludes that.
 	ExpectedMS int64 `json:"expected_ms"`
 	Running    int   `json:"running"`
 	// OwnRunning is the part of Running that this instance has sent; the rest is known
@@ -144,7 +147,8 @@
 	// CacheAgeMS is the time since the shared prefix was last used at the target; absent
 	// if it is not known to have been.
 	CacheAgeMS *int64 `json:"cache_age_ms,omitempty"`
-	// AvoidedMS is the time for which the target is still avoided.
+	// AvoidedMS is the rest of the time for which the target is avoided after failures or
+	// a rejection. A target that is down has none: a health check ends that.
 	AvoidedMS int64 `json:"avoided_ms,omitempty"`
 	// ListedAgeMS is the time since this listing of the target was first read.
 	ListedAgeMS int64 `json:"listed_age_ms"`
--- a/internal/routereport/routereport_test.go
+++ b/internal/routereport/routereport_test.go
@@ -174,7 +174,7 @@
 		Instance: "entry-1", Region: "east", Draining: true, Figures: Figures{TargetsSource: "store", TargetsAgeMS: &age}, Method: "POST", Host: "h", Path: "/p",
 		Route: "safe", Team: "hotel", Allowance: &Account{Unit: "tokens", Level: 12, Burst: 100, Rate: 10, Share: 0.5, Request: 7},
 		Placements: []Placement{
-			{Service: "orders", Weight: 1, First: &Choice{Target: "t-1", ExpectedMS: 31, Reason: "own region has room"}, SecondRefusal: &Refusal{Name: "no_slot", Code: 205},
+			{Service: "orders", Weight: 1, PrefixOwnerRegion: "south", First: &Choice{Target: "t-1", ExpectedMS: 31, Reason: "own region has room"}, SecondRefusal: &Refusal{Name: "no_slot", Code: 205},
 				Targets: []Target{{ID: "t-1", Estimated: true, Pacing: &Pacing{4, 2, 1}}, {ID: "t-2", Rule: "it is down", AvoidedMS: 40}},
 				Regions: []Region{{Name: "west", Rule: "no instance"}}},
 			{Service: "other", Refusal: &Refusal{Name: "no_slot", Code: 205, RetryAfterMS: 377}},
@@ -186,7 +186,8 @@
 		t.Fatal(err)
 	}
 	for _, want := range []string{"entry-1", "answer of one instance", "draining", "1200 ms old", "age unknown", "12 tokens left of 100", "target t-1, expected 31 ms: own region has room",
-		"second     none: no_slot", "paced: 1 of 2 (all instances: 4)", "it is down (40 ms)", "no instance", "Retry-After 377 ms", "its heartbeats do not arrive"} {
+		"second     none: no_slot", "paced: 1 of 2 (all instances: 4)", "it is down (40 ms)", "no instance", "Retry-After 377 ms", "its owner is in region south", "no other instance of the region is reachable",
+		"(if the first attempt fails without having run and a retry is allowed)", "its heartbeats do not arrive"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("no %q in\n%s", want, out.String())
 		}
--- a/internal/routereport/text.go
+++ b/internal/routereport/text.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// secondCondition says when there is a second attempt.
+const secondCondition = "if the first attempt fails without having run and a retry is allowed"
+
 // WriteText writes a report for people.
 func (r *Report) WriteText(out io.Writer) error {
 	w := &errWriter{w: out}
@@ -17,8 +20,8 @@
 		w.printf("           it is draining: callers are sent to other instances\n")
 	}
 	f := &r.Figures
-	w.printf("figures    configuration %d (%s); targets from %s, revision %d (%s); oldest heartbeat in the region %d ms\n",
-		f.ConfigVersion, age(f.ConfigAgeMS), f.TargetsSource, f.TargetsRevision, age(f.TargetsAgeMS), f.OldestHeartbeatMS)
+	w.printf("figures    configuration %d (%s); targets from %s, revision %d (%s); %s\n",
+		f.ConfigVersion, age(f.ConfigAgeMS), f.TargetsSource, f.TargetsRevision, age(f.TargetsAgeMS), f.heartbeatText())
 	w.printf("request    %s %s%s\n", r.Method, r.Host, r.Path)
 	w.printf("route      %s, priority %d, objective %d ms, deadline in %d ms\n", r.Route, r.Priority, r.ObjectiveMS, r.TimeLeftMS)
 	if p := r.Prompt; p != nil {
@@ -26,9 +29,6 @@
 		if p.Prefix != "" {
 			w.printf(", shared prefix %s of %d tokens", p.Prefix, p.PrefixTokens)
 		}
-		if p.PrefixOwnerRegion != "" {
-			w.printf(", its owner is in region %s", p.PrefixOwnerRegion)
-		}
 		w.printf("\n")
 	}
 	w.printf("team       %s\n", r.teamText())
@@ -46,6 +46,13 @@
 	return w.err
 }
 
+func (f *Figures) heartbeatText() string {
+	if f.OldestHeartbeatMS == nil {
+		return "no other instance of the region is reachable"
+	}
+	return fmt.Sprintf("oldest heartbeat in the region %d ms", *f.OldestHeartbeatMS)
+}
+
 func (r *Report) teamText() string {
 	a := r.Allowance
 	switch {
@@ -86,6 +93,9 @@
 
 func (p *Placement) write(w *errWriter, refused bool) {
 	w.printf("\nservice    %s, weight %g\n", p.Service, p.Weight)
+	if p.PrefixOwnerRegion != "" {
+		w.printf("prefix     its owner is in region %s\n", p.PrefixOwnerRegion)
+	}
 	first := "placed"
 	if refused {
 		first = "otherwise"
@@ -98,9 +108,9 @@
 	}
 	switch {
 	case p.Second != nil:
-		w.printf("second     %s\n", p.Second.text())
+		w.printf("second     %s (%s)\n", p.Second.text(), secondCondition)
 	case p.SecondRefusal != nil:
-		w.printf("second     none: %s\n", p.SecondRefusal.text())
+		w.printf("second     none: %s (%s)\n", p.SecondRefusal.text(), secondCondition)
 	}
 	w.table("targets", "ID\tEXPECTED\tRUNNING\tCAPACITY\tSLOWDOWN\tSTATE\tPREFIX\tRULE", len(p.Targets), func(i int) string { return p.Targets[i].row() })
 	w.table("other regions", "NAME\tDELAY\tROUND TRIP\tFREE\tAGE\tSOURCE\tRULE", len(p.Regions), func(i int) string {
