--- a/internal/placement/candidates_test.go
+++ b/internal/placement/candidates_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
+	"github.com/wigeonhill/wigeonhill/internal/pace"
 )
 
 // disturb changes the state of the cluster's first tracker, and of the list, at random.
@@ -128,6 +129,76 @@
 	t.Log(rules)
 }
 
+// Guards against a map, slice or pointer that the copy shares with the tracker. Each part
+// of the copy is changed in place, and the tracker checked against what was put there.
+func TestCopySharesNothing(t *testing.T) {
+	c := newCluster(2, 1)
+	tr, e := c.trackers[0], c.view.Targets["t-0"]
+	a := tr.Begin(c.view, e, c.service, longQuery("part-1"), Choice{Delay: 100 * time.Millisecond}, c.now)
+	if a == nil {
+		t.Fatal("no attempt")
+	}
+	a.Sent(c.now)
+	s := tr.mu.targets["t-0"]
+	s.recentSends = append(make([]time.Time, 0, 8), c.now)
+	s.prefixCache.parts["part-1"] = cachedPart{tokens: 13000, lastUsed: c.now}
+	tr.mu.slowdowns["model"] = &slowdown{value: 2}
+	tr.mu.learners["model"] = &learner{published: true}
+	tr.mu.holdTimes = map[string]time.Duration{"model": time.Second}
+	tr.mu.windows.Recovering("t-0", 1, 16, pace.Returned, c.now)
+	limit, limited := tr.mu.windows.Limit("t-0", c.now)
+
+	copied := tr.Copy()
+	k := copied.mu.targets["t-0"]
+	if len(k.awaitingFirstByte) != 1 || len(k.recentSends) != 1 || len(k.prefixCache.parts) == 0 || copied.mu.slowdowns["model"].value != 2 ||
+		!copied.mu.learners["model"].published || copied.mu.holdTimes["model"] != time.Second {
+		t.Fatalf("the copy lacks state: %+v", k)
+	}
+	k.running, k.health.down, k.slowdown.value = 99, true, 99
+	k.recentSends[0] = time.Time{}
+	k.recentSends = append(k.recentSends, c.now) // into the spare capacity, if it is shared
+	k.prefixCache.parts["part-1"] = cachedPart{}
+	k.prefixCache.parts["other"] = cachedPart{}
+	clear(k.awaitingFirstByte)
+	copied.mu.slowdowns["model"].value = 99
+	copied.mu.slowdowns["other"] = &slowdown{}
+	copied.mu.learners["model"].published = false
+	copied.mu.learners["other"] = newLearner()
+	copied.mu.holdTimes["model"], copied.mu.holdTimes["other"] = 0, 0
+	copied.mu.windows.Limit("t-0", c.now.Add(time.Hour)) // ends the window
+	copied.mu.windows.Recovering("other", 1, 16, pace.Started, c.now)
+	copied.mu.list.checks = 99
+	copied.mu.targets["other"] = &targetState{}
+
+	if s.running != 1 || s.health.down || s.slowdown.value == 99 || len(tr.mu.targets) != 1 || tr.mu.list.checks == 99 {
+		t.Errorf("the target has changed: %+v", s)
+	}
+	if len(s.recentSends) != 1 || !s.recentSends[0].Equal(c.now) || !s.recentSends[:2][1].IsZero() {
+		t.Errorf("recent sends %v", s.recentSends)
+	}
+	if _, other := s.prefixCache.parts["other"]; other || s.prefixCache.parts["part-1"].tokens != 13000 {
+		t.Errorf("cached parts %v", s.prefixCache.parts)
+	}
+	if _, waits := s.awaitingFirstByte[a]; !waits {
+		t.Error("the attempt no longer waits for its first byte")
+	}
+	if tr.mu.slowdowns["model"].value != 2 || tr.mu.slowdowns["other"] != nil {
+		t.Errorf("slowdowns %v", tr.mu.slowdowns)
+	}
+	if !tr.mu.learners["model"].published || tr.mu.learners["other"] != nil {
+		t.Errorf("learners %v", tr.mu.learners)
+	}
+	if _, other := tr.mu.holdTimes["other"]; other || tr.mu.holdTimes["model"] != time.Second {
+		t.Errorf("hold times %v", tr.mu.holdTimes)
+	}
+	if l, is := tr.mu.windows.Limit("t-0", c.now); l != limit || is != limited || !limited {
+		t.Errorf("window %d, %t, was %d, %t", l, is, limit, limited)
+	}
+	if _, is := tr.mu.windows.Limit("other", c.now); is {
+		t.Error("a window of the copy is in the tracker")
+	}
+}
+
 // checkCandidates checks that the candidates are the targets of views, with a rule for
 // each full one, and others with the rule that leaves them out.
 func checkCandidates(t *testing.T, candidates []*Candidate, views []TargetView) {
@@ -178,23 +249,37 @@
 	var wg sync.WaitGroup
 	for range 4 {
 		wg.Go(func() {
-			for range 200 {
+			for round := range 200 {
 				for _, e := range c.view.Targets {
 					if a := tr.Begin(c.view, e, c.service, longQuery("part-1"), Choice{}, now); a != nil {
 						a.Sent(now)
 						a.FirstByte(now)
-						a.End(ConnectionLost, now)
+						if round%20 == 0 {
+							a.End(ConnectionLost, now)
+							tr.SetHealthy(e.ID, 0, now)
+						} else {
+							a.End(Success, now)
+						}
 					}
-					tr.SetHealthy(e.ID, 0, now)
 				}
 			}
 		})
 	}
+	viewed := 0
 	for range 200 {
 		candidates := tr.Copy().Candidates(c.view, "model", "part-1", nil, now)
 		if len(candidates) != 4 {
 			t.Errorf("%d candidates", len(candidates))
 		}
+		for _, c := range candidates {
+			if c.Viewed {
+				viewed++
+			}
+		}
 	}
 	wg.Wait()
+	if viewed < 400 {
+		t.Errorf("%d of 800 candidates viewed: targets that are down show little of the state", viewed)
+	}
+	t.Logf("%d of 800 candidates viewed", viewed)
 }
