--- a/internal/routereport/http.go
+++ b/internal/routereport/http.go
@@ -22,11 +22,15 @@
 	// headerField is the header with which headers of the request are described, each
 	// as "Name: value".
 	headerField = "Wigeonhill-Request-Header"
-	// queryTimeout bounds the query of a client, and the other bounds are those of its
-	// response: a target takes about 400 bytes.
+	// queryTimeout bounds the query of a client. A report takes milliseconds, but it may
+	// wait for others, and instances bound the writing of a response by the same time.
 	queryTimeout = 10 * time.Second
-	maxHead      = 16 << 10
-	maxReport    = 64 << 20
+	// maxHead bounds the head of the response. Reports have a few short headers; a wrong
+	// address may send a head without end.
+	maxHead = 16 << 10
+	// maxReport bounds the body of the response. A target takes about 400 bytes, so that
+	// it has room for more than 100,000 targets.
+	maxReport = 64 << 20
 )
 
 // Request describes the request of a caller. Its headers may hold a key: neither they
