--- a/internal/gateway/routereport_test.go
+++ b/internal/gateway/routereport_test.go
@@ -363,7 +363,7 @@
 // because heartbeats arrived while the report was made.
 func TestRouteReportReadsMembersOnce(t *testing.T) {
 	regions := 0
-	for seed := range uint64(300) {
+	for seed := range uint64(1200) {
 		s := newRouteState(seed)
 		known := s.g.Members.(fixedMembers)
 		members := &changingMembers{lists: []fixedMembers{nil, known, nil, known}}
