--- a/internal/gateway/routereport.go
+++ b/internal/gateway/routereport.go
@@ -18,8 +18,12 @@
 	"github.com/wigeonhill/wigeonhill/platform"
 )
 
-// lateRule excludes places at which the request would be late.
-const lateRule = "the request would be refused there: the expected delay is too long"
+const (
+	// lateRule excludes places at which the request would be late, and urgentRule
+	// targets at which it would make more urgent ones late.
+	lateRule   = "the request would be refused there: the expected delay is too long"
+	urgentRule = "the request would be refused there: the target is left to more urgent requests"
+)
 
 // RouteReport says where a request without a body would go now. It uses the code that
 // decides about requests, on a copy of the state, and changes nothing. The error is a
@@ -128,6 +132,8 @@
 			case t.Rule != "" || t.ID == d.choice.Target:
 			case !d.query.LocalAllowed:
 				t.Rule = residencyRule
+			case alone[t.ID].Reason == placement.ReasonLeftToUrgent:
+				t.Rule = urgentRule
 			case alone[t.ID].Target == "":
 				t.Rule = lateRule
 			}
@@ -155,7 +161,7 @@
 			case r.view.FreeSlots <= 0:
 				row.Rule = "it reports no free slot for the service"
 			default:
-				row.Rule = lateRule
+				row.Rule = lateRule + ", or more urgent requests would be late"
 			}
 		} else if row.Rule == "" {
 			row.Rule = "no instance of the region is reachable and ready"
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -50,6 +50,10 @@
 	speculativeFetchCost = 0.6
 )
 
+// ReasonLeftToUrgent is the reason of a refusal if only targets that are left to more
+// urgent requests would take the request.
+const ReasonLeftToUrgent = "no place that leaves time for more urgent requests"
+
 // Query describes the request to be placed.
 type Query struct {
 	PromptTokens int
@@ -150,7 +154,7 @@
 	}
 	reason := "no place in time"
 	if local.Target == "" && local.Delay > 0 {
-		reason = "no place that leaves time for more urgent requests"
+		reason = ReasonLeftToUrgent
 	}
 	return Choice{Delay: local.Delay, RetryAfter: retryAfter(q, local.Delay, q.Jitter), Reason: reason}
 }
