--- a/review/lab2/lab_test.go
+++ b/review/lab2/lab_test.go
@@ -482,6 +482,8 @@
 	slots                      int
 	born                       int64
 	sequence                   atomic.Int64
+	// warmupLeft says how long the replica is cold; nil if it is always warm.
+	warmupLeft func() time.Duration
 	// serve answers a request that the replica runs.
 	serve func(w http.ResponseWriter, r *http.Request, body []byte)
 }
@@ -507,9 +509,13 @@
 }
 
 func (l *lab) list(p *replica) {
+	left := int64(0)
+	if p.warmupLeft != nil {
+		left = p.warmupLeft().Milliseconds()
+	}
 	l.store.put("servers/"+p.id, map[string]any{
 		"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": "ready",
-		"warmup_left_ms": 0, "stage": "both", "sequence": p.sequence.Add(1), "born": p.born,
+		"warmup_left_ms": left, "stage": "both", "sequence": p.sequence.Add(1), "born": p.born,
 	})
 }
 
@@ -517,6 +523,9 @@
 func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance-Id", p.id)
 	if r.URL.Path == "/health" {
+		if p.warmupLeft != nil && p.warmupLeft() > 0 {
+			w.Header().Set("X-Warmup-Ms", strconv.FormatInt(p.warmupLeft().Milliseconds(), 10))
+		}
 		return
 	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != p.id {
