--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/wigeonhill ] && [ -x review/bin/lab2 ] || exit 2
-exec review/bin/lab2 cold-again "$folder"
+exec review/bin/lab2 quota-pair-cut "$folder"
