Reject responses whose status is no final one

What callers saw: a target that answered with the status 000 and a body was read on, and if the body looked like a response, callers of the platform got it as a 200. A request in `serve` that got the status 000 hung. The statuses 600 to 999 arrived as answers on both faces.

Cause: net/http accepts any three digits. targetconn skipped every status below 200 as if it were informational, so that the body was read as the next head. dispatch passed the status to the server's WriteHeader, which panics below 100 after the sink was marked as started, so that nobody ended the call. The gateway did not check the status of a forwarded response.

Change: httpframing.CheckHead, called where all responses pass: in targetconn, in the transport of httpclient, which now also serves dispatch, and for forwarded responses of both faces. Such a response is an error that says "may have run", and its connection is closed: with net/http a response without a body has made it idle already, so idle ones are closed.

Ruled out: a check in the sinks, which come after the decision to try again; the text of the status, since +99 and -00 are covered by the range.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -102,7 +101,7 @@
 // leave the outcome of a booking unknown for no reason, and on an engine it would
 // look like a crash; and net/http would send a booking that has an Idempotency-Key
 // header again by itself.
-func newTransport() *http.Transport {
+func newTransport() *httpclient.Transport {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	t := httpclient.NewTransport(httpclient.Config{
 		ConnectTimeout: targetDialTimeout,
--- a/internal/dispatch/hop.go
+++ b/internal/dispatch/hop.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/crash"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
@@ -234,9 +235,12 @@
 		return nil, tailError(t)
 	}
 	h := m.GetHead()
-	if h == nil || h.GetStatus() < 200 || h.GetStatus() > 599 {
+	if h == nil {
 		return nil, newAttemptError(result.TargetFailed, true, "the forwarded answer does not begin with a head", nil)
 	}
+	if err := httpframing.CheckHead(int(h.GetStatus())); err != nil {
+		return nil, newAttemptError(result.TargetFailed, true, "the forwarded answer has an invalid head", err)
+	}
 	return h, nil
 }
 
--- a/internal/dispatch/local.go
+++ b/internal/dispatch/local.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/auth"
 	"github.com/wigeonhill/wigeonhill/internal/config"
 	"github.com/wigeonhill/wigeonhill/internal/crash"
+	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
@@ -30,7 +30,7 @@
 // LocalDispatcher runs requests on targets of the local region.
 type LocalDispatcher struct {
 	LocalConfig
-	transport *http.Transport
+	transport *httpclient.Transport
 	mu        struct {
 		sync.Mutex
 		running       map[*run]struct{}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
 	"github.com/wigeonhill/wigeonhill/internal/event"
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
@@ -216,6 +217,9 @@
 	if head == nil {
 		return nil, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop has no head")
 	}
+	if err := httpframing.CheckHead(int(head.GetStatus())); err != nil {
+		return nil, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop: %v", err)
+	}
 	return head, nil
 }
 
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -52,6 +52,9 @@
 		"data before head": {messageStream{message("r", "ab"), message("r", ok)}, "", false},
 		"tail only":        {messageStream{message("r", ok)}, "", false},
 		"no messages":      {nil, "", false},
+		"status 0":         {messageStream{message("r", 0), message("r", "ab"), message("r", ok)}, "", false},
+		"status 101":       {messageStream{message("r", 101), message("r", "ab"), message("r", ok)}, "", false},
+		"status 600":       {messageStream{message("r", 600), message("r", "ab"), message("r", ok)}, "", false},
 	} {
 		s := append(messageStream{nil}, c.messages...)
 		f := &forwardBody{stream: &s, requestID: "r", cancel: func() {}}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 )
 
 // maxIdleConnsPerHost bounds the idle connections to an address for which
@@ -45,8 +47,27 @@
 // the call to an address that nobody published, and uses no proxy.
 func New(c Config) *http.Client { return FromTransport(NewTransport(c), c) }
 
+// Transport is an *http.Transport that returns no response whose head is not valid.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpframing.CheckHead(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		// If the response had no body, its connection is idle already. What follows on
+		// it must not be taken for another response.
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return resp, nil
+}
+
 // NewTransport returns a transport for callers that need more than a client does.
-func NewTransport(c Config) *http.Transport {
+func NewTransport(c Config) *Transport {
 	if c.ConnectTimeout <= 0 || c.MaxHead <= 0 {
 		panic("httpclient: a bound is not set")
 	}
@@ -58,7 +79,7 @@
 	if maxIdle == 0 {
 		maxIdle = maxIdleConnsPerHost
 	}
-	return &http.Transport{
+	return &Transport{&http.Transport{
 		DialContext:            dial,
 		TLSHandshakeTimeout:    c.ConnectTimeout,
 		MaxResponseHeaderBytes: c.MaxHead,
@@ -68,12 +89,12 @@
 		DisableKeepAlives:      c.IdleTimeout == 0,
 		// A compressed body may be many times as long as what is received.
 		DisableCompression: true,
-	}
+	}}
 }
 
 // FromTransport returns a client like New that uses t, which NewTransport made. Of c
 // only CallTimeout and MaxBody apply.
-func FromTransport(t *http.Transport, c Config) *http.Client {
+func FromTransport(t *Transport, c Config) *http.Client {
 	client := &http.Client{
 		Transport:     t,
 		Timeout:       c.CallTimeout,
@@ -87,7 +108,7 @@
 
 // boundedBodies bounds the bodies of responses.
 type boundedBodies struct {
-	*http.Transport
+	*Transport
 	maxBody int64
 }
 
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -207,3 +207,41 @@
 		}
 	}
 }
+
+// A response whose head is not valid is an error, and its connection is not used again.
+func TestResponseWithInvalidHeadIsAnError(t *testing.T) {
+	for _, broken := range append(standin.BrokenResponses("", "body"), standin.BrokenResponses("Content-Length: 0\r\n", "")...) {
+		t.Run(broken.Name, func(t *testing.T) {
+			var conns atomic.Int64
+			config := testConfig
+			config.IdleTimeout = time.Minute
+			config.Dial = func(context.Context, string, string) (net.Conn, error) {
+				conns.Add(1)
+				client, server := net.Pipe()
+				go func() {
+					defer server.Close()
+					in := bufio.NewReader(server)
+					for {
+						if _, err := http.ReadRequest(in); err != nil {
+							return
+						}
+						if _, err := io.WriteString(server, broken.Text); err != nil || strings.Contains(broken.Name, "close") {
+							return
+						}
+					}
+				}()
+				return client, nil
+			}
+			client := httpclient.New(config)
+			for range 2 {
+				if resp, err := client.Get("http://target/"); err == nil {
+					t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
+					_ = resp.Body.Close()
+				}
+			}
+			if n := conns.Load(); n != 2 {
+				t.Errorf("%d connections for two requests", n)
+			}
+		})
+	}
+}
--- a/internal/httpclient/doc.go
+++ b/internal/httpclient/doc.go
@@ -3,7 +3,8 @@
 // that it keeps: those of a head, with the informational responses before it, and
 // those of a body, unless the reader of the body bounds what it holds. How many
 // calls are in flight at once is bounded by the packages that make them;
-// docs/incidents/lost-endless-responses.md lists all calls with their bounds.
+// docs/incidents/lost-endless-responses.md lists all calls with their bounds. No client
+// returns a response whose head is not valid.
 //
 // TestClientsAreMadeHere fails if another package makes a client.
 package httpclient
--- a/internal/httpframing/httpframing.go
+++ b/internal/httpframing/httpframing.go
@@ -1,15 +1,27 @@
-// Package httpframing is about what marks the end of a response: it tells which
-// responses end with their connection, and keeps callers from taking a response that
-// was broken off for a complete one. A handler breaks a response off with
-// panic(http.ErrAbortHandler).
+// Package httpframing is about what marks the begin and the end of a response: it tells
+// which heads are not valid and which responses end with their connection, and keeps
+// callers from taking a response that was broken off for a complete one. A handler
+// breaks a response off with panic(http.ErrAbortHandler).
 package httpframing
 
 import (
 	"context"
 	"net"
 	"net/http"
+
+	"github.com/cockroachdb/errors"
 )
 
+// CheckHead returns an error if the head of a final response is not valid, as far as
+// net/http accepts it. What follows such a head need not be the body that the sender
+// meant. See RFC 9110, section 15.
+func CheckHead(status int) error {
+	if status < 200 || status > 599 {
+		return errors.Newf("the response has the status %03d, which no final response has", status)
+	}
+	return nil
+}
+
 // EndsWithConnection reports whether only the end of the connection marks the end
 // of a response's body, as it does too if the sender crashes.
 func EndsWithConnection(resp *http.Response) bool {
--- a/internal/peerapi/client.go
+++ b/internal/peerapi/client.go
@@ -50,7 +50,7 @@
 // Clients is a pool of clients, one for each peer address. All calls to an
 // address share its connections.
 type Clients struct {
-	transport *http.Transport
+	transport *httpclient.Transport
 	scheme    string
 	mu        struct {
 		sync.Mutex
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -161,14 +161,16 @@
 	c.headLeft = x.pool.cfg.MaxHead
 	for {
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: x.request.Method})
-		switch {
-		case err != nil:
+		if err != nil {
 			return nil, x.readError(err)
-		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errors.New("the target switched protocols without being asked")
-		case resp.StatusCode < 200:
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue // informational
-		case c.used && !x.matches(resp):
+		}
+		if err := httpframing.CheckHead(resp.StatusCode); err != nil {
+			return nil, err
+		}
+		if c.used && !x.matches(resp) {
 			x.pool.bar(c.address)
 			return nil, ErrForeignResponse
 		}
--- a/internal/targetconn/pool_test.go
+++ b/internal/targetconn/pool_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
 // testTarget accepts connections and answers each request with what respond returns.
@@ -482,3 +484,33 @@
 		}
 	}
 }
+
+// A response whose head is not valid is an error, on new and on kept connections, and
+// its connection is not used again.
+func TestResponseWithInvalidHeadIsAnError(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for i, broken := range standin.BrokenResponses("", "body") {
+		target := newTestTarget(t, func(n int, r *http.Request) (string, bool) {
+			if n == 1 && r.URL.Path == "/first" {
+				return answer(r, ""), false
+			}
+			text := standin.BrokenResponses("X-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\n", "to "+r.Header.Get("X-Request-Id"))[i].Text
+			return text, strings.Contains(broken.Name, "close")
+		})
+		p := newTestPool(nil)
+		for _, kept := range []bool{false, true} {
+			if kept {
+				if _, _, err := get(ctx, p, target.Addr().String(), func(r *Request) { r.Target = "/first" }); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if body, reused, err := get(ctx, p, target.Addr().String(), nil); err == nil || reused != kept {
+				t.Errorf("%s, kept %t: reused %t, body %q, error %v", broken.Name, kept, reused, body, err)
+			}
+			if n := p.IdleConns(); n != 0 {
+				t.Errorf("%s, kept %t: %d connections are kept", broken.Name, kept, n)
+			}
+		}
+	}
+}
