Reject responses with header names that are not valid

What callers saw: a target's response with a blank in the name of a field arrived as an answer, without that line. If the field was "Content-Length " or "Transfer-Encoding ", the body was another one than the target meant: to the end of the connection, or with the chunk sizes in it.

Cause: net/http keeps a name with a blank as it is, so that it is not the field that it looks like, and its server drops it when the response is written. Names with control bytes and empty ones were rejected already.

Change: httpframing.CheckHead, where all responses pass, also checks the names, with the check of golang.org/x/net, which is a dependency already. So it holds for targets on both faces, forwarded responses, health checks, the store and the commands of the program.

Ruled out: to remove blanks in front of the colon, as RFC 9112 permits: what follows such a head cannot be trusted to be the body. Informational responses are not checked, as nothing of them is passed on.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -35,6 +35,8 @@
 	switch p := part.(type) {
 	case int:
 		m.Part = &peerv1.ForwardResponse_Head{Head: &peerv1.Head{Status: uint32(p)}}
+	case *peerv1.Header:
+		m.Part = &peerv1.ForwardResponse_Head{Head: &peerv1.Head{Status: 200, Headers: []*peerv1.Header{p}}}
 	case string:
 		m.Part = &peerv1.ForwardResponse_Data{Data: []byte(p)}
 	case *peerv1.Tail:
@@ -64,12 +66,13 @@
 		"no frames":        {nil, "", false},
 		"no part":          {fakeFrames{frame("r", 1, 200), frame("r", 2, nil), frame("r", 3, ok)}, "", false},
 		"invalid status":   {fakeFrames{frame("r", 1, 99), frame("r", 2, ok)}, "", false},
+		"blank in a name":  {fakeFrames{frame("r", 1, &peerv1.Header{Name: "X Broken"}), frame("r", 2, "ab"), frame("r", 3, ok)}, "", false},
 		"refused":          {fakeFrames{frame("r", 1, &peerv1.Tail{Code: 303})}, "", false},
 		"success, empty":   {fakeFrames{frame("r", 1, ok)}, "", false},
 	} {
 		s := append(fakeFrames{nil}, c.frames...)
 		f := &frameReader{stream: &s, id: "r", log: event.Nop()}
-		_, err := f.readHead()
+		_, _, err := f.readHead()
 		var data []byte
 		if err == nil {
 			data, err = io.ReadAll(f)
--- a/internal/dispatch/hop.go
+++ b/internal/dispatch/hop.go
@@ -143,15 +143,11 @@
 		return nil, d.classifyHopError(ctx, m, s, err)
 	}
 	f := &frameReader{stream: stream, id: c.ID, log: d.local.Log, crashes: d.local.Crashes}
-	head, err := f.readHead()
+	head, h, err := f.readHead()
 	if err != nil {
 		defer func() { cancel(); _ = stream.Close() }()
 		return nil, d.classifyHopError(ctx, m, s, err)
 	}
-	h := http.Header{}
-	for _, p := range head.GetHeaders() {
-		h.Add(p.GetName(), string(p.GetValue()))
-	}
 	resp := &attemptResponse{
 		status: int(head.GetStatus()), header: h, target: head.GetTarget(), size: -1, body: f, exclude: instanceKey(m.Name),
 		close: func() { cancel(); _ = stream.Close() },
@@ -225,23 +221,27 @@
 	return m, nil
 }
 
-func (f *frameReader) readHead() (*peerv1.Head, error) {
+func (f *frameReader) readHead() (*peerv1.Head, http.Header, error) {
 	m, err := f.nextFrame()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if t := m.GetTail(); t != nil {
 		f.mergeCrashes(t.GetCrashNews())
-		return nil, tailError(t)
+		return nil, nil, tailError(t)
 	}
-	h := m.GetHead()
-	if h == nil {
-		return nil, newAttemptError(result.TargetFailed, true, "the forwarded answer does not begin with a head", nil)
+	head := m.GetHead()
+	if head == nil {
+		return nil, nil, newAttemptError(result.TargetFailed, true, "the forwarded answer does not begin with a head", nil)
+	}
+	h := http.Header{}
+	for _, p := range head.GetHeaders() {
+		h.Add(p.GetName(), string(p.GetValue()))
 	}
-	if err := httpframing.CheckHead(int(h.GetStatus())); err != nil {
-		return nil, newAttemptError(result.TargetFailed, true, "the forwarded answer has an invalid head", err)
+	if err := httpframing.CheckHead(int(head.GetStatus()), h); err != nil {
+		return nil, nil, newAttemptError(result.TargetFailed, true, "the forwarded answer has an invalid head", err)
 	}
-	return h, nil
+	return head, h, nil
 }
 
 // Read implements io.Reader.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -36,7 +36,8 @@
 	resumeAfterField = ":resume-after"
 	// publishedChangeField is a header of a response: the store revision of the last
 	// change to the published state by which the request was decided, if the sender
-	// knew an earlier one only.
+	// knew an earlier one only. A response with any other name that is not valid in HTTP
+	// is refused.
 	publishedChangeField = ":published-change"
 )
 
@@ -81,15 +82,12 @@
 	var conn connTracker
 	stream, err := g.Clients.Client(address).Forward(conn.trace(ctx), connect.NewRequest(g.forwardRequest(c, v, lastEventID)))
 	if err == nil {
-		var head *peerv1.Head
 		respBody := &forwardBody{stream: stream, requestID: hopID(c), cancel: cancel}
-		if head, err = respBody.head(); err == nil {
-			h := http.Header{}
-			for _, p := range head.GetHeaders() {
-				h.Add(p.GetName(), string(p.GetValue()))
-			}
-			g.followInstance(address, takeText(h, "", publishedChangeField))
-			return &targetResponse{status: int(head.GetStatus()), header: h, body: respBody, target: head.GetTarget(), framing: tailFraming}, nil
+		var resp *targetResponse
+		var publishedChange string
+		if resp, publishedChange, err = respBody.head(); err == nil {
+			g.followInstance(address, publishedChange)
+			return resp, nil
 		}
 		_ = respBody.Close()
 	}
@@ -205,22 +203,29 @@
 	return msg, nil
 }
 
-func (f *forwardBody) head() (*peerv1.Head, error) {
+// head reads the head of the response, of which f is the body, and the value of
+// publishedChangeField.
+func (f *forwardBody) head() (resp *targetResponse, publishedChange string, err error) {
 	msg, err := f.receive()
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	if tail := msg.GetTail(); tail != nil && tail.GetCode() != 0 {
-		return nil, tailFailure(tail)
+		return nil, "", tailFailure(tail)
 	}
 	head := msg.GetHead()
 	if head == nil {
-		return nil, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop has no head")
+		return nil, "", mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop has no head")
+	}
+	h := http.Header{}
+	for _, p := range head.GetHeaders() {
+		h.Add(p.GetName(), string(p.GetValue()))
 	}
-	if err := httpframing.CheckHead(int(head.GetStatus())); err != nil {
-		return nil, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop: %v", err)
+	publishedChange = takeText(h, "", publishedChangeField)
+	if err := httpframing.CheckHead(int(head.GetStatus()), h); err != nil {
+		return nil, "", mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop: %v", err)
 	}
-	return head, nil
+	return &targetResponse{status: int(head.GetStatus()), header: h, body: f, target: head.GetTarget(), framing: tailFraming}, publishedChange, nil
 }
 
 // Read implements io.Reader.
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -26,6 +26,8 @@
 	switch p := part.(type) {
 	case int:
 		m.Part = &peerv1.ForwardResponse_Head{Head: &peerv1.Head{Status: uint32(p)}}
+	case *peerv1.Header:
+		m.Part = &peerv1.ForwardResponse_Head{Head: &peerv1.Head{Status: 200, Headers: []*peerv1.Header{p}}}
 	case string:
 		m.Part = &peerv1.ForwardResponse_Data{Data: []byte(p)}
 	case *peerv1.Tail:
@@ -54,11 +56,13 @@
 		"no messages":      {nil, "", false},
 		"status 0":         {messageStream{message("r", 0), message("r", "ab"), message("r", ok)}, "", false},
 		"status 101":       {messageStream{message("r", 101), message("r", "ab"), message("r", ok)}, "", false},
+		"change":           {messageStream{message("r", &peerv1.Header{Name: publishedChangeField, Value: []byte("7")}), message("r", "ab"), message("r", ok)}, "ab", true},
+		"blank in a name":  {messageStream{message("r", &peerv1.Header{Name: "X Broken"}), message("r", "ab"), message("r", ok)}, "", false},
 		"status 600":       {messageStream{message("r", 600), message("r", "ab"), message("r", ok)}, "", false},
 	} {
 		s := append(messageStream{nil}, c.messages...)
 		f := &forwardBody{stream: &s, requestID: "r", cancel: func() {}}
-		_, err := f.head()
+		_, _, err := f.head()
 		var data []byte
 		if err == nil {
 			data, err = io.ReadAll(f)
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := httpframing.CheckHead(resp.StatusCode); err != nil {
+	if err := httpframing.CheckHead(resp.StatusCode, resp.Header); err != nil {
 		_ = resp.Body.Close()
 		// If the response had no body, its connection is idle already. What follows on
 		// it must not be taken for another response.
--- a/internal/httpframing/httpframing.go
+++ b/internal/httpframing/httpframing.go
@@ -10,15 +10,22 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // CheckHead returns an error if the head of a final response is not valid, as far as
 // net/http accepts it. What follows such a head need not be the body that the sender
-// meant. See RFC 9110, section 15.
-func CheckHead(status int) error {
+// meant: net/http takes a Content-Length with a blank behind its name for another field.
+// See RFC 9110, sections 5.1 and 15.
+func CheckHead(status int, header http.Header) error {
 	if status < 200 || status > 599 {
 		return errors.Newf("the response has the status %03d, which no final response has", status)
 	}
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("the response has a field with the invalid name %q", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/instance/broken_response_test.go
+++ b/internal/instance/broken_response_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/wigeonhill/wigeonhill/internal/standin"
@@ -119,3 +121,27 @@
 		}
 	}
 }
+
+// A target is not taken for healthy because of a response whose head is not valid.
+func TestHealthCheckWithInvalidHeadFails(t *testing.T) {
+	d := newTestDeployment(t)
+	d.publishConfig(nil)
+	var text atomic.Pointer[string]
+	health := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeAndClose(w, *text.Load(), false, 0) }))
+	t.Cleanup(health.Close)
+	d.store.put("servers/t-1", storeEntryAt(health.Listener.Addr().String(), "orders", "a", "ready", 1))
+	inst := d.startInstance("a")
+	const headers = "X-Instance-Id: t-1\r\n"
+	sound := standin.Response("HTTP/1.1 200 OK\r\n"+headers, "length", "")
+	text.Store(&sound)
+	eventually(t, "the target is healthy", func() bool {
+		got, ok := inst.prober.healthOf(t.Context(), "t-1")
+		return ok && got.Healthy
+	})
+	for _, broken := range standin.BrokenResponses(headers, "") {
+		text.Store(&broken.Text)
+		if got, ok := inst.prober.healthOf(t.Context(), "t-1"); ok {
+			t.Errorf("%s: %+v", broken.Name, got)
+		}
+	}
+}
--- a/internal/standin/broken.go
+++ b/internal/standin/broken.go
@@ -23,6 +23,13 @@
 // invalidStatuses are texts in place of a status. 101 is valid only if it was asked for.
 var invalidStatuses = []string{"000", "001", "099", "+99", "-00", "101", "600", "999"}
 
+// invalidLines are header lines whose names are not tokens: they hold a blank or a control
+// byte, or nothing.
+var invalidLines = []string{
+	"X Broken: 1", "X-Broken : 1", "X-Broken\t: 1", "X\tBroken: 1", "X\x00Broken: 1", "X\x01Broken: 1", "\x0bX-Broken: 1",
+	"X-Broken\x7f: 1", "X\rBroken: 1", ": 1", "Content-Length : 3", "Content Length: 3", "Transfer-Encoding : chunked",
+}
+
 // BrokenResponses returns responses whose heads are not valid, in all framings.
 // headers are header lines, each with its line end. Some of the bodies are themselves
 // like a response, for which a reader must not take them.
@@ -34,6 +41,10 @@
 			out = append(out, BrokenResponse{fmt.Sprintf("status %s, %s", status, framing), Response(head, framing, body)},
 				BrokenResponse{fmt.Sprintf("status %s, %s, a response in the body", status, framing), Response(head, framing, inner)})
 		}
+		for _, line := range invalidLines {
+			head := "HTTP/1.1 200 OK\r\n" + headers + line + "\r\n"
+			out = append(out, BrokenResponse{fmt.Sprintf("line %q, %s", line, framing), Response(head, framing, body)})
+		}
 	}
 	return out
 }
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -167,7 +167,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue // informational
 		}
-		if err := httpframing.CheckHead(resp.StatusCode); err != nil {
+		if err := httpframing.CheckHead(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
 		if c.used && !x.matches(resp) {
