Tell a reset during an upload from the end of a response

What callers saw: a target answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was still being written. The part arrived as a complete answer.

Cause: Linux reports a reset once, to the system call that asks next. If that is the write of the request, it returns ECONNRESET, and the read of the response then returns what had arrived and io.EOF, as at an orderly end. For a response that ends with its connection that is the end of the body. Responses with a length or in chunks were never taken for complete.

Change: httpframing.ClientConn, around each connection of targetconn and httpclient, so also of dispatch, health checks, the store and other instances. At io.EOF it asks whether a write has failed otherwise than with EPIPE, and ends one that is under way, which may be about to return that error. EPIPE comes first only if the target had ended its side before the reset, and then all of its response has arrived: such responses are still delivered.

Ruled out: to take every such response for broken while its request is not written whole, as a target may answer early and end in order; the state of the socket (TCP_INFO), which does not tell a reset before the end from one behind it.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wigeonhill/wigeonhill/internal/httpclient"
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 )
 
 const (
@@ -72,7 +73,11 @@
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			c, ok := info.Conn.(*countingConn)
+			conn := info.Conn
+			if wrapped, ok := conn.(*httpframing.ClientConn); ok {
+				conn = wrapped.NetConn()
+			}
+			c, ok := conn.(*countingConn)
 			// A second connection for the same request means that net/http has
 			// retried it; the state of the first one is then unknown.
 			if !ok || s.conn.Load() != nil {
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -80,7 +80,13 @@
 		maxIdle = maxIdleConnsPerHost
 	}
 	return &Transport{&http.Transport{
-		DialContext:            dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return httpframing.NewClientConn(c), nil
+		},
 		TLSHandshakeTimeout:    c.ConnectTimeout,
 		MaxResponseHeaderBytes: c.MaxHead,
 		MaxConnsPerHost:        c.MaxConnsPerHost,
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"go/ast"
 	"go/parser"
@@ -245,3 +246,37 @@
 		})
 	}
 }
+
+// A target that answers before it has read the request and then resets the connection
+// has not completed its response, however its end would be marked. Which side of the
+// connection sees the reset first depends on the timing of each round.
+func TestResetDuringUploadEndsNoResponse(t *testing.T) {
+	config := testConfig
+	config.MaxBody = httpclient.UnboundedBody
+	for _, framing := range append([]string{"HTTP/1.0"}, standin.Framings...) {
+		for _, end := range []standin.UploadEnd{standin.ResetUpload, standin.FinishUpload} {
+			l, err := standin.ListenForUploads()
+			if err != nil {
+				t.Fatal(err)
+			}
+			go standin.ServeUploads(l, func(*http.Request) (string, standin.UploadEnd) {
+				return standin.EarlyResponse(framing, "", "part", end), end
+			})
+			client := httpclient.New(config)
+			for range 30 {
+				body := ""
+				resp, err := client.Post("http://"+l.Addr().String(), "", bytes.NewReader(make([]byte, 8<<20)))
+				if err == nil {
+					var b []byte
+					b, err = io.ReadAll(resp.Body)
+					body = string(b)
+					_ = resp.Body.Close()
+				}
+				if (err == nil) != (end == standin.FinishUpload) || err == nil && body != "part" {
+					t.Errorf("%s, end %d: body %q, error %v", framing, end, body, err)
+				}
+			}
+			_ = l.Close()
+		}
+	}
+}
--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -427,10 +427,15 @@
 
 var requestCount atomic.Int64
 
-// sendRequest sends a request with the headers that callers of the platform
+// sendRequest sends a short request with the headers that callers of the platform
 // set.
 func sendRequest(method, url string, change func(h http.Header)) callerResponse {
-	req, err := http.NewRequest(method, url, strings.NewReader("body"))
+	return sendBody(method, url, "body", change)
+}
+
+// sendBody is sendRequest with a body.
+func sendBody(method, url, body string, change func(h http.Header)) callerResponse {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return callerResponse{err: err}
 	}
@@ -446,8 +451,8 @@
 		return callerResponse{err: err}
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	return callerResponse{res.StatusCode, res.Header, string(body), err}
+	got, err := io.ReadAll(res.Body)
+	return callerResponse{res.StatusCode, res.Header, string(got), err}
 }
 
 // logBuffer holds the log of an instance, which tests read while it runs.
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 )
 
 const (
@@ -345,7 +347,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, address: address}
+	c := &conn{Conn: httpframing.NewClientConn(nc), address: address}
 	c.in = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
