--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -47,7 +47,8 @@
 // the call to an address that nobody published, and uses no proxy.
 func New(c Config) *http.Client { return FromTransport(NewTransport(c), c) }
 
-// Transport is an *http.Transport that returns no response whose head is not valid.
+// Transport is an *http.Transport that returns no response with an invalid head; see
+// httpframing.CheckHead.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -58,8 +59,8 @@
 	}
 	if err := httpframing.CheckHead(resp.StatusCode, resp.Header); err != nil {
 		_ = resp.Body.Close()
-		// If the response had no body, its connection is idle already. What follows on
-		// it must not be taken for another response.
+		// The connection of a response without a body is idle by now. Nothing that follows
+		// on it may be taken for another response.
 		t.CloseIdleConnections()
 		return nil, err
 	}
--- a/internal/httpclient/doc.go
+++ b/internal/httpclient/doc.go
@@ -3,8 +3,10 @@
 // that it keeps: those of a head, with the informational responses before it, and
 // those of a body, unless the reader of the body bounds what it holds. How many
 // calls are in flight at once is bounded by the packages that make them;
-// docs/incidents/lost-endless-responses.md lists all calls with their bounds. No client
-// returns a response whose head is not valid.
+// docs/incidents/lost-endless-responses.md lists all calls with their bounds.
+//
+// A response with an invalid head, or one that ends with a connection that was reset, is
+// an error.
 //
 // TestClientsAreMadeHere fails if another package makes a client.
 package httpclient
--- a/internal/httpframing/clientconn.go
+++ b/internal/httpframing/clientconn.go
@@ -10,10 +10,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ClientConn is a connection of a client that reports its reset to the reader also if
-// the writer has seen it first. The kernel reports a reset once, to whoever asks next:
-// after a write that failed, reading returns what had arrived and then io.EOF, as if the
-// peer had ended its response.
+// ClientConn is the connection of a client. Its reads return io.EOF only if the peer has
+// ended its side in order. The kernel reports a reset once, to the reader or the writer:
+// after a write that failed, reads of a net.Conn return what had arrived and then io.EOF,
+// as if the peer had ended its response.
 type ClientConn struct {
 	net.Conn
 	// writing is held during a write. It guards broken.
@@ -62,9 +62,9 @@
 	return n, err
 }
 
-// brokenWrite returns the error of a write by which the connection has ended. It ends a
-// write that is under way and may be about to return that error. The peer has ended its
-// response, so nothing depends on the rest of the request.
+// brokenWrite returns the error of a write by which the connection has ended; nil if there
+// is none. A write that is under way may be about to return one, so it is ended: the rest
+// of a request is of no use once its response has ended.
 func (c *ClientConn) brokenWrite() error {
 	if !c.writing.TryLock() {
 		_ = c.SetWriteDeadline(time.Now())
--- a/internal/httpframing/clientconn_test.go
+++ b/internal/httpframing/clientconn_test.go
@@ -10,6 +10,15 @@
 	"github.com/wigeonhill/wigeonhill/internal/standin"
 )
 
+func dial(t *testing.T, l net.Listener) *httpframing.ClientConn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return httpframing.NewClientConn(c)
+}
+
 // A reader gets io.EOF if and only if the peer has ended its side of the connection, also
 // if the writer meets a reset, before or after that.
 func TestReaderLearnsOfReset(t *testing.T) {
@@ -28,11 +37,7 @@
 			}
 		}()
 		for range 100 {
-			raw, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			c := httpframing.NewClientConn(raw)
+			c := dial(t, l)
 			written := make(chan struct{})
 			go func() {
 				defer close(written)
@@ -57,11 +62,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	raw, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := httpframing.NewClientConn(raw)
+	c := dial(t, l)
 	defer c.Close()
 	peer, err := l.Accept()
 	if err != nil {
@@ -98,13 +99,9 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	raw, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer raw.Close()
-	var _ syscall.Conn = httpframing.NewClientConn(raw)
-	if _, err := httpframing.NewClientConn(raw).SyscallConn(); err != nil {
+	c := dial(t, l)
+	defer c.Close()
+	if _, err := syscall.Conn(c).SyscallConn(); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/httpframing/httpframing.go
+++ b/internal/httpframing/httpframing.go
@@ -1,7 +1,7 @@
-// Package httpframing is about what marks the begin and the end of a response: it tells
-// which heads are not valid and which responses end with their connection, and keeps
-// callers from taking a response that was broken off for a complete one. A handler
-// breaks a response off with panic(http.ErrAbortHandler).
+// Package httpframing keeps broken responses apart from complete ones: it checks the heads
+// of responses, tells which responses end with their connection and whether that was
+// reset, and shows callers that a response was broken off. A handler breaks a response
+// off with panic(http.ErrAbortHandler).
 package httpframing
 
 import (
@@ -13,13 +13,13 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// CheckHead returns an error if the head of a final response is not valid, as far as
-// net/http accepts it. What follows such a head need not be the body that the sender
-// meant: net/http takes a Content-Length with a blank behind its name for another field.
-// See RFC 9110, sections 5.1 and 15.
+// CheckHead returns an error if the status of a final response is not between 200 and 599
+// or the name of a field is not a token (RFC 9110, sections 15 and 5.1). net/http checks
+// neither: it takes a Content-Length with a blank behind its name for another field, so
+// that what it reads as the body need not be the one that the sender meant.
 func CheckHead(status int, header http.Header) error {
 	if status < 200 || status > 599 {
-		return errors.Newf("the response has the status %03d, which no final response has", status)
+		return errors.Newf("the response has the invalid status %03d", status)
 	}
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
--- a/internal/standin/broken.go
+++ b/internal/standin/broken.go
@@ -17,7 +17,7 @@
 	return head + "\r\n" + body
 }
 
-// BrokenResponse is the whole response of a faulty target, whose head is not valid.
+// BrokenResponse is a response of a faulty target, whole but for its invalid head.
 type BrokenResponse struct{ Name, Text string }
 
 // invalidStatuses are texts in place of a status. 101 is valid only if it was asked for.
@@ -32,7 +32,7 @@
 
 // BrokenResponses returns responses whose heads are not valid, in all framings.
 // headers are header lines, each with its line end. Some of the bodies are themselves
-// like a response, for which a reader must not take them.
+// like a response, for which they must not be taken.
 func BrokenResponses(headers, body string) (out []BrokenResponse) {
 	for _, framing := range Framings {
 		for _, status := range invalidStatuses {
--- a/internal/standin/upload.go
+++ b/internal/standin/upload.go
@@ -18,8 +18,8 @@
 	resetDelay = 2 * time.Millisecond
 )
 
-// ListenForUploads listens on a free port of the loopback address. What is sent to it
-// stays with the sender until it is read, but for some hundred KB.
+// ListenForUploads listens on a free port of the loopback address. Its receive buffer is
+// small, so that a request of a few MB cannot be written whole before it is read.
 func ListenForUploads() (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
@@ -66,8 +66,8 @@
 	}
 }
 
-// ServeUploads answers the requests on each connection of l before their bodies, until
-// l is closed. text returns the response to a request.
+// ServeUploads answers one request on each connection of l, before it has read the body,
+// until l is closed. text returns the response to a request.
 func ServeUploads(l net.Listener, text func(r *http.Request) (string, UploadEnd)) {
 	for {
 		conn, err := l.Accept()
@@ -87,8 +87,8 @@
 }
 
 // EarlyResponse returns a response whose body lacks its end if end is ResetUpload, unless
-// only the end of the connection marks that, and a whole one otherwise.
-// headers are header lines, each with its line end.
+// only the end of the connection marks that, and a whole one otherwise. framing is one of
+// Framings or HTTP/1.0, in which the connection ends the body too. headers are header lines, each with its line end.
 func EarlyResponse(framing, headers, body string, end UploadEnd) string {
 	version := "HTTP/1.1"
 	if framing == "HTTP/1.0" {
