--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -49,7 +49,7 @@
 func New(c Config) *http.Client { return FromTransport(NewTransport(c), c) }
 
 // Transport is an *http.Transport that returns no response with an invalid head; see
-// httpframing.CheckHead.
+// httpframing.CheckHead and httpframing.ClientConn.
 type Transport struct{ *http.Transport }
 
 // expectHeads announces a head to each connection that is used for a request.
--- a/internal/httpframing/clientconn.go
+++ b/internal/httpframing/clientconn.go
@@ -13,7 +13,8 @@
 // ClientConn is the connection of a client. Its reads return io.EOF only if the peer has
 // ended its side in order. The kernel reports a reset once, to the reader or the writer:
 // after a write that failed, reads of a net.Conn return what had arrived and then io.EOF,
-// as if the peer had ended its response.
+// as if the peer had ended its response. Reads also fail at folded lines; see ExpectHead.
+// One goroutine at a time may read.
 type ClientConn struct {
 	net.Conn
 	// writing is held during a write. It guards broken.
@@ -32,8 +33,8 @@
 // NetConn returns the connection that c wraps.
 func (c *ClientConn) NetConn() net.Conn { return c.Conn }
 
-// ExpectHead must be called before a request is written in HTTP/1. Reads then fail, all of
-// them, from a line of the head of its response that begins with a blank.
+// ExpectHead must be called before a request is written in HTTP/1. If a line in the head of
+// its response begins with a blank, reads return what is before that line and then fail.
 func (c *ClientConn) ExpectHead() {
 	c.scanning.Lock()
 	defer c.scanning.Unlock()
@@ -57,7 +58,7 @@
 // Read implements io.Reader.
 func (c *ClientConn) Read(p []byte) (int, error) {
 	if _, folded := c.scan(nil); folded {
-		return 0, errFoldedLine // net/http ignores errors at the end of a line
+		return 0, errFoldedLine // net/http ignores the first error at the end of a line
 	}
 	n, err := c.Conn.Read(p)
 	if n, folded := c.scan(p[:n]); folded {
