Give each request of httpclient a trace of its own

Cause: WithClientTrace adds the hooks of the context to the trace that it gets. Since that was one trace for all requests, so that each request called the hooks of all before it, which dispatch uses to tell whether a byte was sent, and all of them stayed in memory.

TestTracesOfRequestsAreApart, new: the hooks of three requests were called 3, 2 and 1 times.

Change: a trace for each request.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -52,17 +52,18 @@
 // httpframing.CheckHead and httpframing.ClientConn.
 type Transport struct{ *http.Transport }
 
-// expectHeads announces a head to each connection that is used for a request.
-var expectHeads = &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+// expectHead announces the head of a response to the connection of its request.
+func expectHead(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*httpframing.ClientConn); ok {
 		c.ExpectHead()
 	}
-}}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	if t.Protocols == nil || t.Protocols.HTTP1() {
-		req = req.WithContext(httptrace.WithClientTrace(req.Context(), expectHeads))
+		// WithClientTrace adds the hooks of the context to those of the trace.
+		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: expectHead}))
 	}
 	resp, err := t.Transport.RoundTrip(req)
 	if err != nil {
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -280,3 +281,26 @@
 		}
 	}
 }
+
+// The hooks of a request are called for its own connections only.
+func TestTracesOfRequestsAreApart(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	client := httpclient.New(testConfig)
+	var calls [3]int
+	for i := range calls {
+		ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { calls[i]++ }})
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+	}
+	if calls != [3]int{1, 1, 1} {
+		t.Errorf("hooks were called %v times", calls)
+	}
+}
