Let the targets of the test of resumed errors be sound between its streams

The logs show why: both targets break off all streams, so each is avoided after a stream until a health check 2.3 s later. The checks of the two, at instances of different regions, had come to alternate: t-2 was usable from .41 to .62 s and t-1 from .91 to .11 s, for all 20 s, so that a stream that one broke off never found the other.

Change: the targets answer three streams whole before each that they break off, so that both are usable then. What is checked of the response to that stream is the same.

Ruled out: a longer wait, as the alternation lasts.

--- a/internal/instance/resumed_error_test.go
+++ b/internal/instance/resumed_error_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -36,14 +37,17 @@
 				d := newTestDeployment(t)
 				d.publishConfig(nil)
 				var targets []*fakeTarget
+				var breaks atomic.Bool
 				for i, domain := range domains {
 					target := newFakeTarget(t, fmt.Sprint("t-", i+1))
 					target.setHandler(func(w http.ResponseWriter, r *http.Request) bool {
 						switch {
 						case !strings.HasPrefix(r.URL.Path, "/stream/"):
 							return false
-						case r.Header.Get("Last-Event-Id") == "":
+						case r.Header.Get("Last-Event-Id") == "" && breaks.Load():
 							return eventStream(6, 3)(w, r)
+						case r.Header.Get("Last-Event-Id") == "":
+							return eventStream(6, 6)(w, r)
 						}
 						return second(w, r)
 					})
@@ -57,6 +61,15 @@
 					}
 				}
 				eventually(t, "a stream is to be resumed", func() bool {
+					// Targets that broke all streams would be avoided in turn, so that none
+					// is there to resume that of the other.
+					breaks.Store(false)
+					for range 3 {
+						if got := sendRequest("POST", inst.url("/stream/ask"), nil); got.status != http.StatusOK || got.err != nil {
+							return false
+						}
+					}
+					breaks.Store(true)
 					id := fmt.Sprintf("%s-%d", t.Name(), requestCount.Add(1))
 					got := sendRequest("POST", inst.url("/stream/ask"), func(h http.Header) { h.Set("X-Request-Id", id) })
 					if !targets[0].wasResumed(id) && !targets[1].wasResumed(id) {
