Log the era of the store and the states that are ignored as older

The logs could not tell whether a change was late or was read and dropped, nor whether the store had come back from an older copy: line 810 was missing in both cases, and store_revision shows the highest revision ever seen.

The client of the store reads the header with the era, and the catalog logs a change of it (816) and the first of several states that it drops (817), with both revisions. Metrics store_era and store_states_ignored_total. What the catalog takes is unchanged.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -259,19 +259,19 @@
 
 type countingStore struct{ calls int }
 
-func (s *countingStore) ReadPublished(context.Context) (deployment.PublishedState, int64, error, error) {
+func (s *countingStore) ReadPublished(context.Context) (deployment.PublishedState, deployment.Revision, error, error) {
 	s.calls++
-	return deployment.PublishedState{}, 0, nil, errDown
+	return deployment.PublishedState{}, deployment.Revision{}, nil, errDown
 }
 
-func (s *countingStore) WatchPublished(context.Context, deployment.PublishedState, int64, time.Duration) (deployment.PublishedState, int64, error, error) {
+func (s *countingStore) WatchPublished(context.Context, deployment.PublishedState, deployment.Revision, time.Duration) (deployment.PublishedState, deployment.Revision, error, error) {
 	s.calls++
-	return deployment.PublishedState{}, 0, nil, errDown
+	return deployment.PublishedState{}, deployment.Revision{}, nil, errDown
 }
 
-func (s *countingStore) ReadTargets(context.Context) (map[string]*deployment.Target, int64, error, error) {
+func (s *countingStore) ReadTargets(context.Context) (map[string]*deployment.Target, deployment.Revision, error, error) {
 	s.calls++
-	return nil, 0, nil, errDown
+	return nil, deployment.Revision{}, nil, errDown
 }
 
 // An entry that the earlier incarnation wrote may arrive after that of a target that
--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -186,26 +186,26 @@
 }
 
 // ReadPublished implements Store.
-func (i *testInstance) ReadPublished(ctx context.Context) (deployment.PublishedState, int64, error, error) {
-	return published(1), 1, nil, i.call(ctx)
+func (i *testInstance) ReadPublished(ctx context.Context) (deployment.PublishedState, deployment.Revision, error, error) {
+	return published(1), deployment.Revision{Number: 1}, nil, i.call(ctx)
 }
 
 // WatchPublished implements Store.
-func (i *testInstance) WatchPublished(ctx context.Context, p deployment.PublishedState, after int64, wait time.Duration) (deployment.PublishedState, int64, error, error) {
+func (i *testInstance) WatchPublished(ctx context.Context, p deployment.PublishedState, after deployment.Revision, wait time.Duration) (deployment.PublishedState, deployment.Revision, error, error) {
 	sleep(ctx, wait)
 	return p, after, nil, i.call(ctx)
 }
 
 // ReadTargets implements Store.
-func (i *testInstance) ReadTargets(ctx context.Context) (map[string]*deployment.Target, int64, error, error) {
+func (i *testInstance) ReadTargets(ctx context.Context) (map[string]*deployment.Target, deployment.Revision, error, error) {
 	if err := i.call(ctx); err != nil {
-		return nil, 0, nil, err
+		return nil, deployment.Revision{}, nil, err
 	}
 	i.mu.Lock()
 	i.reads++
 	i.mu.Unlock()
 	targets, revision := i.fleet.store.read()
-	return targets, revision, nil, nil
+	return targets, deployment.Revision{Number: revision}, nil, nil
 }
 
 // reachablePeers returns the other instances that can be reached from this one.
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 )
 
@@ -16,6 +17,10 @@
 	// the last call failed.
 	lastSuccess time.Time
 	failing     bool
+	// revision is that of the last response, and ignored is set if its state was older
+	// than the known one.
+	revision deployment.Revision
+	ignored  bool
 }
 
 func (h *storeHealth) stale(now time.Time) bool {
@@ -45,6 +50,27 @@
 	}
 }
 
+// recordRevision records in h the revision of a response of the store. It logs when the
+// store has come back from an older copy, and when its states begin to be ignored
+// because they are older than the one at the revision known.
+func (m *Manager) recordRevision(h *storeHealth, part string, revision deployment.Revision, known int64) {
+	ignored := revision.Number < known
+	if ignored {
+		m.ignoredStates.Add(1)
+	}
+	m.mu.Lock()
+	last, begun := h.revision, ignored && !h.ignored
+	h.revision, h.ignored = revision, ignored
+	m.mu.Unlock()
+	if last.Era != revision.Era && !last.IsZero() {
+		m.log.Emit(event.StoreEraChanged, zap.String("part", part), zap.Int64("era", revision.Era), zap.Int64("revision", revision.Number),
+			zap.Int64("last_era", last.Era), zap.Int64("last_revision", last.Number))
+	}
+	if begun {
+		m.log.Emit(event.StoreStateIgnored, zap.String("part", part), zap.Int64("era", revision.Era), zap.Int64("revision", revision.Number), zap.Int64("known", known))
+	}
+}
+
 // recordSupply records that the store answered this instance or a reachable one.
 // The caller holds m.mu.
 func (m *Manager) recordSupply(now time.Time) {
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -48,9 +48,9 @@
 // Store reads the platform's store. The faults returned are those of single
 // items that could not be decoded.
 type Store interface {
-	ReadPublished(ctx context.Context) (p deployment.PublishedState, revision int64, faults, err error)
-	WatchPublished(ctx context.Context, p deployment.PublishedState, after int64, wait time.Duration) (_ deployment.PublishedState, revision int64, faults, err error)
-	ReadTargets(ctx context.Context) (targets map[string]*deployment.Target, revision int64, faults, err error)
+	ReadPublished(ctx context.Context) (p deployment.PublishedState, revision deployment.Revision, faults, err error)
+	WatchPublished(ctx context.Context, p deployment.PublishedState, after deployment.Revision, wait time.Duration) (_ deployment.PublishedState, revision deployment.Revision, faults, err error)
+	ReadTargets(ctx context.Context) (targets map[string]*deployment.Target, revision deployment.Revision, faults, err error)
 }
 
 // ChangeRevisions are the store revisions at which the published state and the
@@ -85,7 +85,9 @@
 	// refresh receives a value if the list of targets is to be read at once.
 	refresh chan struct{}
 	newer   newerState
-	mu      struct {
+	// ignoredStates counts the states of the store that were older than the known one.
+	ignoredStates atomic.Int64
+	mu            struct {
 		sync.Mutex
 		published, targets storeHealth
 		// lastSupplied is when the store last answered this instance or another that
@@ -119,6 +121,16 @@
 	return max(v.PublishedRevision, v.TargetsRevision)
 }
 
+// Era returns the era of the store in its last response to this instance.
+func (m *Manager) Era() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(m.mu.published.revision.Era, m.mu.targets.revision.Era)
+}
+
+// IgnoredStates returns how many states of the store were older than the known one.
+func (m *Manager) IgnoredStates() int64 { return m.ignoredStates.Load() }
+
 // Ages returns the time since the store last confirmed the published state and
 // the list of targets to this instance.
 func (m *Manager) Ages() (published, targets time.Duration) {
@@ -177,7 +189,8 @@
 			return err
 		}
 		m.logFaults(event.ConfigRejected, faults)
-		m.applyPublished(p, revision, m.changeOf(&p, revision))
+		m.recordRevision(&m.mu.published, "configuration", revision, m.Current().PublishedRevision)
+		m.applyPublished(p, revision.Number, m.changeOf(&p, revision.Number))
 		if m.peers.EnoughReaders() {
 			return nil
 		}
@@ -208,7 +221,8 @@
 		return err
 	}
 	m.logFaults(event.TargetEntryInvalid, faults)
-	m.applyTargetsReadAt(begun, listed, revision, revision, sourceStore)
+	m.recordRevision(&m.mu.targets, "targets", revision, m.Current().TargetsRevision)
+	m.applyTargetsReadAt(begun, listed, revision.Number, revision.Number, sourceStore)
 	return nil
 }
 
--- a/internal/catalog/refresh_test.go
+++ b/internal/catalog/refresh_test.go
@@ -16,8 +16,8 @@
 	reads atomic.Int64
 }
 
-func (s *readCounter) ReadTargets(context.Context) (map[string]*deployment.Target, int64, error, error) {
-	return nil, s.reads.Add(1), nil, nil
+func (s *readCounter) ReadTargets(context.Context) (map[string]*deployment.Target, deployment.Revision, error, error) {
+	return nil, deployment.Revision{Number: s.reads.Add(1)}, nil, nil
 }
 
 // enoughReaders implements Peers for an instance that takes the catalog from others.
