Show what a store that comes back from an older copy does to callers

The store of the tests gives its era in a header, answers 410 to a watch from a revision that it does not have, and tells the revision of each item.

--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,16 +26,27 @@
 // fakeStore serves the API of the platform's store from memory.
 type fakeStore struct {
 	*httptest.Server
-	mu       sync.Mutex
-	items    map[string]string
-	changes  []storeChange
-	revision int64
-	changed  chan struct{}
+	mu sync.Mutex
+	storeContent
+	// era is the number of the store's life; it rises whenever it is restored.
+	era     int64
+	changed chan struct{}
 	// refuse makes every call fail; calls counts all calls.
 	refuse atomic.Bool
 	calls  atomic.Int64
 }
 
+// storeContent is what a store holds at some time.
+type storeContent struct {
+	items    map[string]storeItem
+	changes  []storeChange
+	revision int64
+}
+
+func (c *storeContent) clone() storeContent {
+	return storeContent{items: maps.Clone(c.items), changes: slices.Clone(c.changes), revision: c.revision}
+}
+
 type storeChange struct {
 	key      string
 	removed  bool
@@ -42,7 +55,7 @@
 }
 
 func newFakeStore(t testing.TB) *fakeStore {
-	s := &fakeStore{items: map[string]string{}, changed: make(chan struct{}), revision: 1}
+	s := &fakeStore{storeContent: storeContent{items: map[string]storeItem{}, revision: 1}, era: 1, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.readRange)
 	mux.HandleFunc("GET /kv-watch", s.watch)
@@ -76,13 +89,30 @@
 	if c.removed {
 		delete(s.items, c.key)
 	} else {
-		s.items[c.key] = c.value
+		s.items[c.key] = storeItem{Key: c.key, Value: []byte(c.value), Revision: c.revision}
 	}
 	s.changes = append(s.changes, c)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// content returns a copy of what the store holds.
+func (s *fakeStore) content() storeContent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clone()
+}
+
+// restore replaces what the store holds by an older copy of it, and gives the
+// revisions after the copy out again.
+func (s *fakeStore) restore(older storeContent) {
+	s.mu.Lock()
+	s.storeContent = older.clone()
+	s.era++
+	s.mu.Unlock()
+	s.CloseClientConnections()
+}
+
 type storeItem struct {
 	Key       string `json:"key"`
 	Value     []byte `json:"value,omitempty"`
@@ -98,20 +128,31 @@
 		More  bool        `json:"more_pages"`
 		AsOf  int64       `json:"as_of"`
 	}{Items: []storeItem{}, AsOf: s.revision}
-	for k, v := range s.items {
+	for k, item := range s.items {
 		if strings.HasPrefix(k, r.URL.Query().Get("prefix")) {
-			out.Items = append(out.Items, storeItem{Key: k, Value: []byte(v), Revision: s.revision})
+			out.Items = append(out.Items, item)
 		}
 	}
+	s.setEra(w)
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+// setEra sets the header that the store has in all its responses. The caller holds
+// s.mu.
+func (s *fakeStore) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+}
+
 func (s *fakeStore) watch(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		events, asOf, changed := s.changesAfter(after, r.URL.Query().Get("prefix"))
+		events, asOf, changed := s.changesAfter(w, after, r.URL.Query().Get("prefix"))
+		if after > asOf {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 {
 			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "as_of": asOf})
 			return
@@ -127,9 +168,10 @@
 	}
 }
 
-func (s *fakeStore) changesAfter(revision int64, prefix string) ([]storeItem, int64, chan struct{}) {
+func (s *fakeStore) changesAfter(w http.ResponseWriter, revision int64, prefix string) ([]storeItem, int64, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	var out []storeItem
 	for _, c := range s.changes {
 		if c.revision > revision && strings.HasPrefix(c.key, prefix) {
--- a/internal/instance/hop_version_test.go
+++ b/internal/instance/hop_version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -33,6 +34,7 @@
 			<-r.Context().Done()
 			return
 		}
+		maps.Copy(w.Header(), recorder.Header())
 		w.WriteHeader(recorder.Code)
 		_, _ = w.Write(recorder.Body.Bytes())
 	}))
