--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -28,17 +28,20 @@
 // noPeers implements Peers for an instance that knows no other.
 type noPeers struct{}
 
-func (noPeers) EnoughReaders() bool { return false }
-func (noPeers) StoreAnswers() bool  { return false }
-func (noPeers) FetchSnapshot(context.Context, ChangeRevisions) ([]byte, string, error) {
+func (noPeers) EnoughReaders(int64) bool { return false }
+func (noPeers) StoreAnswers() bool       { return false }
+func (noPeers) FetchSnapshot(context.Context, Known, bool) ([]byte, string, error) {
 	return nil, "", nil
 }
 func (noPeers) AnnounceChange() {}
 
 var errDown = errors.New("the store is down")
 
+// rev returns a revision of a store that does not tell its era.
+func rev(number int64) deployment.Revision { return deployment.Revision{Number: number} }
+
 // applyTargets applies a list that was read just now.
-func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change int64, source string) {
+func (m *Manager) applyTargets(listed map[string]*deployment.Target, revision, change deployment.Revision, source string) {
 	m.applyTargetsReadAt(m.now(), listed, revision, change, source)
 }
 
@@ -72,14 +75,14 @@
 // none at all. Neither may replace a newer configuration in force.
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	m, _ := newManager()
-	m.applyPublished(published(7), 20, 20)
-	m.applyPublished(published(5), 30, 30) // an old version under a later revision
-	m.applyPublished(published(6), 10, 10)
-	m.applyPublished(deployment.PublishedState{}, 40, 40)
+	m.applyPublished(published(7), rev(20), rev(20))
+	m.applyPublished(published(5), rev(30), rev(30)) // an old version under a later revision
+	m.applyPublished(published(6), rev(10), rev(10))
+	m.applyPublished(deployment.PublishedState{}, rev(40), rev(40))
 	if v := m.Current(); v.Config == nil || v.Config.Version != 7 {
 		t.Fatalf("in force: %+v", v.Config)
 	}
-	m.applyPublished(published(9), 50, 50)
+	m.applyPublished(published(9), rev(50), rev(50))
 	if v := m.Current(); v.Config.Version != 9 {
 		t.Errorf("in force: version %d", v.Config.Version)
 	}
@@ -92,14 +95,14 @@
 		"older":        published(5, "d"),
 	} {
 		m, _ := newManager()
-		m.applyPublished(published(7), 20, 20)
-		m.applyPublished(unusable, 30, 30)
+		m.applyPublished(published(7), rev(20), rev(20))
+		m.applyPublished(unusable, rev(30), rev(30))
 		v := m.Current()
 		if v.Config == nil || v.Config.Version != 7 || !v.Evacuated["d"] {
 			t.Errorf("%s: in force: %+v", name, v.PublishedState)
 		}
-		if v.PublishedChange != 30 {
-			t.Errorf("%s: the evacuation is a change at revision %d, want 30", name, v.PublishedChange)
+		if v.PublishedChange != rev(30) {
+			t.Errorf("%s: the evacuation is a change at revision %v, want 30", name, v.PublishedChange)
 		}
 		snapshot, err := m.MarshalSnapshot()
 		if err != nil {
@@ -120,16 +123,16 @@
 	m, c := newManager()
 	a, b := deployment.Target{ID: "a", Service: "s", StartedMS: 1}, deployment.Target{ID: "b", Service: "s", StartedMS: 1}
 	m.recordResult(&m.mu.targets, "targets", nil)
-	m.applyTargets(listing(a, b), 10, 10, sourceStore)
-	m.applyTargets(listing(a), 11, 11, sourceStore)
+	m.applyTargets(listing(a, b), rev(10), rev(10), sourceStore)
+	m.applyTargets(listing(a), rev(11), rev(11), sourceStore)
 	if m.Current().Targets["b"] != nil {
 		t.Fatal("an unlisted target is retained without an outage")
 	}
-	m.applyTargets(listing(a, b), 12, 12, sourceStore)
+	m.applyTargets(listing(a, b), rev(12), rev(12), sourceStore)
 	m.recordResult(&m.mu.targets, "targets", errDown)
 	c.add(10 * time.Second)
 	m.recordResult(&m.mu.targets, "targets", nil)
-	m.applyTargets(listing(b), 13, 13, sourceStore)
+	m.applyTargets(listing(b), rev(13), rev(13), sourceStore)
 	if m.Current().Targets["a"] == nil {
 		t.Fatal("a target whose entry expired during the outage was dropped at once")
 	}
@@ -149,12 +152,12 @@
 // later entry of the same incarnation; an entry of a new incarnation must.
 func TestOutdatedEntryOfIncarnationIsIgnored(t *testing.T) {
 	m, _ := newManager()
-	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 5, Sequence: 9, Leaving: true}), 10, 10, sourceStore)
-	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 5, Sequence: 8}), 11, 11, sourceStore)
+	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 5, Sequence: 9, Leaving: true}), rev(10), rev(10), sourceStore)
+	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 5, Sequence: 8}), rev(11), rev(11), sourceStore)
 	if !m.Current().Targets["a"].Leaving {
 		t.Error("an outdated entry made a leaving target available again")
 	}
-	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 6, Sequence: 1}), 12, 12, sourceStore)
+	m.applyTargets(listing(deployment.Target{ID: "a", StartedMS: 6, Sequence: 1}), rev(12), rev(12), sourceStore)
 	if m.Current().Targets["a"].Leaving {
 		t.Error("the entry of a new incarnation was ignored")
 	}
@@ -165,19 +168,19 @@
 // domain ends.
 func TestWarmup(t *testing.T) {
 	m, c := newManager()
-	m.applyPublished(published(1, "d"), 1, 1)
-	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 2, 2, sourceStore)
+	m.applyPublished(published(1, "d"), rev(1), rev(1))
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), rev(2), rev(2), sourceStore)
 	e := m.Current().Targets["a"]
 	if !m.Current().WarmingUp(e, c.read().Add(1900*time.Millisecond)) || m.Current().WarmingUp(e, c.read().Add(2100*time.Millisecond)) {
 		t.Error("the warm-up of the listing is ignored")
 	}
 	c.add(time.Second)
-	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), 3, 3, sourceStore)
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 2 * time.Second, Sequence: 1}), rev(3), rev(3), sourceStore)
 	if e := m.Current().Targets["a"]; m.Current().WarmingUp(e, c.read().Add(1100*time.Millisecond)) {
 		t.Error("reading the same entry again extended the warm-up")
 	}
 	c.add(time.Minute)
-	m.applyPublished(published(1), 4, 4)
+	m.applyPublished(published(1), rev(4), rev(4))
 	if !m.Current().WarmingUp(m.Current().Targets["a"], c.read().Add(time.Second)) || m.Current().WarmingUp(m.Current().Targets["a"], c.read().Add(4*time.Second)) {
 		t.Error("after an evacuation the targets must warm up again, for the warm-up of the service")
 	}
@@ -188,17 +191,17 @@
 func TestSnapshotOfPeer(t *testing.T) {
 	a, _ := newManager()
 	b, _ := newManager()
-	a.applyPublished(published(4, "d"), 40, 40)
-	a.applyTargets(listing(deployment.Target{ID: "x", Service: "s"}), 41, 41, sourceStore)
+	a.applyPublished(published(4, "d"), rev(40), rev(40))
+	a.applyTargets(listing(deployment.Target{ID: "x", Service: "s"}), rev(41), rev(41), sourceStore)
 	snapshot, err := a.MarshalSnapshot()
 	if err != nil {
 		t.Fatal(err)
 	}
 	b.applySnapshot(snapshot, "peer")
-	if v := b.Current(); v.Config == nil || v.Config.Version != 4 || !v.Evacuated["d"] || v.Targets["x"] == nil || b.Revision() != 41 {
+	if v := b.Current(); v.Config == nil || v.Config.Version != 4 || !v.Evacuated["d"] || v.Targets["x"] == nil || b.Revision() != rev(41) {
 		t.Fatalf("after the snapshot: %+v", v)
 	}
-	b.applyPublished(published(6), 60, 60)
+	b.applyPublished(published(6), rev(60), rev(60))
 	b.applySnapshot(snapshot, "peer")
 	if v := b.Current(); v.Config.Version != 6 || v.Evacuated["d"] {
 		t.Errorf("an older snapshot was applied: %+v", v.PublishedState)
@@ -212,22 +215,22 @@
 func TestOnlyRelevantChangesCount(t *testing.T) {
 	m, _ := newManager()
 	target := deployment.Target{ID: "a", Service: "s", Sequence: 1}
-	m.applyTargets(listing(target), 10, 10, sourceStore)
+	m.applyTargets(listing(target), rev(10), rev(10), sourceStore)
 	target.Sequence = 2
-	m.applyTargets(listing(target), 11, 11, sourceStore)
-	if got := m.Current().TargetsChange; got != 10 {
-		t.Errorf("a heartbeat counts as a change at %d", got)
+	m.applyTargets(listing(target), rev(11), rev(11), sourceStore)
+	if got := m.Current().TargetsChange; got != rev(10) {
+		t.Errorf("a heartbeat counts as a change at %v", got)
 	}
 	target.Sequence, target.Leaving = 3, true
-	m.applyTargets(listing(target), 12, 12, sourceStore)
-	if got := m.Current().TargetsChange; got != 12 {
-		t.Errorf("a leaving target is a change at revision %d, want 12", got)
+	m.applyTargets(listing(target), rev(12), rev(12), sourceStore)
+	if got := m.Current().TargetsChange; got != rev(12) {
+		t.Errorf("a leaving target is a change at revision %v, want 12", got)
 	}
-	m.applyPublished(published(3), 20, 20)
-	m.applyPublished(published(3), 21, 21)
-	m.applyPublished(published(3, "d"), 22, 22)
-	if got := m.Current().PublishedChange; got != 22 {
-		t.Errorf("an evacuation is a change at revision %d, want 22", got)
+	m.applyPublished(published(3), rev(20), rev(20))
+	m.applyPublished(published(3), rev(21), rev(21))
+	m.applyPublished(published(3, "d"), rev(22), rev(22))
+	if got := m.Current().PublishedChange; got != rev(22) {
+		t.Errorf("an evacuation is a change at revision %v, want 22", got)
 	}
 }
 
@@ -253,9 +256,10 @@
 type fakePeers struct {
 	noPeers
 	enoughReaders bool
+	era           int64 // of the last call of EnoughReaders
 }
 
-func (p *fakePeers) EnoughReaders() bool { return p.enoughReaders }
+func (p *fakePeers) EnoughReaders(era int64) bool { p.era = era; return p.enoughReaders }
 
 type countingStore struct{ calls int }
 
@@ -278,15 +282,15 @@
 // has restarted under its old id.
 func TestLateEntryOfEarlierIncarnationDoesNotEndWarmup(t *testing.T) {
 	m, c := newManager()
-	m.applyPublished(published(1), 1, 1)
-	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 3 * time.Second, Sequence: 1, StartedMS: 2000}), 2, 2, sourceStore)
+	m.applyPublished(published(1), rev(1), rev(1))
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", WarmupLeft: 3 * time.Second, Sequence: 1, StartedMS: 2000}), rev(2), rev(2), sourceStore)
 	c.add(500 * time.Millisecond)
-	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", Sequence: 9, StartedMS: 1000}), 3, 3, sourceStore)
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", Sequence: 9, StartedMS: 1000}), rev(3), rev(3), sourceStore)
 	if e := m.Current().Targets["a"]; !m.Current().WarmingUp(e, c.read().Add(2*time.Second)) {
 		t.Error("the target counts as warm 2.5 s after its restart")
 	}
 	c.add(lateEntryPeriod)
-	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", Sequence: 1, StartedMS: 1500}), 4, 4, sourceStore)
+	m.applyTargets(listing(deployment.Target{ID: "a", Service: "s", Domain: "d", Sequence: 1, StartedMS: 1500}), rev(4), rev(4), sourceStore)
 	if e := m.Current().Targets["a"]; e.StartedMS != 1500 {
 		t.Error("a restart of a target whose clock was set back goes unnoticed")
 	}
--- a/internal/catalog/ensure.go
+++ b/internal/catalog/ensure.go
@@ -34,22 +34,18 @@
 
 type fetch struct{ done chan struct{} }
 
-// HasPublished reports whether the published state is current up to the store revision
-// change.
-func (m *Manager) HasPublished(change int64) bool { return m.Current().PublishedRevision >= change }
-
-// EnsurePublished waits until the published state is current up to the store revision
-// change, which another instance has seen, and reports whether it is. If it is not yet,
-// it applies the snapshot that get fetches from that instance, unless the store is
-// quicker. It waits for at most ensureTimeout.
-func (m *Manager) EnsurePublished(ctx context.Context, change int64, get func(context.Context) (snapshot []byte, from string, err error)) bool {
-	if m.HasPublished(change) {
+// EnsurePublished waits until the published state that another instance knows is known
+// here (see HasPublished), and reports whether it is. If it is not yet, it applies the
+// snapshot that get fetches from that instance, unless the store is quicker. It waits
+// for at most ensureTimeout.
+func (m *Manager) EnsurePublished(ctx context.Context, needed Known, get func(context.Context) (snapshot []byte, from string, err error)) bool {
+	if m.HasPublished(needed) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, ensureTimeout)
 	defer cancel()
 	for {
-		f, changed, ok := m.startFetch(ctx, change, get)
+		f, changed, ok := m.startFetch(ctx, needed, get)
 		if ok || f == nil {
 			return ok
 		}
@@ -63,18 +59,17 @@
 	}
 }
 
-// startFetch reports whether the published state is current up to the change. If not,
-// it returns the fetch in progress, which it begins if there is none, and a channel that
+// startFetch reports whether the needed published state is known. If not, it returns the fetch in progress, which it begins if there is none, and a channel that
 // is closed with the next change. The fetch is nil if the last one failed a short time
 // ago.
-func (m *Manager) startFetch(ctx context.Context, change int64, get func(context.Context) ([]byte, string, error)) (_ *fetch, changed <-chan struct{}, current bool) {
+func (m *Manager) startFetch(ctx context.Context, needed Known, get func(context.Context) ([]byte, string, error)) (_ *fetch, changed <-chan struct{}, current bool) {
 	n := &m.newer
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.changed == nil {
 		n.changed = make(chan struct{})
 	}
-	if m.HasPublished(change) {
+	if m.HasPublished(needed) {
 		return nil, nil, true
 	}
 	if n.fetch == nil {
@@ -91,7 +86,7 @@
 func (m *Manager) runFetch(ctx context.Context, f *fetch, get func(context.Context) ([]byte, string, error)) {
 	ctx, cancel := context.WithTimeout(ctx, ensureTimeout)
 	defer cancel()
-	begun, before := m.now(), m.Current().PublishedRevision
+	begun, before := m.now(), m.Current()
 	snapshot, from, err := get(ctx)
 	if err == nil {
 		m.applySnapshotReadAt(begun, snapshot, from)
@@ -101,7 +96,8 @@
 	n := &m.newer
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.failedAt = (time.Time{}); m.Current().PublishedRevision <= before {
+	after := m.Current()
+	if n.failedAt = (time.Time{}); !before.PublishedRevision.Before(after.PublishedRevision) && before.configVersion() >= after.configVersion() {
 		n.failedAt = m.now()
 	}
 	n.fetch = nil
--- a/internal/catalog/fleet_test.go
+++ b/internal/catalog/fleet_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 )
@@ -28,14 +30,27 @@
 	testLapsePeriod = 2 * time.Second
 	// testStoreLatency is the response time of the store.
 	testStoreLatency = 20 * time.Millisecond
+	// testConfigDelay is the least config_apply_ms of the deployments.
+	testConfigDelay = 3 * time.Second
+	// testWatchTick is how often a watch looks for changes.
+	testWatchTick = 50 * time.Millisecond
 )
 
-// testStore is a store whose targets change while instances read it. Its methods
+var errRestored = errors.New("the store was restored")
+
+// testStore is a store whose content changes while instances read it. Its methods
 // are called within a synctest bubble.
 type testStore struct {
-	mu       sync.Mutex
-	revision int64
-	targets  map[string]*deployment.Target
+	mu sync.Mutex
+	storeContent
+	era int64
+}
+
+// storeContent is what a testStore holds. The maps are not changed in place.
+type storeContent struct {
+	revision  int64
+	targets   map[string]*deployment.Target
+	published deployment.PublishedState
 }
 
 func (s *testStore) change(f func(targets map[string]*deployment.Target)) {
@@ -47,20 +62,48 @@
 	s.targets = targets
 }
 
+// publish makes the store return p from now on.
+func (s *testStore) publish(p deployment.PublishedState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	p.ChangedAt = s.revision
+	s.published = p
+}
+
+// content returns a copy of what the store holds.
+func (s *testStore) content() storeContent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeContent
+}
+
+// restore replaces what the store holds by an older copy of it.
+func (s *testStore) restore(older storeContent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeContent = older
+	s.era++
+}
+
 func (s *testStore) list(id string) {
 	s.change(func(targets map[string]*deployment.Target) {
-		targets[id] = &deployment.Target{ID: id, Service: "s", Address: "192.0.2.1:80", Domain: "d", Slots: 1, StartedMS: 1, Sequence: s.revision}
+		targets[id] = &deployment.Target{ID: id, Service: "s", Address: "192.0.2.1:80", Domain: "d", Slots: 1, StartedMS: 1, Sequence: testSequence()}
 	})
 }
 
+// testSequence returns the sequence of the next entry of a target, which does not go
+// back with the store.
+func testSequence() int64 { return time.Now().UnixNano() }
+
 func (s *testStore) remove(id string) {
 	s.change(func(targets map[string]*deployment.Target) { delete(targets, id) })
 }
 
-func (s *testStore) read() (map[string]*deployment.Target, int64) {
+func (s *testStore) read() (storeContent, deployment.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.targets, s.revision
+	return s.storeContent, deployment.Revision{Era: s.era, Number: s.revision}
 }
 
 // testInstance is one instance of a testFleet. It implements Store and Peers for
@@ -77,6 +120,8 @@
 	refused, isolated, stopped bool
 	// reads counts the successful reads of the targets.
 	reads int
+	// clockOffset is the difference of the instance's time of day from that of others.
+	clockOffset time.Duration
 }
 
 // testFleet is a failure domain of instances that share a store.
@@ -87,12 +132,12 @@
 }
 
 func newTestFleet(n int, targets ...string) *testFleet {
-	f := &testFleet{store: &testStore{targets: map[string]*deployment.Target{}}}
+	f := &testFleet{store: &testStore{era: 1, storeContent: storeContent{targets: map[string]*deployment.Target{}, published: published(1)}}}
 	for _, id := range targets {
 		f.store.list(id)
 	}
 	for i := range n {
-		f.instances = append(f.instances, &testInstance{fleet: f, index: i})
+		f.instances = append(f.instances, &testInstance{fleet: f, index: i, clockOffset: time.Duration(i-n/2) * time.Hour})
 	}
 	for _, i := range f.instances {
 		i.start()
@@ -127,7 +172,7 @@
 // start runs a new Manager, as after a restart of the process.
 func (i *testInstance) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := New(i, i, event.Nop(), time.Now)
+	m := New(i, i, event.Nop(), func() time.Time { return time.Now().Add(i.clockOffset) })
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.manager, i.stop, i.stopped = m, func() { cancel(); i.setStopped() }, false
@@ -187,13 +232,22 @@
 
 // ReadPublished implements Store.
 func (i *testInstance) ReadPublished(ctx context.Context) (deployment.PublishedState, deployment.Revision, error, error) {
-	return published(1), deployment.Revision{Number: 1}, nil, i.call(ctx)
+	err := i.call(ctx)
+	c, revision := i.fleet.store.read()
+	return c.published, revision, nil, err
 }
 
 // WatchPublished implements Store.
 func (i *testInstance) WatchPublished(ctx context.Context, p deployment.PublishedState, after deployment.Revision, wait time.Duration) (deployment.PublishedState, deployment.Revision, error, error) {
-	sleep(ctx, wait)
-	return p, after, nil, i.call(ctx)
+	for end := time.Now().Add(wait); ; sleep(ctx, testWatchTick) {
+		c, revision := i.fleet.store.read()
+		if revision.Era != after.Era || revision.Before(after) {
+			return p, after, nil, errRestored
+		}
+		if changed := c.published.ChangedAt > after.Number; changed || !time.Now().Before(end) || ctx.Err() != nil {
+			return c.published, revision, nil, i.call(ctx)
+		}
+	}
 }
 
 // ReadTargets implements Store.
@@ -204,8 +258,8 @@
 	i.mu.Lock()
 	i.reads++
 	i.mu.Unlock()
-	targets, revision := i.fleet.store.read()
-	return targets, deployment.Revision{Number: revision}, nil, nil
+	c, revision := i.fleet.store.read()
+	return c.targets, revision, nil, nil
 }
 
 // reachablePeers returns the other instances that can be reached from this one.
@@ -220,10 +274,10 @@
 }
 
 // EnoughReaders implements Peers: the first two instances read the store.
-func (i *testInstance) EnoughReaders() bool {
+func (i *testInstance) EnoughReaders(era int64) bool {
 	n := 0
 	for _, p := range i.reachablePeers() {
-		if p.index < i.index && p.currentManager().StoreAnswers() {
+		if m := p.currentManager(); p.index < i.index && m.StoreAnswers() && m.Revision().Era >= era {
 			n++
 		}
 	}
@@ -236,12 +290,12 @@
 }
 
 // FetchSnapshot implements Peers.
-func (i *testInstance) FetchSnapshot(_ context.Context, have ChangeRevisions) ([]byte, string, error) {
+func (i *testInstance) FetchSnapshot(_ context.Context, have Known, _ bool) ([]byte, string, error) {
 	peers := i.reachablePeers()
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	for _, p := range peers {
 		m := p.currentManager()
-		if v := m.Current(); v.PublishedChange > have.Published || v.TargetsChange > have.Targets {
+		if m.Current().Known().LaterThan(have) {
 			snapshot, err := m.MarshalSnapshot()
 			return snapshot, fmt.Sprint(p.index), err
 		}
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -53,8 +53,8 @@
 // recordRevision records in h the revision of a response of the store. It logs when the
 // store has come back from an older copy, and when its states begin to be ignored
 // because they are older than the one at the revision known.
-func (m *Manager) recordRevision(h *storeHealth, part string, revision deployment.Revision, known int64) {
-	ignored := revision.Number < known
+func (m *Manager) recordRevision(h *storeHealth, part string, revision, known deployment.Revision) {
+	ignored := revision.Before(known)
 	if ignored {
 		m.ignoredStates.Add(1)
 	}
@@ -67,7 +67,24 @@
 			zap.Int64("last_era", last.Era), zap.Int64("last_revision", last.Number))
 	}
 	if begun {
-		m.log.Emit(event.StoreStateIgnored, zap.String("part", part), zap.Int64("era", revision.Era), zap.Int64("revision", revision.Number), zap.Int64("known", known))
+		m.log.Emit(event.StoreStateIgnored, zap.String("part", part), zap.Int64("era", revision.Era), zap.Int64("revision", revision.Number),
+			zap.Int64("known_era", known.Era), zap.Int64("known", known.Number))
+	}
+}
+
+// recordOlderConfig logs that the store returned the configuration c if it is older than
+// the one in force.
+func (m *Manager) recordOlderConfig(c *deployment.Config) {
+	inForce := m.Current().Config
+	if c == nil || !isOlder(c, inForce) {
+		return
+	}
+	m.mu.Lock()
+	known := m.mu.olderConfig == c.Version
+	m.mu.olderConfig = c.Version
+	m.mu.Unlock()
+	if !known {
+		m.log.Emit(event.OlderConfigIgnored, zap.Int64("version", c.Version), zap.Int64("in_force", inForce.Version))
 	}
 }
 
--- a/internal/catalog/hop_model_test.go
+++ b/internal/catalog/hop_model_test.go
@@ -16,12 +16,17 @@
 	decided int64
 	// hop is the request on its way to the receiver.
 	hop struct {
-		sent            bool
-		change, version int64
+		sent    bool
+		decided Known
 	}
-	// response is the change by which the receiver has decided, on its way to the entry
-	// with the response; version is that of the decision. 0 for none.
-	response struct{ change, version int64 }
+	// response is what the receiver has decided by, on its way to the entry with the
+	// response; zero for none.
+	response Known
+}
+
+// known returns what instance i knows of the published state.
+func (s *modelState) known(i int) Known {
+	return Known{Published: s[i].change, ConfigVersion: s[i].version}
 }
 
 // hopModel computes the steps of single instances with the code of the Manager, each
@@ -47,8 +52,9 @@
 	return s
 }
 
-func (hm *hopModel) read(s modelState, i int, revision int64) modelState {
-	return hm.step(s, i, fmt.Sprint("read", revision), func(m *Manager) { m.applyPublished(modelPublished(revision), revision, revision) })
+func (hm *hopModel) read(s modelState, i, position int) modelState {
+	h := modelHistory[position]
+	return hm.step(s, i, fmt.Sprint("read", position), func(m *Manager) { m.applyPublished(h.published, h.revision, h.revision) })
 }
 
 func (hm *hopModel) snapshot(s modelState, i, j int) modelState {
@@ -59,12 +65,12 @@
 	})
 }
 
-// ensure makes instance i fetch the change from instance j, which may fail.
-func (hm *hopModel) ensure(s modelState, i, j int, change int64, reachable bool) (modelState, bool) {
-	key := fmt.Sprint("ensure", s[j], change, reachable)
+// ensure makes instance i fetch what is needed from instance j, which may fail.
+func (hm *hopModel) ensure(s modelState, i, j int, needed Known, reachable bool) (modelState, bool) {
+	key := fmt.Sprint("ensure", s[j], needed, reachable)
 	result := fmt.Sprint(key, " ", i, s[i])
 	next := hm.step(s, i, key, func(m *Manager) {
-		hm.ensured[result] = m.EnsurePublished(hm.t.Context(), change, func(context.Context) ([]byte, string, error) {
+		hm.ensured[result] = m.EnsurePublished(hm.t.Context(), needed, func(context.Context) ([]byte, string, error) {
 			if !reachable {
 				return nil, "", errDown
 			}
@@ -83,6 +89,14 @@
 // decides by an older version than an earlier request of it, after it has fetched the
 // state by which the receiver decided.
 func TestForwardedRequestIsNeverDecidedByOlderVersion(t *testing.T) {
+	for name, positions := range map[string][]int{"one era": {0, 1, 2, 3}, "restored": {0, 2, 4, 6}} {
+		t.Run(name, func(t *testing.T) { exploreHops(t, positions) })
+	}
+}
+
+// exploreHops explores the states of a store that takes the given positions of
+// modelHistory.
+func exploreHops(t *testing.T, positions []int) {
 	hm := &hopModel{t: t, steps: map[string]modelState{}, ensured: map[string]bool{}}
 	seen := map[hopState]bool{{}: true}
 	queue := []hopState{{}}
@@ -98,9 +112,9 @@
 		s := queue[0]
 		queue = queue[1:]
 		for i := range s.instances {
-			for revision := range modelVersions {
+			for _, position := range positions {
 				next := s
-				next.instances = hm.read(s.instances, i, revision)
+				next.instances = hm.read(s.instances, i, position)
 				visit(next)
 			}
 			for j := range s.instances {
@@ -111,7 +125,7 @@
 				}
 			}
 			restarted := s
-			restarted.instances[i].version, restarted.instances[i].revision, restarted.instances[i].change = 0, 0, 0
+			restarted.instances[i] = modelState{}[i]
 			if i == 0 { // its requests are lost
 				restarted.decided, restarted.hop, restarted.response = 0, hopState{}.hop, hopState{}.response
 			}
@@ -127,37 +141,37 @@
 			visit(local)
 			if !s.hop.sent {
 				sent := s
-				sent.hop.sent, sent.hop.change, sent.hop.version = true, entry.change, entry.version
+				sent.hop.sent, sent.hop.decided = true, s.instances.known(0)
 				visit(sent)
 			}
 		}
-		if s.hop.sent && s.response.change == 0 {
+		if s.hop.sent && s.response == (Known{}) {
 			for _, reachable := range []bool{true, false} {
 				next := s
 				next.hop = hopState{}.hop
 				var ok bool
-				if next.instances, ok = hm.ensure(s.instances, 1, 0, s.hop.change, reachable); !ok {
+				if next.instances, ok = hm.ensure(s.instances, 1, 0, s.hop.decided, reachable); !ok {
 					refused++
 					visit(next) // refused as not run
 					continue
 				}
 				hops++
 				receiver = next.instances[1]
-				if receiver.version < s.hop.version {
-					t.Fatalf("a request that was forwarded by version %d is decided by version %d: %+v", s.hop.version, receiver.version, s)
+				if receiver.version < s.hop.decided.ConfigVersion {
+					t.Fatalf("a request that was forwarded by version %d is decided by version %d: %+v", s.hop.decided.ConfigVersion, receiver.version, s)
 				}
-				next.response.change, next.response.version = receiver.change, receiver.version
+				next.response = next.instances.known(1)
 				visit(next)
 			}
 		}
-		if s.response.change > 0 {
+		if s.response != (Known{}) {
 			next := s
 			next.response = hopState{}.response
 			// The receiver may have restarted since; then the fetch has no effect, and the
 			// entry learns of the change from others.
 			var ok bool
-			if next.instances, ok = hm.ensure(s.instances, 0, 1, s.response.change, true); ok {
-				next.decided = max(s.decided, s.response.version)
+			if next.instances, ok = hm.ensure(s.instances, 0, 1, s.response, true); ok {
+				next.decided = max(s.decided, s.response.ConfigVersion)
 			}
 			visit(next)
 		}
--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -53,24 +53,21 @@
 	ReadTargets(ctx context.Context) (targets map[string]*deployment.Target, revision deployment.Revision, faults, err error)
 }
 
-// ChangeRevisions are the store revisions at which the published state and the
-// targets last changed. It is part of the JSON of a Snapshot.
-type ChangeRevisions struct{ Published, Targets int64 }
-
 // Peers gives access to the catalogs of the other instances.
 type Peers interface {
 	// EnoughReaders reports whether enough other instances of the failure domain
-	// read the store, so that this one can take the catalog from them.
-	EnoughReaders() bool
+	// read the store, so that this one can take the catalog from them. Those whose
+	// catalog is of an era before the given one do not count.
+	EnoughReaders(era int64) bool
 	// StoreAnswers reports whether the store answers any other instance that is
 	// reachable from this one.
 	StoreAnswers() bool
-	// FetchSnapshot returns the JSON of a Snapshot from an instance that has seen a
-	// later change than have, and the name of that instance; nil if there is none.
+	// FetchSnapshot returns the JSON of a Snapshot from an instance that has seen
+	// anything later than have, and the name of that instance; nil if there is none.
 	// Only one call is made at a time.
-	FetchSnapshot(ctx context.Context, have ChangeRevisions) (snapshot []byte, from string, err error)
-	// AnnounceChange is called after a change, so that other instances learn of it
-	// without delay.
+	// With localOnly, only instances of the failure domain are asked.
+	FetchSnapshot(ctx context.Context, have Known, localOnly bool) (snapshot []byte, from string, err error)
+	// AnnounceChange makes other instances learn of a change without delay.
 	AnnounceChange()
 }
 
@@ -91,8 +88,12 @@
 		sync.Mutex
 		published, targets storeHealth
 		// lastSupplied is when the store last answered this instance or another that
-		// it can reach, and outageEnded when it did so after more than maxSupplyGap.
+		// it can reach, and outageEnded when it did so after more than maxSupplyGap or
+		// came back from an older copy.
 		lastSupplied, outageEnded time.Time
+		// olderConfig is the last version of a configuration of the store that was older
+		// than the one in force.
+		olderConfig int64
 	}
 }
 
@@ -115,17 +116,10 @@
 	}
 }
 
-// Revision returns the highest revision of the store that this instance has seen.
-func (m *Manager) Revision() int64 {
+// Revision returns the latest revision of the store that this instance has seen.
+func (m *Manager) Revision() deployment.Revision {
 	v := m.Current()
-	return max(v.PublishedRevision, v.TargetsRevision)
-}
-
-// Era returns the era of the store in its last response to this instance.
-func (m *Manager) Era() int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return max(m.mu.published.revision.Era, m.mu.targets.revision.Era)
+	return v.PublishedRevision.Later(v.TargetsRevision)
 }
 
 // IgnoredStates returns how many states of the store were older than the known one.
@@ -179,7 +173,7 @@
 // followPublished reads the published state, then watches it until a call fails
 // or enough other instances read the store.
 func (m *Manager) followPublished(ctx context.Context) error {
-	if m.peers.EnoughReaders() {
+	if m.enoughReaders() {
 		sleep(ctx, readerCheckInterval)
 		return nil
 	}
@@ -190,8 +184,9 @@
 		}
 		m.logFaults(event.ConfigRejected, faults)
 		m.recordRevision(&m.mu.published, "configuration", revision, m.Current().PublishedRevision)
-		m.applyPublished(p, revision.Number, m.changeOf(&p, revision.Number))
-		if m.peers.EnoughReaders() {
+		m.recordOlderConfig(p.Config)
+		m.applyPublished(p, revision, m.changeOf(&p, revision))
+		if m.enoughReaders() {
 			return nil
 		}
 		p, revision, faults, err = m.store.WatchPublished(ctx, p, revision, watchTimeout)
@@ -201,7 +196,7 @@
 // pollTargets reads the targets, unless enough other instances read the store, and
 // waits for the next read. After a call of Refresh it reads them at once.
 func (m *Manager) pollTargets(ctx context.Context) error {
-	if m.peers.EnoughReaders() && !m.waitRefresh(ctx, readerCheckInterval) {
+	if m.enoughReaders() && !m.waitRefresh(ctx, readerCheckInterval) {
 		return nil
 	}
 	for {
@@ -222,10 +217,20 @@
 	}
 	m.logFaults(event.TargetEntryInvalid, faults)
 	m.recordRevision(&m.mu.targets, "targets", revision, m.Current().TargetsRevision)
-	m.applyTargetsReadAt(begun, listed, revision.Number, revision.Number, sourceStore)
+	m.applyTargetsReadAt(begun, listed, revision, revision, sourceStore)
 	return nil
 }
 
+func (m *Manager) enoughReaders() bool { return m.peers.EnoughReaders(m.Revision().Era) }
+
+// announceChange lets other instances fetch a change, if this one reads the store; the
+// others get it from the readers.
+func (m *Manager) announceChange() {
+	if !m.enoughReaders() {
+		m.peers.AnnounceChange()
+	}
+}
+
 // waitRefresh waits for a call of Refresh or until d has passed, and reports whether
 // there was one.
 func (m *Manager) waitRefresh(ctx context.Context, d time.Duration) bool {
@@ -262,27 +267,33 @@
 // applyPublished makes p current unless it is older than the current view, except
 // for a missing or older configuration. p is the published state at revision;
 // change becomes the PublishedChange of the view if p differs from what is known.
-func (m *Manager) applyPublished(p deployment.PublishedState, revision, change int64) {
+//
+// The evacuations are those of the latest revision. The configuration is the one with
+// the highest version, whatever its revision is: the store may come back from an older
+// copy, its operators never publish an older version.
+func (m *Manager) applyPublished(p deployment.PublishedState, revision, change deployment.Revision) {
 	now := m.now()
 	before, after := m.update(func(v *View) {
-		if revision < v.PublishedRevision {
-			return
-		}
 		if isOlder(p.Config, v.Config) {
-			p.Config = v.Config // the evacuations are current nevertheless
+			p.Config = v.Config
+		}
+		if revision.Before(v.PublishedRevision) {
+			v.Config = p.Config
+			return
 		}
-		if publishedDiffer(&v.PublishedState, &p) {
+		restored := restored(v.PublishedRevision, revision)
+		if restored || v.publishedDiffers(&p) {
 			v.PublishedChange = change
 		}
 		v.EvacuationEnded = evacuationsEnded(v.EvacuationEnded, v.Evacuated, p.Evacuated, now)
 		v.PublishedState, v.PublishedRevision = p, revision
 	})
 	m.logPublished(before, after)
-	if before.PublishedRevision != after.PublishedRevision {
+	if before.PublishedRevision != after.PublishedRevision || before.Config != after.Config {
 		m.notifyPublished()
 	}
-	if before.PublishedChange != after.PublishedChange {
-		m.peers.AnnounceChange()
+	if before.PublishedChange != after.PublishedChange || before.configVersion() != after.configVersion() {
+		m.announceChange()
 	}
 }
 
@@ -290,12 +301,13 @@
 // revision. Instances that read the same state at different revisions agree on it, so
 // that none fetches from another what it knows already. If the items of p do not tell,
 // as they do not of a key that was removed before, it is the revision of the reading.
-func (m *Manager) changeOf(p *deployment.PublishedState, revision int64) int64 {
+func (m *Manager) changeOf(p *deployment.PublishedState, revision deployment.Revision) deployment.Revision {
 	v := m.Current()
-	if p.ChangedAt <= 0 || p.ChangedAt > revision || p.ChangedAt <= v.PublishedChange && publishedDiffer(&v.PublishedState, p) {
+	change := deployment.Revision{Era: revision.Era, Number: p.ChangedAt}
+	if p.ChangedAt <= 0 || revision.Before(change) || !v.PublishedChange.Before(change) && v.publishedDiffers(p) {
 		return revision
 	}
-	return p.ChangedAt
+	return change
 }
 
 // isOlder reports whether c is older than have. Versions are compared in addition
@@ -307,8 +319,8 @@
 
 func (m *Manager) logPublished(before, after *View) {
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
-		m.log.Emit(event.ConfigApplied, zap.Int64("version", after.Config.Version), zap.Int64("revision", after.PublishedRevision),
-			zap.Int("routes", len(after.Config.Routes)), zap.Int("teams", len(after.Config.Teams)))
+		m.log.Emit(event.ConfigApplied, zap.Int64("version", after.Config.Version), zap.Int64("revision", after.PublishedRevision.Number),
+			zap.Int64("era", after.PublishedRevision.Era), zap.Int("routes", len(after.Config.Routes)), zap.Int("teams", len(after.Config.Teams)))
 	}
 	for d := range after.Evacuated {
 		if !before.Evacuated[d] {
@@ -324,14 +336,18 @@
 
 // applyTargetsReadAt merges the list of targets at revision, whose reading from source
 // began at readAt; see applyPublished.
-func (m *Manager) applyTargetsReadAt(readAt time.Time, listed map[string]*deployment.Target, revision, change int64, source string) {
+func (m *Manager) applyTargetsReadAt(readAt time.Time, listed map[string]*deployment.Target, revision, change deployment.Revision, source string) {
 	now := m.now()
 	before, after := m.update(func(v *View) {
-		if revision < v.TargetsRevision {
+		if revision.Before(v.TargetsRevision) {
 			return
 		}
+		restored := restored(v.TargetsRevision, revision)
+		if restored {
+			m.mu.outageEnded = now
+		}
 		merged := mergeListing(v.Targets, listed, now, m.mu.outageEnded.Add(outageGracePeriod))
-		if v.TargetsRevision == 0 || targetsDiffer(v.Targets, merged) {
+		if v.TargetsRevision.IsZero() || restored || targetsDiffer(v.Targets, merged) {
 			v.TargetsChange = change
 		}
 		v.Targets, v.TargetsRevision = merged, revision
@@ -339,7 +355,7 @@
 	})
 	m.logTargets(before, after)
 	if before.TargetsChange != after.TargetsChange {
-		m.peers.AnnounceChange()
+		m.announceChange()
 	}
 }
 
@@ -362,18 +378,18 @@
 				ev = event.TargetRemoved
 			}
 			m.log.Emit(ev, zap.String("target", id), zap.String("service", e.Service), zap.String("domain", e.Domain),
-				zap.Bool("leaving", e.Leaving), zap.Duration("warmup_left", e.WarmupLeft), zap.Int64("revision", after.TargetsRevision),
+				zap.Bool("leaving", e.Leaving), zap.Duration("warmup_left", e.WarmupLeft), zap.Int64("revision", after.TargetsRevision.Number), zap.Int64("era", after.TargetsRevision.Era),
 				zap.String("source", after.TargetsSource))
 		}
 		if e.Retained() && (old == nil || !old.Retained()) {
 			m.log.Emit(event.TargetRetained, zap.String("target", id), zap.String("service", e.Service), zap.String("domain", e.Domain),
-				zap.Int64("revision", after.TargetsRevision), zap.String("source", after.TargetsSource))
+				zap.Int64("revision", after.TargetsRevision.Number), zap.Int64("era", after.TargetsRevision.Era), zap.String("source", after.TargetsSource))
 		}
 	}
 	for id, old := range before.Targets {
 		if after.Targets[id] == nil {
 			m.log.Emit(event.TargetRemoved, zap.String("target", id), zap.String("service", old.Service), zap.Bool("gone", true),
-				zap.Bool("retained", old.Retained()), zap.Int64("revision", after.TargetsRevision), zap.String("source", after.TargetsSource))
+				zap.Bool("retained", old.Retained()), zap.Int64("revision", after.TargetsRevision.Number), zap.Int64("era", after.TargetsRevision.Era), zap.String("source", after.TargetsSource))
 		}
 	}
 }
--- a/internal/catalog/model_test.go
+++ b/internal/catalog/model_test.go
@@ -8,9 +8,12 @@
 	"github.com/wigeonhill/wigeonhill/internal/event"
 )
 
-// modelState is the state of three instances: the configuration version, the
-// revision up to which it is current, and the revision of its last change.
-type modelState [3]struct{ version, revision, change int64 }
+// modelState is the state of three instances: the configuration version, the revision
+// up to which it is current, and the revision of its last change.
+type modelState [3]struct {
+	version          int64
+	revision, change deployment.Revision
+}
 
 // modelVersions are the configuration versions by store revision. Revision 2 is an
 // evacuation, which leaves the version unchanged.
@@ -24,14 +27,33 @@
 	return published(modelVersions[revision])
 }
 
+// modelHistory are the revisions of the store of the model in their order. It comes
+// back from a copy of its first revision; then version 20 is written again, at the
+// revision that was the evacuation's, and version 30.
+var modelHistory = []struct {
+	revision  deployment.Revision
+	published deployment.PublishedState
+}{
+	{deployment.Revision{Era: 1, Number: 1}, published(3)},
+	{deployment.Revision{Era: 1, Number: 2}, published(3, "a")},
+	{deployment.Revision{Era: 1, Number: 3}, published(8)},
+	{deployment.Revision{Era: 1, Number: 4}, published(20)},
+	{deployment.Revision{Era: 2, Number: 1}, published(3)},
+	{deployment.Revision{Era: 2, Number: 2}, published(20)},
+	{deployment.Revision{Era: 2, Number: 3}, published(30)},
+}
+
 // manager returns a Manager in the state of instance i.
 func (s *modelState) manager(i int) *Manager {
 	m, _ := newManager()
 	m.log = event.Nop()
-	if x := s[i]; x.revision > 0 {
-		v := *m.Current()
-		v.PublishedState, v.PublishedRevision, v.PublishedChange = modelPublished(x.revision), x.revision, x.change
-		m.view.Store(&v)
+	for _, h := range modelHistory {
+		if x := s[i]; h.revision == x.revision {
+			v := *m.Current()
+			v.PublishedState, v.PublishedRevision, v.PublishedChange = published(x.version), x.revision, x.change
+			v.Evacuated = h.published.Evacuated
+			m.view.Store(&v)
+		}
 	}
 	return m
 }
@@ -39,16 +61,13 @@
 // withManager returns s with the state of instance i taken from m.
 func (s modelState) withManager(i int, m *Manager) modelState {
 	v := m.Current()
-	s[i].version, s[i].revision, s[i].change = 0, v.PublishedRevision, v.PublishedChange
-	if v.Config != nil {
-		s[i].version = v.Config.Version
-	}
+	s[i].version, s[i].revision, s[i].change = v.configVersion(), v.PublishedRevision, v.PublishedChange
 	return s
 }
 
 // TestVersionNeverDecreasesInAnyOrder explores all states that three instances
-// can reach by responses of the store in any order (including outdated ones),
-// snapshots of each other in any order, and restarts. Only a restart may decrease
+// can reach by responses of the store in any order (including outdated ones, and those
+// of a copy from which it came back), snapshots of each other in any order, and restarts. Only a restart may decrease
 // a version, and in every state a response with the newest revision must lead to
 // the newest version.
 func TestVersionNeverDecreasesInAnyOrder(t *testing.T) {
@@ -60,7 +79,7 @@
 		queue = queue[1:]
 		visit := func(i int, step string, next modelState) {
 			steps++
-			if next[i].version < s[i].version || next[i].revision < s[i].revision {
+			if next[i].version < s[i].version || next[i].revision.Before(s[i].revision) {
 				t.Fatalf("instance %d went back to an older state after %s: %v, then %v", i, step, s, next)
 			}
 			if !seen[next] {
@@ -69,12 +88,12 @@
 			}
 		}
 		for i := range s {
-			for revision := range modelVersions {
+			for _, h := range modelHistory {
 				m := s.manager(i)
-				m.applyPublished(modelPublished(revision), revision, revision)
+				m.applyPublished(h.published, h.revision, h.revision)
 				next := s.withManager(i, m)
-				visit(i, fmt.Sprint("a response of revision ", revision), next)
-				if newest := int64(len(modelVersions)); revision == newest && next[i].version != modelVersions[newest] {
+				visit(i, fmt.Sprint("a response of revision ", h.revision), next)
+				if newest := modelHistory[len(modelHistory)-1]; h.revision == newest.revision && next[i].version != newest.published.Config.Version {
 					t.Fatalf("instance %d did not apply the newest version: %v", i, next)
 				}
 			}
@@ -86,7 +105,7 @@
 				}
 			}
 			restarted := s
-			restarted[i].version, restarted[i].revision, restarted[i].change = 0, 0, 0
+			restarted[i] = modelState{}[i]
 			if !seen[restarted] {
 				seen[restarted] = true
 				queue = append(queue, restarted)
--- a/internal/catalog/random_test.go
+++ b/internal/catalog/random_test.go
@@ -121,7 +121,7 @@
 	}
 	r.fleet.store.change(func(targets map[string]*deployment.Target) {
 		leaving := *targets[gone]
-		leaving.Leaving, leaving.Sequence = true, r.fleet.store.revision
+		leaving.Leaving, leaving.Sequence = true, testSequence()
 		targets[gone] = &leaving
 	})
 }
--- a/internal/catalog/refresh_test.go
+++ b/internal/catalog/refresh_test.go
@@ -23,7 +23,7 @@
 // enoughReaders implements Peers for an instance that takes the catalog from others.
 type enoughReaders struct{ noPeers }
 
-func (enoughReaders) EnoughReaders() bool { return true }
+func (enoughReaders) EnoughReaders(int64) bool { return true }
 
 func TestInstanceThatTakesSnapshotsReadsListOnRefresh(t *testing.T) {
 	store := &readCounter{}
@@ -35,7 +35,7 @@
 		want := store.reads.Load() + 1
 		before := time.Now()
 		m.Refresh()
-		for m.Current().TargetsRevision < want {
+		for m.Current().TargetsRevision.Number < want {
 			time.Sleep(time.Millisecond)
 		}
 		if m.Current().TargetsReadAt.Before(before) {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -20,15 +20,40 @@
 	PublishedRevision int64
 	Targets           map[string]*deployment.Target
 	TargetsRevision   int64
-	Changes           ChangeRevisions
+	Changes           struct{ Published, Targets int64 }
+	// Eras has the eras of the revisions above. Instances of earlier versions neither
+	// send nor read it.
+	Eras struct{ Published, PublishedChange, Targets, TargetsChange int64 }
+}
+
+func (s *Snapshot) publishedRevision() deployment.Revision {
+	return deployment.Revision{Era: s.Eras.Published, Number: s.PublishedRevision}
+}
+
+func (s *Snapshot) targetsRevision() deployment.Revision {
+	return deployment.Revision{Era: s.Eras.Targets, Number: s.TargetsRevision}
+}
+
+func (s *Snapshot) known() Known {
+	k := Known{
+		Published: deployment.Revision{Era: s.Eras.PublishedChange, Number: s.Changes.Published},
+		Targets:   deployment.Revision{Era: s.Eras.TargetsChange, Number: s.Changes.Targets},
+	}
+	if s.Published.Config != nil {
+		k.ConfigVersion = s.Published.Config.Version
+	}
+	return k
 }
 
 // MarshalSnapshot returns the current view as the JSON of a Snapshot, without
 // retained targets and with the remaining warm-up of each target counted from now.
 func (m *Manager) MarshalSnapshot() ([]byte, error) {
 	v := m.Current()
-	s := Snapshot{Published: v.PublishedState, PublishedRevision: v.PublishedRevision, TargetsRevision: v.TargetsRevision,
-		Changes: ChangeRevisions{v.PublishedChange, v.TargetsChange}, Targets: make(map[string]*deployment.Target, len(v.Targets))}
+	s := Snapshot{Published: v.PublishedState, PublishedRevision: v.PublishedRevision.Number, TargetsRevision: v.TargetsRevision.Number,
+		Targets: make(map[string]*deployment.Target, len(v.Targets))}
+	s.Changes.Published, s.Changes.Targets = v.PublishedChange.Number, v.TargetsChange.Number
+	s.Eras.Published, s.Eras.PublishedChange = v.PublishedRevision.Era, v.PublishedChange.Era
+	s.Eras.Targets, s.Eras.TargetsChange = v.TargetsRevision.Era, v.TargetsChange.Era
 	now := m.now()
 	for id, e := range v.Targets {
 		if e.Retained() {
@@ -51,12 +76,12 @@
 		sleep(ctx, peerPollInterval)
 		begun := m.now()
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
-		v := m.Current()
-		have := ChangeRevisions{v.PublishedChange, v.TargetsChange}
-		if !m.stale() && !m.peers.EnoughReaders() {
-			have = ChangeRevisions{v.PublishedRevision, math.MaxInt64}
+		v, enoughReaders := m.Current(), m.enoughReaders()
+		have := v.Known()
+		if !m.stale() && !enoughReaders {
+			have.Published, have.Targets = v.PublishedRevision, deployment.Revision{Era: math.MaxInt64}
 		}
-		snapshot, from, err := m.peers.FetchSnapshot(call, have)
+		snapshot, from, err := m.peers.FetchSnapshot(call, have, enoughReaders)
 		cancel()
 		switch {
 		case err != nil: // the next check retries, possibly at another peer
@@ -75,23 +100,25 @@
 		m.log.Emit(event.PeerMessageInvalid, zap.String("part", "snapshot"), zap.String("from", from), zap.Error(err))
 		return
 	}
-	v := m.Current()
-	newPublished := s.Published.Config != nil && s.Changes.Published > v.PublishedChange
-	if newPublished || s.Changes.Targets > v.TargetsChange {
+	v, sent := m.Current(), s.known()
+	newPublished := s.Published.Config != nil && (v.PublishedChange.Before(sent.Published) || v.configVersion() < sent.ConfigVersion)
+	newTargets := v.TargetsChange.Before(sent.Targets)
+	if newPublished || newTargets {
 		m.log.Emit(event.SnapshotApplied, zap.String("from", from), zap.Int64("published_change", s.Changes.Published), zap.Int64("targets_change", s.Changes.Targets),
-			zap.Int64("revision", s.TargetsRevision), zap.Int64("had", v.TargetsRevision))
+			zap.Int64("version", sent.ConfigVersion), zap.Int64("revision", s.TargetsRevision), zap.Int64("era", s.Eras.Targets),
+			zap.Int64("had", v.TargetsRevision.Number), zap.Int64("had_era", v.TargetsRevision.Era))
 	}
 	if newPublished {
-		m.applyPublished(s.Published, s.PublishedRevision, s.Changes.Published)
-		m.update(func(v *View) { v.PublishedChange = max(v.PublishedChange, s.Changes.Published) })
+		m.applyPublished(s.Published, s.publishedRevision(), sent.Published)
+		m.update(func(v *View) { v.PublishedChange = v.PublishedChange.Later(sent.Published) })
 	}
-	if s.Changes.Targets > v.TargetsChange {
+	if newTargets {
 		// The sender has read the store since this view; if that ends an outage, lapsed
 		// targets must be retained.
 		m.mu.Lock()
 		m.recordSupply(m.now())
 		m.mu.Unlock()
-		m.applyTargetsReadAt(readAt, s.Targets, s.TargetsRevision, s.Changes.Targets, from)
-		m.update(func(v *View) { v.TargetsChange = max(v.TargetsChange, s.Changes.Targets) })
+		m.applyTargetsReadAt(readAt, s.Targets, s.targetsRevision(), sent.Targets, from)
+		m.update(func(v *View) { v.TargetsChange = v.TargetsChange.Later(sent.Targets) })
 	}
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -28,17 +28,17 @@
 type View struct {
 	deployment.PublishedState
 	// PublishedRevision and TargetsRevision are the store revisions up to which the
-	// published state and the targets are current; 0 if never read.
-	PublishedRevision, TargetsRevision int64
+	// published state and the targets are current; zero if never read.
+	PublishedRevision, TargetsRevision deployment.Revision
 	Targets                            map[string]*Entry
 	// TargetsSource says where the list of targets was read, and TargetsReadAt when
 	// the reading began (monotonic clock); see sourceStore.
 	TargetsSource string
 	TargetsReadAt time.Time
 	// PublishedChange and TargetsChange are the store revisions of the last
-	// relevant change to each of them (see publishedDiffer and targetsDiffer); 0 if
-	// never read.
-	PublishedChange, TargetsChange int64
+	// relevant change to each of them (see publishedDiffers and targetsDiffer), or the
+	// first ones that were read in an era; zero if never read.
+	PublishedChange, TargetsChange deployment.Revision
 	// EvacuationEnded is when the last evacuation of a failure domain ended.
 	EvacuationEnded map[string]time.Time
 }
@@ -147,10 +147,11 @@
 		x.Slots != y.Slots || y.WarmupUntil.After(x.WarmupUntil.Add(warmupTolerance))
 }
 
-// publishedDiffer reports whether the configuration version or the evacuated
-// failure domains differ.
-func publishedDiffer(a, b *deployment.PublishedState) bool {
-	return (a.Config == nil) != (b.Config == nil) || a.Config != nil && a.Config.Version != b.Config.Version || !maps.Equal(a.Evacuated, b.Evacuated)
+// publishedDiffers reports whether p has another configuration version or other
+// evacuated failure domains than v.
+func (v *View) publishedDiffers(p *deployment.PublishedState) bool {
+	other := View{PublishedState: *p}
+	return v.configVersion() != other.configVersion() || !maps.Equal(v.Evacuated, p.Evacuated)
 }
 
 // withoutExpired returns the entries without those retained until now or earlier.
--- a/internal/deployment/revision.go
+++ b/internal/deployment/revision.go
@@ -12,3 +12,16 @@
 
 // IsZero reports whether r is the position before the first change.
 func (r Revision) IsZero() bool { return r == Revision{} }
+
+// Before reports whether r is an earlier position than o.
+func (r Revision) Before(o Revision) bool {
+	return r.Era < o.Era || r.Era == o.Era && r.Number < o.Number
+}
+
+// Later returns the later one of two positions.
+func (r Revision) Later(o Revision) Revision {
+	if r.Before(o) {
+		return o
+	}
+	return r
+}
--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -16,6 +16,7 @@
 	SnapshotFetchFailed     = define(815, "snapshot fetch failed", zapcore.InfoLevel, "another instance announced a newer state and did not deliver it; the next check retries")
 	StoreEraChanged         = define(816, "store era changed", zapcore.WarnLevel, "the platform's store has come back from an older copy of itself, so that its revisions mean other changes now; fields give the eras and the revisions before and after, of the configuration or of the targets")
 	StoreStateIgnored       = define(817, "store state ignored", zapcore.WarnLevel, "the platform's store returned a state that is older than the known one, which stays in force; the line is written for the first of several such states. known is the revision of the state in force")
+	OlderConfigIgnored      = define(819, "older configuration ignored", zapcore.WarnLevel, "the store returned a configuration of an older version than the one in force, which stays in force; the line is written once for each such version")
 	TargetListed            = define(820, "target listed", zapcore.InfoLevel, "a target appeared in the store, or a relevant field of its entry changed")
 	TargetRemoved           = define(821, "target removed", zapcore.InfoLevel, "a target was removed from the store or is leaving; it gets no new requests. source is the store or the instance from which the list came")
 	TargetEntryInvalid      = define(822, "target entry invalid", zapcore.WarnLevel, "an entry in the store does not describe a usable target")
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/event"
 	"github.com/wigeonhill/wigeonhill/internal/httpframing"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
@@ -34,10 +35,9 @@
 const (
 	pathField        = ":path"
 	resumeAfterField = ":resume-after"
-	// publishedChangeField is a header of a response: the store revision of the last
-	// change to the published state by which the request was decided, if the sender
-	// knew an earlier one only. A response with any other name that is not valid in HTTP
-	// is refused.
+	// publishedChangeField is a header of a response for instances of earlier versions,
+	// which do not read Head.published: its revision. A response with any other name that
+	// is not valid in HTTP is refused.
 	publishedChangeField = ":published-change"
 )
 
@@ -84,9 +84,9 @@
 	if err == nil {
 		respBody := &forwardBody{stream: stream, requestID: hopID(c), cancel: cancel}
 		var resp *targetResponse
-		var publishedChange string
-		if resp, publishedChange, err = respBody.head(); err == nil {
-			g.followInstance(address, publishedChange)
+		var known catalog.Known
+		if resp, known, err = respBody.head(); err == nil {
+			g.followInstance(address, known)
 			return resp, nil
 		}
 		_ = respBody.Close()
@@ -102,41 +102,41 @@
 }
 
 // followInstance fetches the published state of the instance at address in the
-// background if it has decided a forwarded request by a later change than is known
-// here. Otherwise the next request of the same caller could be decided by the older
-// version.
-func (g *Gateway) followInstance(address, publishedChange string) {
-	change, err := strconv.ParseInt(publishedChange, 10, 64)
-	if err != nil || g.Catalog.HasPublished(change) {
+// background if it has decided a forwarded request by a later one than is known here.
+// Otherwise the next request of the same caller could be decided by the older version.
+func (g *Gateway) followInstance(address string, decidedBy catalog.Known) {
+	if g.Catalog.HasPublished(decidedBy) {
 		return
 	}
-	go g.ensurePublished(context.Background(), change, &peerv1.Identity{PeerAddress: address, Instance: address}, "")
+	go g.ensurePublished(context.Background(), decidedBy, &peerv1.Identity{PeerAddress: address, Instance: address}, "")
 }
 
-// ensurePublished waits until the published state is current up to the change that
-// another instance has seen, and reports whether it is.
-func (g *Gateway) ensurePublished(ctx context.Context, change int64, from *peerv1.Identity, request string) bool {
-	if g.Catalog.HasPublished(change) {
+// ensurePublished waits until the published state that another instance knows is known
+// here, and reports whether it is.
+func (g *Gateway) ensurePublished(ctx context.Context, needed catalog.Known, from *peerv1.Identity, request string) bool {
+	if g.Catalog.HasPublished(needed) {
 		return true
 	}
-	had, began := g.Catalog.Current().PublishedRevision, time.Now()
-	ok := g.Catalog.EnsurePublished(ctx, change, func(ctx context.Context) ([]byte, string, error) {
+	had, began := g.Catalog.Current(), time.Now()
+	ok := g.Catalog.EnsurePublished(ctx, needed, func(ctx context.Context) ([]byte, string, error) {
 		res, err := g.Clients.Client(from.GetPeerAddress()).FetchEdition(ctx, connect.NewRequest(&peerv1.FetchEditionRequest{}))
 		if err != nil {
 			return nil, from.GetInstance(), err
 		}
 		return res.Msg.GetText(), from.GetInstance(), nil
 	})
-	g.Log.Emit(event.HopNeededNewerState, zap.String("request", request), zap.String("from", from.GetInstance()), zap.Int64("change", change),
-		zap.Int64("had", had), zap.Duration("took", time.Since(began)), zap.Bool("received", ok))
+	g.Log.Emit(event.HopNeededNewerState, zap.String("request", request), zap.String("from", from.GetInstance()),
+		zap.Int64("change", needed.Published.Number), zap.Int64("era", needed.Published.Era), zap.Int64("version", needed.ConfigVersion),
+		zap.Int64("had", had.PublishedRevision.Number), zap.Int64("had_era", had.PublishedRevision.Era), zap.Int64("had_version", had.Known().ConfigVersion), zap.Duration("took", time.Since(began)), zap.Bool("received", ok))
 	return ok
 }
 
 func (g *Gateway) forwardRequest(c *call, v *catalog.View, lastEventID string) *peerv1.ForwardRequest {
+	decidedBy := v.Known()
 	req := &peerv1.ForwardRequest{
 		From: g.Self, RequestId: hopID(c), Hop: 1, Team: c.team, Method: c.method, Host: c.host, Body: c.body,
 		RemainingMs: uint32(max(time.Until(c.deadline).Milliseconds(), 1)), Route: c.route.Name, Attempt: uint32(c.possibleRuns),
-		PublishedChange: v.PublishedChange,
+		PublishedEra: decidedBy.Published.Era, PublishedChange: decidedBy.Published.Number, ConfigVersion: decidedBy.ConfigVersion,
 	}
 	// An instance of an earlier version finds no route for a path that is not UTF-8.
 	setText(req, &req.Path, pathField, c.path)
@@ -203,29 +203,34 @@
 	return msg, nil
 }
 
-// head reads the head of the response, of which f is the body, and the value of
-// publishedChangeField.
-func (f *forwardBody) head() (resp *targetResponse, publishedChange string, err error) {
+// head reads the head of the response, of which f is the body, and what the other
+// instance knows of the published state, if it says so.
+func (f *forwardBody) head() (resp *targetResponse, known catalog.Known, err error) {
 	msg, err := f.receive()
 	if err != nil {
-		return nil, "", err
+		return nil, known, err
 	}
 	if tail := msg.GetTail(); tail != nil && tail.GetCode() != 0 {
-		return nil, "", tailFailure(tail)
+		return nil, known, tailFailure(tail)
 	}
 	head := msg.GetHead()
 	if head == nil {
-		return nil, "", mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop has no head")
+		return nil, known, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop has no head")
 	}
 	h := http.Header{}
 	for _, p := range head.GetHeaders() {
 		h.Add(p.GetName(), string(p.GetValue()))
 	}
-	publishedChange = takeText(h, "", publishedChangeField)
+	if revision, err := strconv.ParseInt(takeText(h, "", publishedChangeField), 10, 64); err == nil {
+		known.Published.Number = revision
+	}
+	if p := head.GetPublished(); p != nil {
+		known = catalog.Known{Published: deployment.Revision{Era: p.GetEra(), Number: p.GetRevision()}, ConfigVersion: p.GetConfigVersion()}
+	}
 	if err := httpframing.CheckHead(int(head.GetStatus()), h); err != nil {
-		return nil, "", mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop: %v", err)
+		return nil, known, mayHaveRunFailure(placement.Inconclusive, result.TargetFailed, "the answer of the hop: %v", err)
 	}
-	return &targetResponse{status: int(head.GetStatus()), header: h, body: f, target: head.GetTarget(), framing: tailFraming}, publishedChange, nil
+	return &targetResponse{status: int(head.GetStatus()), header: h, body: f, target: head.GetTarget(), framing: tailFraming}, known, nil
 }
 
 // Read implements io.Reader.
@@ -303,15 +308,16 @@
 	defer cancel()
 	ctx, stop := p.Gateway.untilCutoff(ctx)
 	defer stop()
-	d := &delivery{sink: &forwardSink{stream: stream, id: msg.GetRequestId(), catalog: p.Gateway.Catalog, senderChange: msg.GetPublishedChange()}}
+	decidedBy := decidedBy(msg)
+	d := &delivery{sink: &forwardSink{stream: stream, id: msg.GetRequestId(), catalog: p.Gateway.Catalog, decidedBy: decidedBy}}
 	defer d.close()
 	d.lastEventID = lastEventID
 	tail := &peerv1.Tail{}
 	err := p.Gateway.refusal()
-	// Senders of an earlier version do not tell by which change they decided.
-	if change := msg.GetPublishedChange(); err == nil && change > 0 && !p.Gateway.ensurePublished(ctx, change, msg.GetFrom(), c.ID) {
-		err = result.New(result.HopRefused, result.NotRun, "the sender decided by the change at revision %d, known here is revision %d",
-			change, p.Gateway.Catalog.Current().PublishedRevision).WithRetryAfter(notReadyRetryAfter)
+	if err == nil && !p.Gateway.ensurePublished(ctx, decidedBy, msg.GetFrom(), c.ID) {
+		v := p.Gateway.Catalog.Current()
+		err = result.New(result.HopRefused, result.NotRun, "the sender decided by version %d and revision %d of era %d, known here are version %d and revision %d of era %d",
+			decidedBy.ConfigVersion, decidedBy.Published.Number, decidedBy.Published.Era, v.Known().ConfigVersion, v.PublishedRevision.Number, v.PublishedRevision.Era).WithRetryAfter(notReadyRetryAfter)
 	}
 	if err == nil {
 		err = p.Gateway.serveCall(ctx, c, d)
@@ -325,6 +331,12 @@
 	return stream.Send(&peerv1.ForwardResponse{RequestId: msg.GetRequestId(), Part: &peerv1.ForwardResponse_Tail{Tail: tail}})
 }
 
+// decidedBy returns what the sender of a forwarded request knew of the published state.
+// Senders of an earlier version do not tell all of it, or none.
+func decidedBy(msg *peerv1.ForwardRequest) catalog.Known {
+	return catalog.Known{Published: deployment.Revision{Era: msg.GetPublishedEra(), Number: msg.GetPublishedChange()}, ConfigVersion: msg.GetConfigVersion()}
+}
+
 // FetchEdition implements peerv1connect.PeerHandler. The text of the response is a
 // snapshot of the catalog.
 func (p *PeerServer) FetchEdition(context.Context, *connect.Request[peerv1.FetchEditionRequest]) (*connect.Response[peerv1.FetchEditionResponse], error) {
@@ -346,8 +358,8 @@
 	stream  *connect.ServerStream[peerv1.ForwardResponse]
 	id      string
 	catalog *catalog.Manager
-	// senderChange is the change by which the sender decided; 0 if it does not say.
-	senderChange int64
+	// decidedBy is what the sender knew of the published state; zero if it does not say.
+	decidedBy catalog.Known
 }
 
 // Head implements sink.
@@ -358,8 +370,11 @@
 			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: []byte(v)})
 		}
 	}
-	if change := s.catalog.Current().PublishedChange; s.senderChange > 0 && change > s.senderChange {
-		head.Headers = append(head.Headers, &peerv1.Header{Name: publishedChangeField, Value: strconv.AppendInt(nil, change, 10)})
+	known := s.catalog.Current().Known()
+	known.Targets = deployment.Revision{}
+	if s.decidedBy != (catalog.Known{}) && known.LaterThan(s.decidedBy) {
+		head.Headers = append(head.Headers, &peerv1.Header{Name: publishedChangeField, Value: strconv.AppendInt(nil, known.Published.Number, 10)})
+		head.Published = &peerv1.PublishedChange{Era: known.Published.Era, Revision: known.Published.Number, ConfigVersion: known.ConfigVersion}
 	}
 	return s.stream.Send(&peerv1.ForwardResponse{RequestId: s.id, Part: &peerv1.ForwardResponse_Head{Head: head}})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,7 +174,7 @@
 		g.Log.Emit(event.RequestPlaced, zap.String("request", c.ID), zap.String("route", c.route.Name), zap.String("service", c.service),
 			zap.String("target", choice.Target), zap.String("region", choice.Region), zap.String("fetch_from", choice.FetchFrom),
 			zap.Duration("expected", choice.Delay), zap.String("reason", choice.Reason), zap.String("shared", shared), zap.Bool("cached", choice.Cached), zap.Bool("warming_up", choice.WarmingUp),
-			zap.Int("sends", c.failedAttempts), zap.Int64("revision", v.TargetsRevision),
+			zap.Int("sends", c.failedAttempts), zap.Int64("revision", v.TargetsRevision.Number), zap.Int64("era", v.TargetsRevision.Era),
 			zap.String("source", v.TargetsSource), zap.Duration("targets_age", time.Since(v.TargetsReadAt)))
 		f := g.attempt(ctx, v, c, choice, d)
 		g.Metrics.recordAttempt(f, choice.Delay)
--- a/internal/gateway/routereport.go
+++ b/internal/gateway/routereport.go
@@ -181,7 +181,7 @@
 }
 
 func (g *Gateway) figures(v *catalog.View, members []heartbeat.Member, now time.Time) routereport.Figures {
-	f := routereport.Figures{ConfigVersion: v.Config.Version, TargetsRevision: v.TargetsRevision, TargetsSource: v.TargetsSource}
+	f := routereport.Figures{ConfigVersion: v.Config.Version, TargetsRevision: v.TargetsRevision.Number, TargetsEra: v.TargetsRevision.Era, TargetsSource: v.TargetsSource}
 	if published, _ := g.Catalog.Ages(); published < maxKnownAge {
 		f.ConfigAgeMS = pointer(routereport.Millis(published))
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -277,10 +277,11 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
+	revision := g.Catalog.Revision()
 	g.Log.Emit(failureEvent(e), append(more, zap.String("request", c.ID), zap.Int("code", int(e.Code)), zap.String("name", e.Code.String()), zap.Stringer("ran", e.Ran),
 		zap.String("reason", e.Message), zap.String("team", c.team), zap.String("route", route), zap.String("service", c.service),
 		zap.Duration("after", time.Since(c.arrived)), zap.Int("sent", c.possibleRuns), zap.Int("sends", c.failedAttempts),
-		zap.Duration("retry_after", e.RetryAfter), zap.Int64("revision", g.Catalog.Revision()))...)
+		zap.Duration("retry_after", e.RetryAfter), zap.Int64("revision", revision.Number), zap.Int64("era", revision.Era))...)
 }
 
 // failureEvent returns the event with which a request that ended with e is logged.
--- a/internal/instance/heartbeats.go
+++ b/internal/instance/heartbeats.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
@@ -25,7 +26,8 @@
 	hb.CallersAddress = i.settings.Listen.Callers
 	hb.Ready, hb.Leaving = i.gateway.Ready(), i.gateway.Draining()
 	view := i.catalog.Current()
-	hb.PublishedChange, hb.TargetsChange, hb.StoreAnswers = view.PublishedChange, view.TargetsChange, i.catalog.StoreAnswers()
+	setKnown(hb, view.Known())
+	hb.StoreAnswers = i.catalog.StoreAnswers()
 	for team, usage := range i.quota.LocalUsage(now) {
 		hb.Teams = append(hb.Teams, &peerv1.TeamUse{Team: team, Spent: usage.Spent, Demand: float32(usage.Demand)})
 	}
@@ -46,6 +48,22 @@
 	}
 }
 
+// setKnown sets what the sender of a heartbeat knows of the store's state.
+func setKnown(hb *peerv1.FleetRow, k catalog.Known) {
+	hb.PublishedEra, hb.PublishedChange = k.Published.Era, k.Published.Number
+	hb.TargetsEra, hb.TargetsChange = k.Targets.Era, k.Targets.Number
+	hb.ConfigVersion = k.ConfigVersion
+}
+
+// known returns what the sender of a heartbeat knows of the store's state.
+func known(hb *peerv1.FleetRow) catalog.Known {
+	return catalog.Known{
+		Published:     deployment.Revision{Era: hb.GetPublishedEra(), Number: hb.GetPublishedChange()},
+		Targets:       deployment.Revision{Era: hb.GetTargetsEra(), Number: hb.GetTargetsChange()},
+		ConfigVersion: hb.GetConfigVersion(),
+	}
+}
+
 // applyHeartbeats passes the heartbeats of other instances to the tracker, the
 // retry budget and the quota limiter until ctx is done.
 func (i *Instance) applyHeartbeats(ctx context.Context) error {
@@ -103,15 +121,22 @@
 // EnoughReaders implements catalog.Peers. The instances whose names sort first
 // read the store, so that all instances agree on the readers without exchanging
 // messages.
-func (p *catalogPeers) EnoughReaders() bool {
+func (p *catalogPeers) EnoughReaders(era int64) bool {
+	return countReaders(p.heartbeats.Members(), p.self, era) >= storeReaders
+}
+
+// countReaders returns how many instances of the failure domain of self read the store
+// before self has to, and have read it in the given era or a later one.
+func countReaders(members []heartbeat.Member, self *peerv1.Identity, era int64) int {
 	n := 0
-	for _, m := range p.heartbeats.Members() {
-		id := m.Heartbeat.GetInstance()
-		if storeAnswers(m) && m.Heartbeat.GetReady() && id.GetDomain() == p.self.GetDomain() && id.GetInstance() < p.self.GetInstance() {
+	for _, m := range members {
+		id, k := m.Heartbeat.GetInstance(), known(m.Heartbeat)
+		current := k.Published.Later(k.Targets).Era >= era
+		if current && storeAnswers(m) && m.Heartbeat.GetReady() && id.GetDomain() == self.GetDomain() && id.GetInstance() < self.GetInstance() {
 			n++
 		}
 	}
-	return n >= storeReaders
+	return n
 }
 
 // StoreAnswers implements catalog.Peers.
@@ -125,17 +150,12 @@
 	return m.Reachable && !m.Late && m.Heartbeat.GetStoreAnswers()
 }
 
-// AnnounceChange implements catalog.Peers. Only store readers announce a
-// change; the other instances get it from them.
-func (p *catalogPeers) AnnounceChange() {
-	if !p.EnoughReaders() {
-		p.heartbeats.Announce()
-	}
-}
+// AnnounceChange implements catalog.Peers.
+func (p *catalogPeers) AnnounceChange() { p.heartbeats.Announce() }
 
 // FetchSnapshot implements catalog.Peers. It must not be called concurrently.
-func (p *catalogPeers) FetchSnapshot(ctx context.Context, have catalog.ChangeRevisions) (snapshot []byte, from string, err error) {
-	source := snapshotSource(p.heartbeats.Members(), p.self.GetDomain(), have, p.EnoughReaders(), p.failedSource)
+func (p *catalogPeers) FetchSnapshot(ctx context.Context, have catalog.Known, localOnly bool) (snapshot []byte, from string, err error) {
+	source := snapshotSource(p.heartbeats.Members(), p.self.GetDomain(), have, localOnly, p.failedSource)
 	if source == nil {
 		return nil, "", nil
 	}
@@ -149,16 +169,15 @@
 }
 
 // snapshotSource returns a random one of the best sources (see sourceRank) among the
-// instances that have a later change than have, or nil if there is none. With
-// enoughReaders, only instances of the local failure domain are considered. failed is
-// the address of the instance that did not deliver the last snapshot.
-func snapshotSource(members []heartbeat.Member, domain string, have catalog.ChangeRevisions, enoughReaders bool, failed string) *peerv1.Identity {
+// instances that know anything later than have, or nil if there is none. With
+// localOnly, only instances of the local failure domain are considered. failed is the
+// address of the instance that did not deliver the last snapshot.
+func snapshotSource(members []heartbeat.Member, domain string, have catalog.Known, localOnly bool, failed string) *peerv1.Identity {
 	var best []*peerv1.Identity
 	bestRank := 0
 	for _, m := range members {
 		id := m.Heartbeat.GetInstance()
-		hasLaterChange := m.Heartbeat.GetPublishedChange() > have.Published || m.Heartbeat.GetTargetsChange() > have.Targets
-		if !m.Reachable || !hasLaterChange || enoughReaders && id.GetDomain() != domain {
+		if !m.Reachable || !known(m.Heartbeat).LaterThan(have) || localOnly && id.GetDomain() != domain {
 			continue
 		}
 		rank := sourceRank(&m, domain, failed)
--- a/internal/instance/heartbeats_test.go
+++ b/internal/instance/heartbeats_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/wigeonhill/wigeonhill/internal/catalog"
+	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/heartbeat"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1"
 )
@@ -18,7 +19,7 @@
 func TestSnapshotSourceAvoidsUnresponsiveInstance(t *testing.T) {
 	stuck, late, other := memberWithChange("stuck", "a", 7, false), memberWithChange("late", "a", 7, true), memberWithChange("other", "a", 7, false)
 	remote, old := memberWithChange("remote", "b", 7, false), memberWithChange("old", "a", 5, false)
-	have := catalog.ChangeRevisions{Targets: 5}
+	have := catalog.Known{Targets: deployment.Revision{Number: 5}}
 	for _, c := range []struct {
 		name          string
 		members       []heartbeat.Member
@@ -40,3 +41,19 @@
 		}
 	}
 }
+
+// Guards against readers of an earlier program version, which do not tell the era, that
+// keep an instance from reading the store.
+func TestReadersOfEarlierErasAreNotEnough(t *testing.T) {
+	reader := func(name string, era int64) heartbeat.Member {
+		m := memberWithChange(name, "a", 7, false)
+		m.Heartbeat.TargetsEra, m.Heartbeat.StoreAnswers, m.Heartbeat.Ready = era, true, true
+		return m
+	}
+	members := []heartbeat.Member{reader("r1", 0), reader("r2", 2), reader("r3", 3), reader("z", 3)}
+	for era, want := range map[int64]int{0: 3, 1: 2, 2: 2, 3: 1, 4: 0} {
+		if got := countReaders(members, &peerv1.Identity{Instance: "s", Domain: "a"}, era); got != want {
+			t.Errorf("%d readers are enough for era %d, want %d", got, era, want)
+		}
+	}
+}
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -47,8 +47,8 @@
 		}
 		return 0
 	})
-	gauge("store_revision", "Revision of the platform's store that the instance has seen.", func() float64 { return float64(i.catalog.Revision()) })
-	gauge("store_era", "Era of the platform's store in its last response; it rises when the store comes back from an older copy.", func() float64 { return float64(i.catalog.Era()) })
+	gauge("store_revision", "Revision of the platform's store that the instance has seen, in the era of store_era.", func() float64 { return float64(i.catalog.Revision().Number) })
+	gauge("store_era", "Era of the platform's store that the instance has seen; it rises when the store comes back from an older copy.", func() float64 { return float64(i.catalog.Revision().Era) })
 	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "wigeonhill", Name: "store_states_ignored_total", Help: "States of the platform's store that were older than the known one."},
 		func() float64 { return float64(i.catalog.IgnoredStates()) }))
 	gauge("configuration_age_seconds", "Time since the store confirmed the configuration.", func() float64 { p, _ := i.catalog.Ages(); return p.Seconds() })
--- a/internal/routereport/report.go
+++ b/internal/routereport/report.go
@@ -48,6 +48,9 @@
 	// event 834; absent if there is no list.
 	TargetsAgeMS    *int64 `json:"targets_age_ms,omitempty"`
 	TargetsRevision int64  `json:"targets_revision"`
+	// TargetsEra is the era of the store that TargetsRevision belongs to; 0 if the store
+	// does not tell it.
+	TargetsEra int64 `json:"targets_era"`
 	// TargetsSource says where the list of targets was read: the store or an instance.
 	TargetsSource string `json:"targets_source"`
 	// OldestHeartbeatMS is the age of the oldest heartbeat of a reachable instance of the
--- a/internal/routereport/text.go
+++ b/internal/routereport/text.go
@@ -20,8 +20,8 @@
 		w.printf("           it is draining: callers are sent to other instances\n")
 	}
 	f := &r.Figures
-	w.printf("figures    configuration %d (%s); targets from %s, revision %d (%s); %s\n",
-		f.ConfigVersion, age(f.ConfigAgeMS), f.TargetsSource, f.TargetsRevision, age(f.TargetsAgeMS), f.heartbeatText())
+	w.printf("figures    configuration %d (%s); targets from %s, revision %d of era %d (%s); %s\n",
+		f.ConfigVersion, age(f.ConfigAgeMS), f.TargetsSource, f.TargetsRevision, f.TargetsEra, age(f.TargetsAgeMS), f.heartbeatText())
 	w.printf("request    %s %s%s\n", r.Method, r.Host, r.Path)
 	w.printf("route      %s, priority %d, objective %d ms, deadline in %d ms\n", r.Route, r.Priority, r.ObjectiveMS, r.TimeLeftMS)
 	if p := r.Prompt; p != nil {
