Remember the last entries of targets that are no longer listed

Cause: an instance compared the entry of a target with the one that it had, and had none of a target that had left. Any entry of it was a new target.

The last entry of each target is kept for a minute after the list no longer has the target. An entry that is not later does not bring it back: one with a lower sequence, or with the same one in a later era; while the store may not have been written again, also one of an incarnation that started earlier. An entry with a higher sequence, of a later incarnation or of another address is a new one, as before. A leaving target whose entry is still known was kept apart by its sequence before; the earlier incarnation of a target that restarted is now kept out as well while the store is written again.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -91,6 +91,10 @@
 		// it can reach, and outageEnded when it did so after more than maxSupplyGap or
 		// came back from an older copy.
 		lastSupplied, outageEnded time.Time
+		// restoredAt is when a list of targets of a new era was first read here.
+		restoredAt time.Time
+		// departed holds the last entries of targets that are no longer listed.
+		departed departures
 		// olderConfig is the last version of a configuration of the store that was older
 		// than the one in force.
 		olderConfig int64
@@ -100,6 +104,7 @@
 // New returns a Manager with an empty catalog; Run fills it.
 func New(store Store, peers Peers, log *event.Logger, now func() time.Time) *Manager {
 	m := &Manager{store: store, peers: peers, log: log, now: now, refresh: make(chan struct{}, 1)}
+	m.mu.departed = departures{}
 	m.view.Store(&View{Targets: map[string]*Entry{}})
 	return m
 }
@@ -344,9 +349,12 @@
 		}
 		restored := restored(v.TargetsRevision, revision)
 		if restored {
-			m.mu.outageEnded = now
+			m.mu.outageEnded, m.mu.restoredAt = now, now
 		}
-		merged := mergeListing(v.Targets, listed, now, m.mu.outageEnded.Add(outageGracePeriod))
+		rewriting := now.Before(m.mu.restoredAt.Add(rewritePeriod))
+		listed := m.mu.departed.withoutOutdated(listed, v.Targets, revision.Era, rewriting)
+		merged := mergeListing(v.Targets, listed, now, m.mu.outageEnded.Add(outageGracePeriod), rewriting)
+		m.mu.departed.add(v.Targets, merged, revision.Era, now)
 		if v.TargetsRevision.IsZero() || restored || targetsDiffer(v.Targets, merged) {
 			v.TargetsChange = change
 		}
@@ -365,7 +373,11 @@
 	if targets := m.Current().Targets; len(withoutExpired(targets, now)) == len(targets) {
 		return
 	}
-	before, after := m.update(func(v *View) { v.Targets = withoutExpired(v.Targets, now) })
+	before, after := m.update(func(v *View) {
+		targets := withoutExpired(v.Targets, now)
+		m.mu.departed.add(v.Targets, targets, v.TargetsRevision.Era, now)
+		v.Targets = targets
+	})
 	m.logTargets(before, after)
 }
 
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -69,15 +69,15 @@
 
 // mergeListing returns the entries that result from a listing read at now. Targets
 // that are not listed are dropped; before retainUntil, those that were not leaving
-// are retained until then instead.
-func mergeListing(old map[string]*Entry, listed map[string]*deployment.Target, now, retainUntil time.Time) map[string]*Entry {
+// are retained until then instead. See supersedes for rewriting.
+func mergeListing(old map[string]*Entry, listed map[string]*deployment.Target, now, retainUntil time.Time, rewriting bool) map[string]*Entry {
 	out := make(map[string]*Entry, len(listed))
 	for id, t := range listed {
 		prev := old[id]
 		e := &Entry{Target: *t, ReadAt: now, FirstListed: now, WarmupUntil: now.Add(t.WarmupLeft)}
 		switch {
 		case prev == nil:
-		case prev.supersedes(t, now):
+		case prev.supersedes(t, now, rewriting):
 			e = prev
 		case !prev.SameIncarnation(t):
 			if prev.WarmupUntil.After(e.WarmupUntil) {
@@ -113,13 +113,14 @@
 
 // supersedes reports whether t is an outdated entry of the target: another writer has
 // restored it, or an earlier incarnation wrote it late. Of two incarnations the one
-// that started later is the newer one, but only for lateEntryPeriod, since the clock
-// of the target may have been set back.
-func (e *Entry) supersedes(t *deployment.Target, now time.Time) bool {
+// that started later is the newer one, but only for lateEntryPeriod or while rewriting
+// is set, since the clock of the target may have been set back. rewriting says that the
+// store may hold entries of an older copy; see rewritePeriod.
+func (e *Entry) supersedes(t *deployment.Target, now time.Time, rewriting bool) bool {
 	if e.SameIncarnation(t) {
 		return t.Sequence < e.Sequence
 	}
-	return t.StartedMS < e.StartedMS && now.Sub(e.FirstListed) < lateEntryPeriod
+	return t.StartedMS < e.StartedMS && (rewriting || now.Sub(e.FirstListed) < lateEntryPeriod)
 }
 
 // warmupTolerance is how much later a warm-up may end before it counts as a change.
