Keep evacuations that an older copy of the store lacks until they are written again

Cause: the absence of a key was taken for its removal, also in the first read of a new era, where it may only say that the key was lost.

Evacuations in force at a change of era stay in force until they have been listed in the new era, and for at most 10 s. Once listed, their removal ends them at once. What is retained is not passed on to other instances.

--- a/internal/catalog/manager.go
+++ b/internal/catalog/manager.go
@@ -91,13 +91,13 @@
 		// it can reach, and outageEnded when it did so after more than maxSupplyGap or
 		// came back from an older copy.
 		lastSupplied, outageEnded time.Time
+		// olderConfig is the last version of a configuration of the store that was older
+		// than the one in force.
+		olderConfig int64
 		// restoredAt is when a list of targets of a new era was first read here.
 		restoredAt time.Time
 		// departed holds the last entries of targets that are no longer listed.
 		departed departures
-		// olderConfig is the last version of a configuration of the store that was older
-		// than the one in force.
-		olderConfig int64
 	}
 }
 
@@ -290,8 +290,8 @@
 		if restored || v.publishedDiffers(&p) {
 			v.PublishedChange = change
 		}
-		v.EvacuationEnded = evacuationsEnded(v.EvacuationEnded, v.Evacuated, p.Evacuated, now)
-		v.PublishedState, v.PublishedRevision = p, revision
+		v.Config, v.ChangedAt, v.PublishedRevision = p.Config, p.ChangedAt, revision
+		v.setEvacuated(p.Evacuated, restored, now)
 	})
 	m.logPublished(before, after)
 	if before.PublishedRevision != after.PublishedRevision || before.Config != after.Config {
@@ -337,6 +337,12 @@
 			m.log.Emit(event.DomainEvacuationChanged, zap.String("domain", d), zap.Bool("evacuated", false))
 		}
 	}
+	for d, until := range after.EvacuationRetained {
+		if before.EvacuationRetained[d].IsZero() {
+			m.log.Emit(event.EvacuationRetained, zap.String("domain", d), zap.Duration("at_most", until.Sub(m.now())),
+				zap.Int64("era", after.PublishedRevision.Era), zap.Int64("revision", after.PublishedRevision.Number))
+		}
+	}
 }
 
 // applyTargetsReadAt merges the list of targets at revision, whose reading from source
@@ -367,18 +373,22 @@
 	}
 }
 
-// expireRetained drops the targets whose grace period after an outage has ended.
+// expireRetained drops the targets and evacuations whose grace period after an outage
+// or a new era has ended.
 func (m *Manager) expireRetained() {
 	now := m.now()
-	if targets := m.Current().Targets; len(withoutExpired(targets, now)) == len(targets) {
+	v := m.Current()
+	if len(withoutExpired(v.Targets, now)) == len(v.Targets) && !v.hasExpiredEvacuation(now) {
 		return
 	}
 	before, after := m.update(func(v *View) {
 		targets := withoutExpired(v.Targets, now)
 		m.mu.departed.add(v.Targets, targets, v.TargetsRevision.Era, now)
 		v.Targets = targets
+		v.setEvacuated(v.listedEvacuations(), false, now)
 	})
 	m.logTargets(before, after)
+	m.logPublished(before, after)
 }
 
 func (m *Manager) logTargets(before, after *View) {
--- a/internal/catalog/model_test.go
+++ b/internal/catalog/model_test.go
@@ -9,10 +9,12 @@
 )
 
 // modelState is the state of three instances: the configuration version, the revision
-// up to which it is current, and the revision of its last change.
+// up to which it is current, the revision of its last change, and whether an evacuation
+// is retained.
 type modelState [3]struct {
 	version          int64
 	revision, change deployment.Revision
+	retained         bool
 }
 
 // modelVersions are the configuration versions by store revision. Revision 2 is an
@@ -45,13 +47,17 @@
 
 // manager returns a Manager in the state of instance i.
 func (s *modelState) manager(i int) *Manager {
-	m, _ := newManager()
+	m, c := newManager()
 	m.log = event.Nop()
 	for _, h := range modelHistory {
 		if x := s[i]; h.revision == x.revision {
 			v := *m.Current()
 			v.PublishedState, v.PublishedRevision, v.PublishedChange = published(x.version), x.revision, x.change
-			v.Evacuated = h.published.Evacuated
+			v.setEvacuated(h.published.Evacuated, false, c.read())
+			if x.retained {
+				v.Evacuated["a"] = true
+				v.EvacuationRetained["a"] = c.read().Add(rewritePeriod)
+			}
 			m.view.Store(&v)
 		}
 	}
@@ -61,7 +67,7 @@
 // withManager returns s with the state of instance i taken from m.
 func (s modelState) withManager(i int, m *Manager) modelState {
 	v := m.Current()
-	s[i].version, s[i].revision, s[i].change = v.configVersion(), v.PublishedRevision, v.PublishedChange
+	s[i].version, s[i].revision, s[i].change, s[i].retained = v.configVersion(), v.PublishedRevision, v.PublishedChange, len(v.EvacuationRetained) > 0
 	return s
 }
 
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -195,3 +195,49 @@
 		t.Errorf("after the snapshot of an earlier version: %+v", v)
 	}
 }
+
+// Guards against an evacuation that ends early because the older copy lacks it, and
+// against one that never ends because nobody takes it back again.
+func TestEvacuationThatCopyLacksIsRetainedForLimitedTime(t *testing.T) {
+	at := func(era, number int64) deployment.Revision { return deployment.Revision{Era: era, Number: number} }
+	m, clock := newManager()
+	check := func(when string, want bool) {
+		t.Helper()
+		if got := m.Current().Evacuated["d"]; got != want {
+			t.Errorf("%s: evacuated %t, want %t", when, got, want)
+		}
+	}
+	evacuate := func(revision deployment.Revision, domains ...string) {
+		m.applyPublished(published(1, domains...), revision, revision)
+	}
+	evacuate(at(1, 20), "d")
+	evacuate(at(2, 10))
+	check("after the return", true)
+	if snapshot, err := m.MarshalSnapshot(); err != nil {
+		t.Error(err)
+	} else if other, _ := newManager(); true {
+		other.applySnapshot(snapshot, "peer")
+		if other.Current().Evacuated["d"] {
+			t.Error("what is retained was passed on")
+		}
+	}
+	evacuate(at(2, 11), "e")
+	check("after another change", true)
+	evacuate(at(2, 12), "d", "e")
+	evacuate(at(2, 13), "e")
+	check("taken back after it was written again", false)
+
+	evacuate(at(2, 14), "d")
+	evacuate(at(3, 10))
+	clock.add(rewritePeriod / 2)
+	evacuate(at(4, 10))
+	clock.add(rewritePeriod * 3 / 4)
+	m.expireRetained()
+	check("after a second return", true)
+	clock.add(rewritePeriod / 4)
+	m.expireRetained()
+	check("after the period", false)
+	if end := m.Current().EvacuationEnded["d"]; !end.Equal(clock.read()) {
+		t.Errorf("ended at %s, want %s", end, clock.read())
+	}
+}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -46,18 +46,20 @@
 }
 
 // MarshalSnapshot returns the current view as the JSON of a Snapshot, without
-// retained targets and with the remaining warm-up of each target counted from now.
+// retained targets and evacuations and with the remaining warm-up of each target counted from now.
 func (m *Manager) MarshalSnapshot() ([]byte, error) {
 	v := m.Current()
 	s := Snapshot{Published: v.PublishedState, PublishedRevision: v.PublishedRevision.Number, TargetsRevision: v.TargetsRevision.Number,
 		Targets: make(map[string]*deployment.Target, len(v.Targets))}
+	// Each instance decides by itself what to retain.
+	s.Published.Evacuated = v.listedEvacuations()
 	s.Changes.Published, s.Changes.Targets = v.PublishedChange.Number, v.TargetsChange.Number
 	s.Eras.Published, s.Eras.PublishedChange = v.PublishedRevision.Era, v.PublishedChange.Era
 	s.Eras.Targets, s.Eras.TargetsChange = v.TargetsRevision.Era, v.TargetsChange.Era
 	now := m.now()
 	for id, e := range v.Targets {
 		if e.Retained() {
-			continue // each instance decides by itself what to retain
+			continue
 		}
 		t := e.Target
 		t.WarmupLeft = max(e.WarmupUntil.Sub(now), 0)
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -27,6 +27,10 @@
 // View is an immutable version of the catalog.
 type View struct {
 	deployment.PublishedState
+	// EvacuationRetained holds the domains in Evacuated that the store does not list
+	// since it came back from an older copy, and until when they count; see
+	// rewritePeriod.
+	EvacuationRetained map[string]time.Time
 	// PublishedRevision and TargetsRevision are the store revisions up to which the
 	// published state and the targets are current; zero if never read.
 	PublishedRevision, TargetsRevision deployment.Revision
@@ -149,10 +153,11 @@
 }
 
 // publishedDiffers reports whether p has another configuration version or other
-// evacuated failure domains than v.
+// evacuated failure domains than v. Retained ones do not count, since snapshots do not
+// hold them.
 func (v *View) publishedDiffers(p *deployment.PublishedState) bool {
 	other := View{PublishedState: *p}
-	return v.configVersion() != other.configVersion() || !maps.Equal(v.Evacuated, p.Evacuated)
+	return v.configVersion() != other.configVersion() || !maps.Equal(v.listedEvacuations(), p.Evacuated)
 }
 
 // withoutExpired returns the entries without those retained until now or earlier.
