Log requests whose connection is closed without an answer

A request that was unread when its connection was closed, or that was read and never reached a handler, left no trace; panics went to a log that is discarded.

Event 854 and wigeonhill_intake_unanswered_total count such closes by cause (idle time, number of connections, closed by the server, end of the process, not accepted) and name the request if its head is unread. 407 logs panics of the platform's handler, and 102 says how many connections were open. Nothing is decided differently.

--- a/internal/event/platform.go
+++ b/internal/event/platform.go
@@ -52,4 +52,5 @@
 	IntakeConnectionsUsedUp = define(851, "intake connections used up", zapcore.WarnLevel, "a port has its largest number of connections; new ones took the place of slow or idle ones, or were closed")
 	IntakeClientSlow        = define(852, "intake client slow", zapcore.InfoLevel, "request heads or bodies did not arrive in time; their connections were closed or the requests refused")
 	IntakeHeadTooLong       = define(853, "intake head too long", zapcore.InfoLevel, "request heads exceeded the limit; they were refused")
+	IntakeRequestUnanswered = define(854, "connection closed with a request", zapcore.WarnLevel, "a connection of a client was closed here while a request on it had no answer; cause says why, phase how far the request was, and request is its id if its head was unread. With cause not_accepted, connections were waiting at a listener that was closed")
 )
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -74,6 +74,7 @@
 	g.runningRequests.Add(1)
 	defer g.runningRequests.Add(-1)
 	w, r := ec.Response().Writer, ec.Request()
+	defer g.logPanic(r)
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -110,6 +111,18 @@
 	return nil
 }
 
+// logPanic logs a panic of the handler of r, which then goes on.
+func (g *Gateway) logPanic(r *http.Request) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p != http.ErrAbortHandler {
+		g.Log.Emit(event.PanicRecovered, zap.String("request", r.Header.Get(platform.RequestIDHeader)), zap.Any("panic", p), zap.Stack("stack"))
+	}
+	panic(p)
+}
+
 // readRequest decodes a request and reads its body. The API key is checked before
 // the body is read; the caller of readRequest releases it. The call is never nil, also
 // with an error.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -222,7 +222,7 @@
 	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, i.callers, i.control); err != nil {
 		i.log.Emit(event.DrainTimedOut, zap.Int("running", i.gateway.RunningRequests()), zap.Error(err))
 	}
-	i.log.Emit(event.Stopped)
+	i.log.Emit(event.Stopped, zap.Int("unanswered", i.intake.callers.LogUnanswered()), zap.Int("connections", i.intake.callers.Connections()))
 }
 
 // watchSettings applies the seeds in the settings file after a signal and when
--- a/internal/instance/intake.go
+++ b/internal/instance/intake.go
@@ -9,6 +9,7 @@
 	"github.com/wigeonhill/wigeonhill/internal/deployment"
 	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi"
+	"github.com/wigeonhill/wigeonhill/platform"
 )
 
 const (
@@ -71,6 +72,7 @@
 		}, budget, i.log),
 		ready: small("readiness", otherDescriptors), directory: small("directory", directoryDescriptors), metrics: small("metrics", otherDescriptors),
 	}
+	p.callers.NameRequests(platform.RequestIDHeader)
 	// Connections of instances end by the timeouts of their server.
 	control := intake.Limits{MaxConns: conns(controlDescriptors), HeadTimeout: readHeaderTimeout, BodyTimeout: bodyTimeout}
 	p.control = intake.NewPort("control", func() intake.Limits { return control }, budget, i.log)
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Phases of a connection.
+// Phases of a connection; phaseNames are their names in the log.
 const (
 	phaseHead    int32 = iota // a request head is arriving, or the first is waited for
 	phaseBody                 // the body of a request is arriving
@@ -18,6 +18,8 @@
 	phaseClosed // closed, or about to be; no request may begin
 )
 
+var phaseNames = [...]string{"head", "body", "serving", "idle", "closed"}
+
 const (
 	// headSlack is what is read of a connection beyond a head before the request
 	// begins: net/http reads 4 KiB at a time.
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -7,6 +7,7 @@
 	budgetDesc      = prometheus.NewDesc("wigeonhill_intake_budget_bytes", "Largest value of intake_reserved_bytes.", nil, nil)
 	connectionsDesc = prometheus.NewDesc("wigeonhill_intake_connections", "Open connections of clients by port.", []string{"port"}, nil)
 	refusedDesc     = prometheus.NewDesc("wigeonhill_intake_refused_total", "Connections, heads and bodies that were refused, by port and reason.", []string{"port", "reason"}, nil)
+	unansweredDesc  = prometheus.NewDesc("wigeonhill_intake_unanswered_total", "Connections closed here while a request on them had no answer, by port and cause.", []string{"port", "cause"}, nil)
 )
 
 // collector collects the metrics of a budget and its ports.
@@ -20,7 +21,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{reservedDesc, budgetDesc, connectionsDesc, refusedDesc} {
+	for _, d := range []*prometheus.Desc{reservedDesc, budgetDesc, connectionsDesc, refusedDesc, unansweredDesc} {
 		ch <- d
 	}
 }
@@ -34,5 +35,8 @@
 		for reason, name := range reasonNames {
 			ch <- prometheus.MustNewConstMetric(refusedDesc, prometheus.CounterValue, float64(p.refused[reason].Load()), p.name, name)
 		}
+		for cause, name := range closeCauseNames {
+			ch <- prometheus.MustNewConstMetric(unansweredDesc, prometheus.CounterValue, float64(p.unanswered[cause].Load()), p.name, name)
+		}
 	}
 }
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -85,6 +85,11 @@
 
 	refused  [reasons]atomic.Int64
 	reported [reasons]int64
+
+	// idHeader is the name of the header with the id of a request; empty if the log
+	// does not name requests.
+	idHeader   string
+	unanswered [closeCauses]atomic.Int64
 }
 
 // NewPort returns the intake for the port with the given name, which is used in events
@@ -166,6 +171,10 @@
 // Close stops listening. Connections that are open are still swept.
 func (l *listener) Close() error {
 	l.closed.Store(true)
+	if n := l.waiting(); n > 0 {
+		l.port.unanswered[closedUnaccepted].Add(int64(n))
+		l.port.log.Emit(event.IntakeRequestUnanswered, zap.String("port", l.port.name), zap.Stringer("cause", closedUnaccepted), zap.Int("connections", n))
+	}
 	return l.Listener.Close()
 }
 
@@ -202,6 +211,7 @@
 			return nil
 		}
 		delete(p.conns, victim)
+		victim.logUnanswered(closedForOther)
 		_ = victim.TCPConn.Close()
 	}
 	p.conns[c] = struct{}{}
@@ -304,6 +314,7 @@
 	}
 	p.connMu.Unlock()
 	for _, c := range late {
+		c.logUnanswered(closedAsLate)
 		_ = c.TCPConn.Close()
 	}
 	pressed := p.budget.underPressure()
