--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -35,6 +35,9 @@
 // Draining reports whether the instance is being stopped.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
+// Refusing reports whether new requests are refused because the instance stops.
+func (g *Gateway) Refusing() bool { return g.refusing.Load() }
+
 // RunningRequests returns the number of requests in progress, including those that
 // other instances forwarded.
 func (g *Gateway) RunningRequests() int { return int(g.runningRequests.Load()) }
