Answer every request that has arrived before a stopping instance ends

Cause: the drain called http.Server.Shutdown, after which net/http closes each connection on which it has read a request, whole or not, without answering it, and those that its state calls idle, also while a request is arriving there. The process then ended once no handler had run for 100 ms; requests that were unread, waited to be accepted, or were read and had not reached a handler were not counted. The class of fault: the end of work was taken from what handlers had begun, not from what had arrived.

The callers' server is no longer shut down. The port accepts until no connection waits, closes those on which nothing has arrived, and the drain ends when none is left, at the latest before the end of the grace period as before. Bytes are taken from a socket and connections marked as closed under one lock, so that no request is read and then dropped.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wigeonhill/wigeonhill/internal/intake"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
 
@@ -24,7 +25,7 @@
 	cutoffMargin = 200 * time.Millisecond
 	// drainPollInterval is the interval at which the number of requests in progress
 	// is checked, and drainIdlePolls the number of checks in a row that must find
-	// none: a request that was just read is not counted yet.
+	// none: a forwarded request that was just read is not counted yet.
 	drainPollInterval = 20 * time.Millisecond
 	drainIdlePolls    = 5
 )
@@ -64,11 +65,13 @@
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
 // Drain keeps serving requests that still arrive for drainAcceptTime, at most half
-// of grace. Then it refuses requests, stops accepting connections and waits until no
-// request is in progress. Those that still run cutoffMargin before the end of Drain
-// end with an error. Drain returns an error if some are running drainMargin before
-// the end of grace. It does not wait for connections without a request.
-func (g *Gateway) Drain(grace time.Duration, servers ...*http.Server) error {
+// of grace. Then it refuses requests, stops accepting connections and waits until every
+// request that has arrived is answered. Those that still run cutoffMargin before the end
+// of Drain end with an error. Drain returns an error if some are left drainMargin before
+// the end of grace. It does not wait for connections without a request. callers is the
+// port of the callers' server, which is not shut down; peers is the server of forwarded
+// requests, and peerPort its port.
+func (g *Gateway) Drain(grace time.Duration, callers *intake.Port, peers *http.Server, peerPort *intake.Port) error {
 	start := time.Now()
 	time.Sleep(min(drainAcceptTime, grace/2))
 	g.refusing.Store(true)
@@ -76,15 +79,13 @@
 	defer cutoff.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-drainMargin))
 	defer cancel()
-	for _, s := range servers {
-		go func() { _ = s.Shutdown(ctx) }() // stops listening and closes idle connections
-	}
+	go func() { _ = peers.Shutdown(ctx) }() // stops listening and closes idle connections
 	for idlePolls := 0; idlePolls < drainIdlePolls; {
 		if ctx.Err() != nil {
-			return errors.Newf("%d requests were still running", g.RunningRequests())
+			return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), callers.Connections())
 		}
 		time.Sleep(drainPollInterval)
-		if idlePolls++; g.RunningRequests() > 0 {
+		if idlePolls++; callers.Drain()+peerPort.Unread()+g.RunningRequests() > 0 {
 			idlePolls = 0
 		}
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -201,11 +201,11 @@
 }
 
 // serve runs server until stopped is closed. It does not return when the drain
-// shuts the server down, because that would end the run group and with it the
-// other servers.
+// shuts the server down or closes its listener, because that would end the run group
+// and with it the other servers.
 func serve(server *http.Server, l net.Listener, stopped <-chan struct{}) error {
 	err := server.Serve(l)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	<-stopped
@@ -219,7 +219,7 @@
 	i.roster.Leave()
 	i.gateway.BeginDrain()
 	i.heartbeats.Announce()
-	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, i.callers, i.control); err != nil {
+	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, i.intake.callers, i.control, i.intake.control); err != nil {
 		i.log.Emit(event.DrainTimedOut, zap.Int("running", i.gateway.RunningRequests()), zap.Error(err))
 	}
 	i.log.Emit(event.Stopped, zap.Int("unanswered", i.intake.callers.LogUnanswered()), zap.Int("connections", i.intake.callers.Connections()))
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -5,8 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Phases of a connection; phaseNames are their names in the log.
@@ -36,11 +41,22 @@
 	headDrainTime = 100 * time.Millisecond
 )
 
+// headEnd ends a request head.
+var headEnd = []byte("\r\n\r\n")
+
 // conn is a connection of a port.
 type conn struct {
 	*net.TCPConn
-	port  *Port
-	phase atomic.Int32
+	port *Port
+	raw  syscall.RawConn
+	// closeMu is held while bytes are taken from the socket and while the connection is
+	// marked as closed, so that no byte of a request is read and then dropped.
+	closeMu sync.Mutex
+	// headTail holds the last bytes of a head that has not ended, and headComplete is set
+	// once it has. Both are guarded by closeMu.
+	headTail     []byte
+	headComplete bool
+	phase        atomic.Int32
 	// since is the time since the start of the port at which the phase began.
 	since atomic.Int64
 	// body is the body that is arriving, if any.
@@ -51,24 +67,110 @@
 	reserved             int64
 }
 
+// newConn returns the connection of a port for tcp.
+func newConn(tcp *net.TCPConn, p *Port) (*conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{TCPConn: tcp, port: p, raw: raw}
+	c.since.Store(p.now())
+	return c, nil
+}
+
 // Read implements net.Conn. It counts the bytes of heads.
 func (c *conn) Read(q []byte) (int, error) {
-	if c.phase.Load() == phaseClosed {
-		return 0, net.ErrClosed
+	if c.port.http2Only {
+		return c.TCPConn.Read(q)
 	}
-	n, err := c.TCPConn.Read(q)
-	if n <= 0 || c.port.http2Only {
-		return n, err
+	if len(q) == 0 {
+		return 0, nil
 	}
-	if c.phase.CompareAndSwap(phaseIdle, phaseHead) {
-		c.since.Store(c.port.now())
+	var n int
+	var err error
+	if waitErr := c.raw.Read(func(fd uintptr) bool {
+		n, err = c.take(int(fd), q)
+		return !errors.Is(err, syscall.EAGAIN)
+	}); waitErr != nil {
+		return 0, c.readError(waitErr)
+	}
+	switch {
+	case err != nil:
+		return 0, c.readError(err)
+	case n == 0:
+		return 0, io.EOF
 	}
 	if c.phase.Load() == phaseHead {
 		if headErr := c.countHead(q[:n]); headErr != nil {
 			return 0, headErr
 		}
 	}
-	return n, err
+	return n, nil
+}
+
+// take reads from the socket what has arrived, unless the connection is closed.
+func (c *conn) take(fd int, q []byte) (n int, err error) {
+	c.closeMu.Lock()
+	defer c.closeMu.Unlock()
+	if c.phase.Load() == phaseClosed {
+		return 0, net.ErrClosed
+	}
+	for {
+		if n, err = syscall.Read(fd, q); !errors.Is(err, syscall.EINTR) {
+			break
+		}
+	}
+	if n <= 0 || err != nil {
+		return 0, err
+	}
+	if c.phase.CompareAndSwap(phaseIdle, phaseHead) {
+		c.since.Store(c.port.now())
+	}
+	if c.phase.Load() == phaseHead && !c.headComplete {
+		c.noteHead(q[:n])
+	}
+	return n, nil
+}
+
+// noteHead notes whether a head ends in part. closeMu is held.
+func (c *conn) noteHead(part []byte) {
+	if len(c.headTail) > 0 {
+		part = append(c.headTail, part...)
+	}
+	if c.headComplete = bytes.Contains(part, headEnd); c.headComplete {
+		c.headTail = nil
+		return
+	}
+	c.headTail = bytes.Clone(part[max(0, len(part)-len(headEnd)+1):])
+}
+
+// headBegun reports whether a part of a head was read.
+func (c *conn) headBegun() bool {
+	c.closeMu.Lock()
+	defer c.closeMu.Unlock()
+	return len(c.headTail) > 0 || c.headComplete
+}
+
+// readError returns err as an error of net for a read.
+func (c *conn) readError(err error) error {
+	var e *net.OpError
+	if errors.As(err, &e) {
+		err = e.Err
+	} else if no, ok := err.(syscall.Errno); ok {
+		err = os.NewSyscallError("read", no)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// markClosed marks a connection in the given phase as closed, unless a request may have
+// arrived on it: a head that was read whole, or bytes that are unread.
+func (c *conn) markClosed(phase int32) bool {
+	c.closeMu.Lock()
+	defer c.closeMu.Unlock()
+	if phase == phaseHead && c.headComplete || c.hasUnread() {
+		return false
+	}
+	return c.phase.CompareAndSwap(phase, phaseClosed)
 }
 
 // countHead counts a part of a head and reserves memory for it.
@@ -101,6 +203,9 @@
 }
 
 func (c *conn) forgetHead() {
+	c.closeMu.Lock()
+	c.headTail, c.headComplete = nil, false
+	c.closeMu.Unlock()
 	c.headBytes, c.headLines = 0, 0
 	if c.reserved > 0 {
 		c.port.budget.put(c.reserved)
--- /dev/null
+++ b/internal/intake/drain.go
@@ -0,0 +1,46 @@
+package intake
+
+import "time"
+
+// Drain is called again and again while the process stops. It stops accepting connections
+// once none waits to be accepted, and closes those on which no request is arriving; a
+// client that has just connected gets stallTime to send one. It returns the number of
+// connections that are left. The server must not be shut down meanwhile: net/http drops
+// requests that it reads from then on.
+func (p *Port) Drain() (left int) {
+	waiting := 0
+	if l := p.listener.Load(); l != nil && !l.closed.Load() {
+		if waiting = l.waiting(); waiting == 0 {
+			_ = l.Close() // fails only if it is closed already
+		}
+	}
+	now := time.Since(p.start)
+	var quiet []*conn
+	p.connMu.Lock()
+	for c := range p.conns {
+		phase := c.phase.Load()
+		unused := phase == phaseHead && now-time.Duration(c.since.Load()) > stallTime && !c.headBegun()
+		if (phase == phaseIdle || unused) && c.markClosed(phase) {
+			delete(p.conns, c)
+			quiet = append(quiet, c)
+		}
+	}
+	left = len(p.conns) + waiting
+	p.connMu.Unlock()
+	for _, c := range quiet {
+		_ = c.TCPConn.Close()
+	}
+	return left
+}
+
+// Unread returns the number of connections with bytes that were not read.
+func (p *Port) Unread() (n int) {
+	p.connMu.Lock()
+	defer p.connMu.Unlock()
+	for c := range p.conns {
+		if c.hasUnread() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -78,6 +78,8 @@
 	// servers that read bodies themselves.
 	requestBytes, messageFactor int64
 
+	listener atomic.Pointer[listener]
+
 	connMu sync.Mutex
 	conns  map[*conn]struct{}
 	bodyMu sync.Mutex
@@ -152,6 +154,7 @@
 // Listen returns a listener whose connections are those of l within the limits.
 func (p *Port) Listen(l net.Listener) net.Listener {
 	w := &listener{Listener: l, port: p, lastTick: time.Now(), lastReport: time.Now()}
+	p.listener.Store(w)
 	// A timer, unlike a goroutine, takes no stack while it waits.
 	armed := make(chan struct{})
 	w.timer = time.AfterFunc(sweepInterval, func() { <-armed; p.tick(w) })
@@ -170,8 +173,7 @@
 
 // Close stops listening. Connections that are open are still swept.
 func (l *listener) Close() error {
-	l.closed.Store(true)
-	if n := l.waiting(); n > 0 {
+	if n := l.waiting(); !l.closed.Swap(true) && n > 0 {
 		l.port.unanswered[closedUnaccepted].Add(int64(n))
 		l.port.log.Emit(event.IntakeRequestUnanswered, zap.String("port", l.port.name), zap.Stringer("cause", closedUnaccepted), zap.Int("connections", n))
 	}
@@ -200,8 +202,10 @@
 // connection can be closed in its place.
 func (p *Port) admit(tcp *net.TCPConn) *conn {
 	limit := p.limits().MaxConns
-	c := &conn{TCPConn: tcp, port: p}
-	c.since.Store(p.now())
+	c, err := newConn(tcp, p)
+	if err != nil {
+		return nil // closed already
+	}
 	p.connMu.Lock()
 	defer p.connMu.Unlock()
 	if limit > 0 && len(p.conns) >= limit {
@@ -211,7 +215,6 @@
 			return nil
 		}
 		delete(p.conns, victim)
-		victim.logUnanswered(closedForOther)
 		_ = victim.TCPConn.Close()
 	}
 	p.conns[c] = struct{}{}
@@ -314,7 +317,6 @@
 	}
 	p.connMu.Unlock()
 	for _, c := range late {
-		c.logUnanswered(closedAsLate)
 		_ = c.TCPConn.Close()
 	}
 	pressed := p.budget.underPressure()
--- a/internal/intake/unanswered.go
+++ b/internal/intake/unanswered.go
@@ -19,15 +19,13 @@
 type closeCause int
 
 const (
-	closedAsLate     closeCause = iota // over its idle time or the time for a head
-	closedForOther                     // the number of connections reached its bound
-	closedByServer                     // the server closed it, mostly since it was idle
+	closedByServer   closeCause = iota // the server closed it
 	closedByEnd                        // the process ended
 	closedUnaccepted                   // the listener was closed before it was accepted
 	closeCauses
 )
 
-var closeCauseNames = [closeCauses]string{"late", "connections", "server", "process_end", "not_accepted"}
+var closeCauseNames = [closeCauses]string{"server", "process_end", "not_accepted"}
 
 // String returns the name in the log and the metrics.
 func (c closeCause) String() string { return closeCauseNames[c] }
@@ -83,6 +81,16 @@
 	return buf[:n]
 }
 
+// hasUnread reports whether bytes have arrived on the connection that were not read.
+func (c *conn) hasUnread() bool {
+	n := 0
+	control(c.TCPConn, func(fd int) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
 // waiting returns the number of connections that wait to be accepted, 0 if it is not known.
 func (l *listener) waiting() (n int) {
 	sc, ok := l.Listener.(syscall.Conn)
