Keep connections open on which a request waits to be read

Callers could find a kept connection closed under a request that had arrived before: it was over its idle time, or had to make room for another connection.

Cause: the port took a connection for idle, or a head for unfinished, until its goroutine had read the next bytes. On an instance short of processor time that takes seconds. A configuration that shortens the idle time, or many new connections, close several at once.

What waits in the socket now counts as having arrived, and so does a head that was read whole and has not reached its handler. If all connections are in use in this sense, the new one is refused, unread.

--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -27,6 +27,8 @@
 	// missedSweep is the time between two sweeps from which on the process counts as
 	// having been paused; what clients have sent meanwhile was not read.
 	missedSweep = 2 * time.Second
+	// maxVictims bounds the connections that are tried to make room for one.
+	maxVictims = 8
 )
 
 // Limits bound what the clients of a port may take.
@@ -222,14 +224,18 @@
 }
 
 // victim marks a connection as closed and returns it: one with a slow head, a stalled
-// body, the one that is idle longest, or one with any head, in this order. connMu is
-// held.
+// body, the one that is idle longest, or one with any head, in this order. None is one on
+// which a whole request may have arrived. connMu is held.
 func (p *Port) victim() *conn {
 	now := time.Since(p.start)
-	for range 3 { // the state of the one chosen may change at the same moment
+	tried := map[*conn]bool{}
+	for range maxVictims {
 		var best *conn
 		bestRank, bestSince := 0, int64(0)
 		for c := range p.conns {
+			if tried[c] {
+				continue
+			}
 			rank, since := 0, c.since.Load()
 			switch phase := c.phase.Load(); {
 			case phase == phaseHead && now-time.Duration(since) > stallTime:
@@ -249,9 +255,10 @@
 			return nil
 		}
 		phase := [...]int32{phaseClosed, phaseHead, phaseIdle, phaseBody, phaseHead}[bestRank]
-		if best.phase.CompareAndSwap(phase, phaseClosed) {
+		if phase == phaseBody && best.phase.CompareAndSwap(phase, phaseClosed) || phase != phaseBody && best.markClosed(phase) {
 			return best
 		}
+		tried[best] = true
 	}
 	return nil
 }
@@ -306,7 +313,7 @@
 		age, phase := now-time.Duration(c.since.Load()), c.phase.Load()
 		slow := phase == phaseHead && limits.HeadTimeout > 0 && age > limits.HeadTimeout
 		if slow || phase == phaseIdle && limits.IdleTimeout > 0 && age > limits.IdleTimeout {
-			if c.phase.CompareAndSwap(phase, phaseClosed) {
+			if c.markClosed(phase) {
 				delete(p.conns, c)
 				late = append(late, c)
 				if slow {
