End requests earlier in a stopping process that wakes up late

Cause: the times of a drain counted from when the process noticed the signal, up to two seconds after it was sent, so that SIGKILL came before the requests that still ran were ended; and ending hundreds of them takes longer there than the fixed 200 ms.

Drain measures by how much its own sleeps are too long and takes twice that from the times: once for the signal, once for the answers. Without such a lag they are as before.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -14,8 +14,8 @@
 var errCutOff = errors.New("the instance stopped before the request ended")
 
 const (
-	// drainAcceptTime is how long new requests are served after BeginDrain: longer
-	// than directory responses may be cached.
+	// drainAcceptTime is how long new requests are served after BeginDrain, but at most
+	// half of the grace period: longer than directory responses may be cached.
 	drainAcceptTime = 2800 * time.Millisecond
 	// drainMargin is the part of the grace period that is left for the process to
 	// exit before it is killed.
@@ -64,27 +64,50 @@
 // connections.
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
-// Drain keeps serving requests that still arrive for drainAcceptTime, at most half
-// of grace. Then it refuses requests, stops accepting connections and waits until every
-// request that has arrived is answered. Those that still run cutoffMargin before the end
-// of Drain end with an error. Drain returns an error if some are left drainMargin before
-// the end of grace. It does not wait for connections without a request. callers is the
-// port of the callers' server, which is not shut down; peers is the server of forwarded
-// requests, and peerPort its port.
+// drainTimes returns the times after the start of a drain at which the requests that still
+// run are ended, and at which it gives up those that are left. lag is by how much the
+// process has woken up late at worst: the signal may have been noticed that late, and the
+// ends of requests take as long.
+func drainTimes(grace, lag time.Duration) (cutoff, end time.Duration) {
+	end = grace - drainMargin - lag
+	return max(end-cutoffMargin-lag, acceptTime(grace)), end
+}
+
+// acceptTime returns how long new requests are served after BeginDrain.
+func acceptTime(grace time.Duration) time.Duration { return min(drainAcceptTime, grace/2) }
+
+// sleepForPoll sleeps for drainPollInterval and returns by how much longer it took.
+func sleepForPoll() time.Duration {
+	begun := time.Now()
+	time.Sleep(drainPollInterval)
+	return time.Since(begun) - drainPollInterval
+}
+
+// Drain keeps serving requests that still arrive for acceptTime. Then it refuses
+// requests, stops accepting connections and waits until every request that has arrived is
+// answered. Those that still run at the cutoff of drainTimes end with an error. Drain
+// returns an error if some are left at the end. It does not wait for connections without a
+// request. callers is the port of the callers' server, which is not shut down; peers is
+// the server of forwarded requests, and peerPort its port.
 func (g *Gateway) Drain(grace time.Duration, callers *intake.Port, peers *http.Server, peerPort *intake.Port) error {
 	start := time.Now()
-	time.Sleep(min(drainAcceptTime, grace/2))
+	var lag time.Duration
+	for time.Since(start) < acceptTime(grace) {
+		lag = max(lag, sleepForPoll())
+	}
 	g.refusing.Store(true)
-	cutoff := time.AfterFunc(time.Until(start.Add(grace-drainMargin-cutoffMargin)), g.cutOff)
-	defer cutoff.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-drainMargin))
 	defer cancel()
 	go func() { _ = peers.Shutdown(ctx) }() // stops listening and closes idle connections
 	for idlePolls := 0; idlePolls < drainIdlePolls; {
-		if ctx.Err() != nil {
+		lag = max(lag, sleepForPoll())
+		cutoff, end := drainTimes(grace, lag)
+		if time.Since(start) > cutoff {
+			g.cutOff()
+		}
+		if time.Since(start) > end {
 			return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), callers.Connections())
 		}
-		time.Sleep(drainPollInterval)
 		if idlePolls++; callers.Drain()+peerPort.Unread()+g.RunningRequests() > 0 {
 			idlePolls = 0
 		}
