Close connections with responses that begin after a stop has begun

Cause: whether a response says Connection: close was decided when its request began.

It is decided when the head of the response is written. Streams whose head was written before the stop still end on a connection that stays open until the drain closes it.

Evidence: instance TestResponseAfterStopClosesConnection failed before (no Connection field) and passes.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -75,9 +75,6 @@
 	defer g.runningRequests.Add(-1)
 	w, r := ec.Response().Writer, ec.Request()
 	defer g.logPanic(r)
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c, body, err := g.readRequest(w, r)
 	defer body.Release()
 	if err == nil {
@@ -98,7 +95,7 @@
 	ctx, stop := g.untilCutoff(ctx)
 	defer stop()
 	g.RetryBudget.RecordRequest(c.service)
-	s := &callerSink{w: w, rc: http.NewResponseController(w)}
+	s := &callerSink{gateway: g, w: w, rc: http.NewResponseController(w)}
 	_ = s.rc.SetWriteDeadline(c.deadline.Add(writeMargin)) // some writers do not support it; then only the context applies
 	d := &delivery{sink: s}
 	defer d.close()
@@ -261,6 +258,7 @@
 	if r.Context().Err() != nil && e.Code != result.MemoryLimitReached && e.Code != result.CallerTooSlow {
 		panic(http.ErrAbortHandler) // the caller closed the connection
 	}
+	g.announceClose(w.Header())
 	platform.SetErrorHeaders(w.Header(), c.ID, e.RetryAfter)
 	w.Header().Set("Content-Type", "text/plain")
 	text := e.Code.String() + ": " + e.Message + "\n"
@@ -305,10 +303,18 @@
 	return event.RequestRefused
 }
 
+// announceClose makes a response close its connection if the instance is being stopped.
+func (g *Gateway) announceClose(h http.Header) {
+	if g.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // callerSink writes a response to the caller.
 type callerSink struct {
-	w  http.ResponseWriter
-	rc *http.ResponseController
+	gateway *Gateway
+	w       http.ResponseWriter
+	rc      *http.ResponseController
 }
 
 // Head implements sink.
@@ -320,6 +326,7 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	s.gateway.announceClose(h)
 	s.w.WriteHeader(status)
 	return nil
 }
--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -109,6 +109,37 @@
 	}
 }
 
+// Guards against a client that keeps a connection of a stopping instance because its
+// request began before the stop.
+func TestResponseAfterStopClosesConnection(t *testing.T) {
+	d := newTestDeployment(t)
+	d.publishConfig(nil)
+	target, arrived, answer := newFakeTarget(t, "t-1"), make(chan struct{}), make(chan struct{})
+	target.setHandler(func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get("X-Request-Id") == "second" {
+			close(arrived)
+			<-answer
+		}
+		return false
+	})
+	d.listTarget(target, "a", "ready", 1)
+	inst := d.startInstance("a")
+	eventually(t, "the target is reached", func() bool { return sendRequest("GET", inst.url("/safe/x"), nil).status == http.StatusOK })
+	conn, err := net.Dial("tcp", inst.settings.Listen.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	writeText(t, conn, rawRequest("second"))
+	<-arrived
+	inst.cancel()
+	eventually(t, "the instance stops", inst.gateway.Draining)
+	close(answer)
+	if res, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || res.StatusCode != http.StatusOK || !res.Close {
+		t.Errorf("%+v, %v", res, err)
+	}
+}
+
 func rawRequest(id string) string {
 	return fmt.Sprintf("GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 6000\r\nApi-Key: key-of-the-hotel\r\n\r\n", id)
 }
