Answer requests whose handler panics on the platform

The handler answers with internal_fault, as that of serve does, unless the response has begun, and logs event 407.

Evidence: instance TestPanicIsAnsweredAndLogged failed before (closed connection) and passes.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -74,7 +74,9 @@
 	g.runningRequests.Add(1)
 	defer g.runningRequests.Add(-1)
 	w, r := ec.Response().Writer, ec.Request()
-	defer g.logPanic(r)
+	var c *call
+	var d *delivery
+	defer func() { g.recoverPanic(recover(), w, r, c, d) }()
 	c, body, err := g.readRequest(w, r)
 	defer body.Release()
 	if err == nil {
@@ -97,7 +99,7 @@
 	g.RetryBudget.RecordRequest(c.service)
 	s := &callerSink{gateway: g, w: w, rc: http.NewResponseController(w)}
 	_ = s.rc.SetWriteDeadline(c.deadline.Add(writeMargin)) // some writers do not support it; then only the context applies
-	d := &delivery{sink: s}
+	d = &delivery{sink: s}
 	defer d.close()
 	err = g.serveCall(ctx, c, d)
 	if err != nil && team != nil && result.FromError(err).Ran == result.NotRun {
@@ -108,16 +110,21 @@
 	return nil
 }
 
-// logPanic logs a panic of the handler of r, which then goes on.
-func (g *Gateway) logPanic(r *http.Request) {
-	p := recover()
+// recoverPanic turns p, the value of a panic or nil, into an error response if the
+// response has not begun. It passes http.ErrAbortHandler on to net/http. c is nil if the
+// request was not decoded, d if it was not dispatched.
+func (g *Gateway) recoverPanic(p any, w http.ResponseWriter, r *http.Request, c *call, d *delivery) {
 	if p == nil {
 		return
 	}
-	if p != http.ErrAbortHandler {
-		g.Log.Emit(event.PanicRecovered, zap.String("request", r.Header.Get(platform.RequestIDHeader)), zap.Any("panic", p), zap.Stack("stack"))
+	if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
 	}
-	panic(p)
+	g.Log.Emit(event.PanicRecovered, zap.String("request", r.Header.Get(platform.RequestIDHeader)), zap.Any("panic", p), zap.Stack("stack"))
+	if c == nil || d != nil && d.started {
+		panic(http.ErrAbortHandler)
+	}
+	g.writeErrorResponse(w, r, c, result.New(result.InternalError, result.MayHaveRun, "internal fault"))
 }
 
 // readRequest decodes a request and reads its body. The API key is checked before
