Refuse a body that ends as it is refused

A body that was refused ends with the refusal, also if it is complete.

Evidence: intake TestBodyThatEndsAsItIsRefusedDoesNotRun failed before (the body was delivered) and passes.

--- a/internal/intake/kept_test.go
+++ b/internal/intake/kept_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Guards against a request that has arrived on a connection that is closed since the
@@ -58,3 +61,15 @@
 		})
 	}
 }
+
+// Guards against a request that runs and loses its answer because the last bytes of its
+// body arrive as the body is refused.
+func TestBodyThatEndsAsItIsRefusedDoesNotRun(t *testing.T) {
+	p := NewPort("test", func() Limits { return Limits{} }, nil, nil)
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body"))
+	b := p.track(httptest.NewRecorder(), r, nil)
+	b.refusal.Store(int32(refusedSlow) + 1)
+	if body, err := ReadBody(b, r.ContentLength, 100, NewBudget(0)); !errors.Is(err, ErrTooSlow) || len(body.Bytes) > 0 {
+		t.Errorf("%q, %v", body.Bytes, err)
+	}
+}
--- a/internal/intake/tracked.go
+++ b/internal/intake/tracked.go
@@ -94,6 +94,11 @@
 		if b.conn != nil {
 			b.conn.phase.CompareAndSwap(phaseBody, phaseServing)
 		}
+		// The body was refused as its last bytes arrived. Its reads have been interrupted,
+		// which net/http takes for the end of the connection: nothing may run for it.
+		if refusal := b.refusalError(); refusal != nil {
+			return n, refusal
+		}
 	case err != nil:
 		if refusal := b.refusalError(); refusal != nil {
 			return n, refusal
