Close a connection only while its reader waits for bytes

A request that had arrived could still lose its connection: its body counted as stalled at the bound of connections although it had arrived and the handler was late; it was pipelined and in net/http's buffer; its head ended with bare line feeds. And a head after blank lines escaped its time and the bound, since the blank lines were taken for its end.

Cause: what had arrived was guessed from bytes in the socket and a search for the end of the head, which are not what net/http goes by.

The reader of a connection says whether it waits for bytes. A connection may be closed only while it does and none has arrived; then everything before has been handled. The search for the end of heads is gone.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -41,9 +41,6 @@
 	headDrainTime = 100 * time.Millisecond
 )
 
-// headEnd ends a request head.
-var headEnd = []byte("\r\n\r\n")
-
 // conn is a connection of a port.
 type conn struct {
 	*net.TCPConn
@@ -52,11 +49,11 @@
 	// closeMu is held while bytes are taken from the socket and while the connection is
 	// marked as closed, so that no byte of a request is read and then dropped.
 	closeMu sync.Mutex
-	// headTail holds the last bytes of a head that has not ended, and headComplete is set
-	// once it has. Both are guarded by closeMu.
-	headTail     []byte
-	headComplete bool
-	phase        atomic.Int32
+	// waiting is set while the reader waits for bytes, which also means that all earlier
+	// ones have been handled, and headBegun while a part of a head has been read. Both
+	// are guarded by closeMu.
+	waiting, headBegun bool
+	phase              atomic.Int32
 	// since is the time since the start of the port at which the phase began.
 	since atomic.Int64
 	// body is the body that is arriving, if any.
@@ -80,9 +77,6 @@
 
 // Read implements net.Conn. It counts the bytes of heads.
 func (c *conn) Read(q []byte) (int, error) {
-	if c.port.http2Only {
-		return c.TCPConn.Read(q)
-	}
 	if len(q) == 0 {
 		return 0, nil
 	}
@@ -100,7 +94,7 @@
 	case n == 0:
 		return 0, io.EOF
 	}
-	if c.phase.Load() == phaseHead {
+	if c.phase.Load() == phaseHead && !c.port.http2Only {
 		if headErr := c.countHead(q[:n]); headErr != nil {
 			return 0, headErr
 		}
@@ -120,37 +114,17 @@
 			break
 		}
 	}
-	if n <= 0 || err != nil {
-		return 0, err
+	c.waiting = errors.Is(err, syscall.EAGAIN)
+	if n <= 0 || err != nil || c.port.http2Only {
+		return max(n, 0), err
 	}
 	if c.phase.CompareAndSwap(phaseIdle, phaseHead) {
 		c.since.Store(c.port.now())
 	}
-	if c.phase.Load() == phaseHead && !c.headComplete {
-		c.noteHead(q[:n])
-	}
+	c.headBegun = c.phase.Load() == phaseHead
 	return n, nil
 }
 
-// noteHead notes whether a head ends in part. closeMu is held.
-func (c *conn) noteHead(part []byte) {
-	if len(c.headTail) > 0 {
-		part = append(c.headTail, part...)
-	}
-	if c.headComplete = bytes.Contains(part, headEnd); c.headComplete {
-		c.headTail = nil
-		return
-	}
-	c.headTail = bytes.Clone(part[max(0, len(part)-len(headEnd)+1):])
-}
-
-// headBegun reports whether a part of a head was read.
-func (c *conn) headBegun() bool {
-	c.closeMu.Lock()
-	defer c.closeMu.Unlock()
-	return len(c.headTail) > 0 || c.headComplete
-}
-
 // readError returns err as an error of net for a read.
 func (c *conn) readError(err error) error {
 	var e *net.OpError
@@ -162,15 +136,25 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 }
 
-// markClosed marks a connection in the given phase as closed, unless a request may have
-// arrived on it: a head that was read whole, or bytes that are unread.
+// markClosed marks a connection in the given phase as closed, unless bytes have arrived on
+// it that were not handled yet.
 func (c *conn) markClosed(phase int32) bool {
 	c.closeMu.Lock()
 	defer c.closeMu.Unlock()
-	if phase == phaseHead && c.headComplete || c.hasUnread() {
-		return false
-	}
-	return c.phase.CompareAndSwap(phase, phaseClosed)
+	return c.waiting && !c.hasUnread() && c.phase.CompareAndSwap(phase, phaseClosed)
+}
+
+// markUnused is markClosed for a connection on which no request is arriving: one that is
+// idle, or on which nothing has arrived for stallTime since it was opened.
+func (c *conn) markUnused(now time.Duration) bool {
+	phase := c.phase.Load()
+	if phase == phaseHead {
+		c.closeMu.Lock()
+		arriving := c.headBegun || now-time.Duration(c.since.Load()) <= stallTime
+		c.closeMu.Unlock()
+		return !arriving && c.markClosed(phase)
+	}
+	return phase == phaseIdle && c.markClosed(phase)
 }
 
 // countHead counts a part of a head and reserves memory for it.
@@ -203,9 +187,6 @@
 }
 
 func (c *conn) forgetHead() {
-	c.closeMu.Lock()
-	c.headTail, c.headComplete = nil, false
-	c.closeMu.Unlock()
 	c.headBytes, c.headLines = 0, 0
 	if c.reserved > 0 {
 		c.port.budget.put(c.reserved)
@@ -220,7 +201,7 @@
 	if hasBody {
 		phase = phaseBody
 	}
-	return c.phase.CompareAndSwap(phaseHead, phase) || c.phase.CompareAndSwap(phaseIdle, phase) || c.phase.CompareAndSwap(phaseHead, phase)
+	return c.phase.CompareAndSwap(phaseServing, phase)
 }
 
 // stalled reports whether nothing of the body has arrived for stallTime.
@@ -234,10 +215,16 @@
 	switch state {
 	case http.StateActive:
 		// HTTP/1.1 connections become active after a head was read; see begin.
-		if c.port.http2Only && !c.phase.CompareAndSwap(phaseIdle, phaseServing) {
+		if !c.phase.CompareAndSwap(phaseIdle, phaseServing) {
 			c.phase.CompareAndSwap(phaseHead, phaseServing)
 		}
 	case http.StateIdle:
+		c.closeMu.Lock()
+		c.headBegun = false
+		// The reader of an HTTP/2 connection goes on waiting; that of others may find the
+		// next request in its buffer.
+		c.waiting = c.waiting && c.port.http2Only
+		c.closeMu.Unlock()
 		c.forgetHead()
 		c.since.Store(c.port.now())
 		if c.phase.Load() != phaseClosed {
--- a/internal/intake/drain.go
+++ b/internal/intake/drain.go
@@ -18,9 +18,7 @@
 	var quiet []*conn
 	p.connMu.Lock()
 	for c := range p.conns {
-		phase := c.phase.Load()
-		unused := phase == phaseHead && now-time.Duration(c.since.Load()) > stallTime && !c.headBegun()
-		if (phase == phaseIdle || unused) && c.markClosed(phase) {
+		if c.markUnused(now) {
 			delete(p.conns, c)
 			quiet = append(quiet, c)
 		}
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -225,7 +225,7 @@
 
 // victim marks a connection as closed and returns it: one with a slow head, a stalled
 // body, the one that is idle longest, or one with any head, in this order. None is one on
-// which a whole request may have arrived. connMu is held.
+// which bytes wait to be handled. connMu is held.
 func (p *Port) victim() *conn {
 	now := time.Since(p.start)
 	tried := map[*conn]bool{}
@@ -255,7 +255,7 @@
 			return nil
 		}
 		phase := [...]int32{phaseClosed, phaseHead, phaseIdle, phaseBody, phaseHead}[bestRank]
-		if phase == phaseBody && best.phase.CompareAndSwap(phase, phaseClosed) || phase != phaseBody && best.markClosed(phase) {
+		if best.markClosed(phase) {
 			return best
 		}
 		tried[best] = true
--- a/internal/intake/unanswered.go
+++ b/internal/intake/unanswered.go
@@ -91,7 +91,8 @@
 	return n > 0
 }
 
-// waiting returns the number of connections that wait to be accepted, 0 if it is not known.
+// waiting returns the number of connections that wait to be accepted, at least 1 if there
+// are any.
 func (l *listener) waiting() (n int) {
 	sc, ok := l.Listener.(syscall.Conn)
 	if !ok {
@@ -102,6 +103,9 @@
 		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == unix.BPF_TCP_LISTEN {
 			n = int(info.Unacked)
 		}
+		if ready, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0); err == nil {
+			n = max(n, ready)
+		}
 	})
 	return n
 }
