Take the age of new connections from the clock

A client that had just connected to a stopping instance could find its connection closed at once, not after the second that it has to send a request.

Evidence: intake TestNewConnectionIsNotOlderThanItIs failed before (closed without an answer) and passes.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -71,7 +71,7 @@
 		return nil, err
 	}
 	c := &conn{TCPConn: tcp, port: p, raw: raw}
-	c.since.Store(p.now())
+	c.since.Store(int64(time.Since(p.start)))
 	return c, nil
 }
 
--- a/internal/intake/kept_test.go
+++ b/internal/intake/kept_test.go
@@ -115,6 +115,25 @@
 	waitFor(t, func() bool { return p.Connections() == 0 })
 }
 
+// Guards against a client that has just connected and is taken for one that has been
+// silent since the last sweep, which is late.
+func TestNewConnectionIsNotOlderThanItIs(t *testing.T) {
+	p := NewPort("test", func() Limits { return Limits{} }, nil, nil)
+	p.start = p.start.Add(-2 * stallTime)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	p.Configure(s.Config)
+	s.Listener = p.Listen(s.Listener)
+	s.Start()
+	defer s.Close()
+	conn, r := dial(t, s.Listener.Addr().String(), "")
+	waitFor(t, func() bool { return p.Connections() == 1 })
+	p.Drain()
+	if _, err := io.WriteString(conn, get); err != nil {
+		t.Fatal(err)
+	}
+	expectStatus(t, r, http.StatusOK)
+}
+
 // Guards against a request that runs and loses its answer because the last bytes of its
 // body arrive as the body is refused.
 func TestBodyThatEndsAsItIsRefusedDoesNotRun(t *testing.T) {
