Answer requests that have arrived at the directory of a stopping instance

The drain ends the directory's port in the same way, last.

Evidence: the case of TestStopAnswersRequestsThatHaveArrived for the directory failed before (unexpected EOF) and passes.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -83,13 +83,21 @@
 	return time.Since(begun) - drainPollInterval
 }
 
+// Drained is what Drain ends.
+type Drained struct {
+	// Callers and Directory are the ports of servers that are not shut down.
+	Callers, Directory *intake.Port
+	// Peers is the server of forwarded requests, and PeerPort its port.
+	Peers    *http.Server
+	PeerPort *intake.Port
+}
+
 // Drain keeps serving requests that still arrive for acceptTime. Then it refuses
 // requests, stops accepting connections and waits until every request that has arrived is
 // answered. Those that still run at the cutoff of drainTimes end with an error. Drain
 // returns an error if some are left at the end. It does not wait for connections without a
-// request. callers is the port of the callers' server, which is not shut down; peers is
-// the server of forwarded requests, and peerPort its port.
-func (g *Gateway) Drain(grace time.Duration, callers *intake.Port, peers *http.Server, peerPort *intake.Port) error {
+// request. The directory answers until no request is left.
+func (g *Gateway) Drain(grace time.Duration, d Drained) error {
 	start := time.Now()
 	var lag time.Duration
 	for time.Since(start) < acceptTime(grace) {
@@ -98,7 +106,7 @@
 	g.refusing.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-drainMargin))
 	defer cancel()
-	go func() { _ = peers.Shutdown(ctx) }() // stops listening and closes idle connections
+	go func() { _ = d.Peers.Shutdown(ctx) }() // stops listening and closes idle connections
 	for idlePolls := 0; idlePolls < drainIdlePolls; {
 		lag = max(lag, sleepForPoll())
 		cutoff, end := drainTimes(grace, lag)
@@ -106,9 +114,13 @@
 			g.cutOff()
 		}
 		if time.Since(start) > end {
-			return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), callers.Connections())
+			return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), d.Callers.Connections())
+		}
+		left := d.Callers.Drain() + d.PeerPort.Unread() + g.RunningRequests()
+		if left == 0 {
+			left = d.Directory.Drain()
 		}
-		if idlePolls++; callers.Drain()+peerPort.Unread()+g.RunningRequests() > 0 {
+		if idlePolls++; left > 0 {
 			idlePolls = 0
 		}
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -219,7 +219,8 @@
 	i.roster.Leave()
 	i.gateway.BeginDrain()
 	i.heartbeats.Announce()
-	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, i.intake.callers, i.control, i.intake.control); err != nil {
+	drained := gateway.Drained{Callers: i.intake.callers, Directory: i.intake.directory, Peers: i.control, PeerPort: i.intake.control}
+	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, drained); err != nil {
 		i.log.Emit(event.DrainTimedOut, zap.Int("running", i.gateway.RunningRequests()), zap.Error(err))
 	}
 	i.log.Emit(event.Stopped, zap.Int("unanswered", i.intake.callers.LogUnanswered()), zap.Int("connections", i.intake.callers.Connections()))
--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -32,6 +32,8 @@
 	change func(i *Instance, release <-chan struct{})
 	// kept is set if a response has been received on the connection before.
 	kept bool
+	// directory is set if the request is one for the directory.
+	directory bool
 	// early is the part of the request that is sent before the instance stops.
 	early float64
 }
@@ -39,6 +41,7 @@
 var stopCases = []stopCase{
 	{name: "part of the head has arrived on a new connection", early: 0.5},
 	{name: "part of the head has arrived on a kept connection", kept: true, early: 0.5},
+	{name: "part of the head has arrived at the directory", directory: true, early: 0.5},
 	{name: "not accepted", early: 1, change: func(i *Instance, release <-chan struct{}) {
 		accept := make(chan struct{})
 		go func() { <-release; close(accept) }()
@@ -84,7 +87,11 @@
 				}
 			})
 			eventually(t, "the instance knows the target", func() bool { return len(inst.catalog.Current().Targets) == 1 })
-			conn, err := net.Dial("tcp", inst.settings.Listen.Callers)
+			address, request := inst.settings.Listen.Callers, rawRequest("second")
+			if c.directory {
+				address, request = inst.settings.Listen.Directory, "GET /resolve?name=shop.example&region=east&zone=a HTTP/1.1\r\nHost: x\r\n\r\n"
+			}
+			conn, err := net.Dial("tcp", address)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -95,7 +102,6 @@
 				writeText(t, conn, rawRequest("first"))
 				expectAnswer(t, responses)
 			}
-			request := rawRequest("second")
 			early := int(c.early * float64(len(request)))
 			writeText(t, conn, request[:early])
 			inst.cancel()
