Refuse requests earlier in a stopping process that wakes up late

Cause: the 2.8 s in which new requests are served counted from when the process noticed the signal, a second or more after it was sent.

The lag that Drain measures is taken from it too.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -64,18 +64,16 @@
 // connections.
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
-// drainTimes returns the times after the start of a drain at which the requests that still
-// run are ended, and at which it gives up those that are left. lag is by how much the
-// process has woken up late at worst: the signal may have been noticed that late, and the
-// ends of requests take as long.
-func drainTimes(grace, lag time.Duration) (cutoff, end time.Duration) {
+// drainTimes returns the times after the start of a drain at which new requests are
+// refused, at which the requests that still run are ended, and at which those that are left
+// are given up. lag is by how much the process has woken up late at worst: the signal may
+// have been noticed that late, and the ends of requests take as long.
+func drainTimes(grace, lag time.Duration) (refuse, cutoff, end time.Duration) {
+	refuse = max(min(drainAcceptTime, grace/2)-lag, 0)
 	end = grace - drainMargin - lag
-	return max(end-cutoffMargin-lag, acceptTime(grace)), end
+	return refuse, max(end-cutoffMargin-lag, refuse), end
 }
 
-// acceptTime returns how long new requests are served after BeginDrain.
-func acceptTime(grace time.Duration) time.Duration { return min(drainAcceptTime, grace/2) }
-
 // sleepForPoll sleeps for drainPollInterval and returns by how much longer it took.
 func sleepForPoll() time.Duration {
 	begun := time.Now()
@@ -92,15 +90,18 @@
 	PeerPort *intake.Port
 }
 
-// Drain keeps serving requests that still arrive for acceptTime. Then it refuses
-// requests, stops accepting connections and waits until every request that has arrived is
-// answered. Those that still run at the cutoff of drainTimes end with an error. Drain
-// returns an error if some are left at the end. It does not wait for connections without a
+// Drain keeps serving requests that still arrive. Then it refuses requests, stops
+// accepting connections and waits until every request that has arrived is answered. Those
+// that still run near the end of grace end with an error; see drainTimes. Drain returns an
+// error if some are left at the end. It does not wait for connections without a
 // request. The directory answers until no request is left.
 func (g *Gateway) Drain(grace time.Duration, d Drained) error {
 	start := time.Now()
 	var lag time.Duration
-	for time.Since(start) < acceptTime(grace) {
+	for {
+		if refuse, _, _ := drainTimes(grace, lag); time.Since(start) >= refuse {
+			break
+		}
 		lag = max(lag, sleepForPoll())
 	}
 	g.refusing.Store(true)
@@ -109,7 +110,7 @@
 	go func() { _ = d.Peers.Shutdown(ctx) }() // stops listening and closes idle connections
 	for idlePolls := 0; idlePolls < drainIdlePolls; {
 		lag = max(lag, sleepForPoll())
-		cutoff, end := drainTimes(grace, lag)
+		_, cutoff, end := drainTimes(grace, lag)
 		if time.Since(start) > cutoff {
 			g.cutOff()
 		}
