Let the kernels detect dead links between instances

Cause: a client closed its HTTP/2 connection to another instance after 1 s without a frame and 1 s without the reply to a ping, and with it cut all answers on it. The reply waits for processor time on both sides. The class of fault: slowness of a process was taken for a failure of its link.

Dialed connections now have keep-alive probes (1 s, then each 0.5 s) and a TCP_USER_TIMEOUT of 2 s, which the kernels judge without either process. The ping stays for a process that hangs while its kernel goes on: 3 s of silence, which is longer than the kernel needs, since a ping on an idle connection restarts its time, and 6 s for the reply, together longer than callers wait for most requests. Accepted connections keep their probes and set no TCP_USER_TIMEOUT: it also ends a connection whose peer leaves its buffer full, and answers are what fills buffers. Requests can do so too: a peer that stalls for over 2 s with its receive buffer full of request bodies is still given up.

Evidence: TestStalledProcessDoesNotCutResponses fails in both cases on ("client connection lost") and passes; with a TCP_USER_TIMEOUT of 2 or 3 s on accepted connections (trial) its case of full buffers fails. TestKernelDetectsDeadLink lets the kernel drop what arrives at one end: noticed by the kernel after 2.0 s (receiving) and 2.3 to 2.5 s (sending); on by the ping, after 2.0 s.

--- a/internal/peerapi/client.go
+++ b/internal/peerapi/client.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/wigeonhill/wigeonhill/internal/httpclient"
 	"github.com/wigeonhill/wigeonhill/internal/peerapi/peerv1/peerv1connect"
@@ -23,16 +25,23 @@
 	// fastDialTimeout leaves time for one lost packet between regions.
 	fastDialTimeout = 1200 * time.Millisecond
 	idleTimeout     = 90 * time.Second
-	// sendPingTimeout is the time without received frames after which a
-	// connection is checked by a ping. Without pings, a broken link would be
-	// detected only by the deadline of each call.
-	sendPingTimeout = 5 * time.Second
-	pingTimeout     = 3 * time.Second
-	// fastSendPingTimeout and fastPingTimeout replace them where links are known
-	// to become unresponsive. They leave time for a round trip between regions and
-	// two lost packets.
-	fastSendPingTimeout = time.Second
-	fastPingTimeout     = time.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveProbes make the kernels notice
+	// within about ackTimeout that an idle connection is dead.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveProbes   = 2
+	// ackTimeout is how long what was sent on a dialed connection may stay
+	// unacknowledged by the kernel of the peer. It covers two lost packets in a row
+	// between regions. The kernel also applies it to a peer that leaves its receive
+	// buffer full, so accepted connections, on which responses are sent, do not set it.
+	ackTimeout = 2 * time.Second
+	// sendPingTimeout is the time without received frames after which the process of
+	// the peer is checked by a ping. It is longer than ackTimeout, because a ping on an
+	// idle connection would restart that time.
+	sendPingTimeout = 3 * time.Second
+	// pingTimeout is how long the reply may take. A process that is short of processor
+	// time replies seconds late, and closing the connection cuts all its responses.
+	pingTimeout = 6 * time.Second
 	// streamWindowBytes is the flow-control window of one stream: it bounds the
 	// bytes that wait unread in this process. The default of net/http is 4 MB,
 	// which a slow caller could fill.
@@ -63,20 +72,38 @@
 
 // NewClients returns a pool that uses mutual TLS, or plain text if p.Insecure.
 func NewClients(p settings.Peers) (*Clients, error) {
-	return NewClientsWithDial(p, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+	return NewClientsWithDial(p, newDialer(dialTimeout).DialContext)
 }
 
-// NewFastFailClients returns a pool that uses plain text and detects an
-// unresponsive connection within about two seconds.
+// NewFastFailClients returns a pool that uses plain text and gives up connecting soon.
 func NewFastFailClients() *Clients {
-	c, err := NewClientsWithDial(settings.Peers{Insecure: true}, (&net.Dialer{Timeout: fastDialTimeout}).DialContext)
+	c, err := NewClientsWithDial(settings.Peers{Insecure: true}, newDialer(fastDialTimeout).DialContext)
 	if err != nil {
 		panic(err) // unreachable: an insecure pool reads no certificates
 	}
-	c.transport.HTTP2.SendPingTimeout, c.transport.HTTP2.PingTimeout = fastSendPingTimeout, fastPingTimeout
 	return c
 }
 
+// newDialer returns a dialer for connections whose loss the kernel detects, whether or
+// not the processes on both sides get processor time.
+func newDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control:         setAckTimeout,
+	}
+}
+
+// setAckTimeout is a net.Dialer.Control function.
+func setAckTimeout(_, _ string, raw syscall.RawConn) (err error) {
+	if ctlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+	}); ctlErr != nil {
+		return ctlErr
+	}
+	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
+}
+
 // NewClientsWithDial is NewClients with connections opened by dial.
 func NewClientsWithDial(p settings.Peers, dial DialFunc) (*Clients, error) {
 	c := &Clients{scheme: "https"}
