Answer every request that has arrived before serve stops

Callers of an instance of `serve` that stops saw their connections closed without an answer if the instance had not begun to serve their request: it waited to be accepted, was unread on a kept connection, had arrived in part, or was read and not begun.

Cause: as for the platform's face. The drain waited for the gate and called http.Server.Shutdown, after which net/http closes each connection on which it has read a request, and those that its state calls idle, also with a request unread on them. What had arrived was not counted.

The callers' server is no longer shut down. Once the gate is empty, the drain waits for intake.Port.Drain within shutdown_timeout; the gate refuses what arrives meanwhile. Both faces use one loop, intake.AwaitNone. The gate does not refuse /v1/directory and /v1/models, so while it drains their responses close the connections; otherwise a caller that polls them on a kept connection could prolong the drain.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -172,6 +172,13 @@
 	}
 }
 
+// Draining reports whether new requests are refused because the instance stops.
+func (g *Gate) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mu.draining
+}
+
 // Running returns the number of requests in progress.
 func (g *Gate) Running() int {
 	g.mu.Lock()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -56,6 +56,9 @@
 		_ = x.rc.SetReadDeadline(x.start.Add(t))
 	}
 	x.w.Header().Set("X-Request-Id", x.id)
+	if s.Gate.Draining() {
+		x.w.Header().Set("Connection", "close")
+	}
 	return x
 }
 
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -47,6 +47,10 @@
 	current   atomic.Pointer[config.Config]
 	mu        sync.Mutex
 	instances map[string]*testInstance
+	// callersListener, if set, replaces the listeners for callers, and onConnState, if set,
+	// runs after each change of the state of their connections.
+	callersListener func(net.Listener) net.Listener
+	onConnState     func(http.ConnState)
 }
 
 // testInstance is one instance that listens for callers and for peers.
@@ -395,7 +399,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = n.gate.Run(ctx) })
-	n.url = "http://" + serve(c.t, &wg, n.server.Serve)
+	if c.onConnState != nil {
+		n.server.OnConnState(c.onConnState)
+	}
+	n.url = "http://" + serve(c.t, &wg, func(l net.Listener) error {
+		if c.callersListener != nil {
+			l = c.callersListener(l)
+		}
+		return n.server.Serve(l)
+	})
 	n.peerAddress = serve(c.t, &wg, n.peerServer.Serve)
 	c.t.Cleanup(func() { cancel(); _ = n.server.Close(); _ = n.peerServer.Close(); clients.Close(); wg.Wait() })
 	c.mu.Lock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -126,21 +126,22 @@
 // Serve accepts connections on l until Drain or Close.
 func (s *Server) Serve(l net.Listener) error {
 	s.Log.Emit(event.CallerListenerStarted, zap.String("address", l.Addr().String()))
-	if err := s.http.Serve(s.port.Listen(l)); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.port.Listen(l)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
 }
 
 // Drain refuses new requests, waits until the running ones have ended, and then
-// closes the listener. It stays open until then so that new requests are
-// answered with an error that tells callers to use another instance. Drain
-// returns the error of ctx if ctx ends first.
+// closes the listener and waits until every request that has arrived is answered. The
+// listener stays open until then so that new requests are answered with an error that
+// tells callers to use another instance. Drain returns the error of ctx if ctx ends
+// first.
 func (s *Server) Drain(ctx context.Context) error {
 	if err := s.Gate.Drain(ctx); err != nil {
 		return err
 	}
-	return s.http.Shutdown(ctx)
+	return intake.AwaitNone(ctx, s.port.Drain)
 }
 
 // Close closes the listener and all connections.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -23,11 +23,6 @@
 	// cutoffMargin is the time before the end of Drain at which requests that still
 	// run are ended, so that their callers get an answer.
 	cutoffMargin = 200 * time.Millisecond
-	// drainPollInterval is the interval at which the number of requests in progress
-	// is checked, and drainIdlePolls the number of checks in a row that must find
-	// none: a forwarded request that was just read is not counted yet.
-	drainPollInterval = 20 * time.Millisecond
-	drainIdlePolls    = 5
 )
 
 // Ready reports whether callers should be sent here.
@@ -80,14 +75,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-drainMargin))
 	defer cancel()
 	go func() { _ = peers.Shutdown(ctx) }() // stops listening and closes idle connections
-	for idlePolls := 0; idlePolls < drainIdlePolls; {
-		if ctx.Err() != nil {
-			return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), callers.Connections())
-		}
-		time.Sleep(drainPollInterval)
-		if idlePolls++; callers.Drain()+peerPort.Unread()+g.RunningRequests() > 0 {
-			idlePolls = 0
-		}
+	if intake.AwaitNone(ctx, func() int { return callers.Drain() + peerPort.Unread() + g.RunningRequests() }) != nil {
+		return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), callers.Connections())
 	}
 	return nil
 }
--- a/internal/intake/drain.go
+++ b/internal/intake/drain.go
@@ -1,6 +1,32 @@
 package intake
 
-import "time"
+import (
+	"context"
+	"time"
+)
+
+const (
+	// drainPollInterval is the interval at which AwaitNone checks what is left, and
+	// drainIdlePolls the number of checks in a row that must find nothing: a connection
+	// that was just accepted, or a request that was just read, is not counted yet.
+	drainPollInterval = 20 * time.Millisecond
+	drainIdlePolls    = 5
+)
+
+// AwaitNone waits until left, which it calls again and again, has returned 0 several times
+// in a row. It returns the error of ctx if ctx ends first.
+func AwaitNone(ctx context.Context, left func() int) error {
+	for idlePolls := 0; idlePolls < drainIdlePolls; {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		time.Sleep(drainPollInterval)
+		if idlePolls++; left() > 0 {
+			idlePolls = 0
+		}
+	}
+	return nil
+}
 
 // Drain is called again and again while the process stops. It stops accepting connections
 // once none waits to be accepted, and closes those on which no request is arriving; a
