Answer forwarded requests that have arrived before serve stops

A caller got an answer that says "may have run" if its request was on the way to an instance of another region while that one stopped, although it had not run.

Cause: the peers' server was closed as soon as the callers' was drained, also under calls whose message was still arriving or that had not reached their handler. The gate counts a call only from the moment its message is whole. The sender cannot tell from a connection that breaks whether the request has run.

After the drain of callers, the instance waits until no peer connection has unread bytes and shuts the peers' server down, within shutdown_timeout. net/http keeps HTTP/2 connections open until their calls have ended and tells their clients which calls it has not seen; unlike HTTP/1.1 ones it does not close them by their state. The gate refuses the calls that arrive meanwhile, so that their senders use another instance. A stop takes longer by the time for which net/http leaves such a connection open (1 s by its source).

--- a/internal/server/cluster_test.go
+++ b/internal/server/cluster_test.go
@@ -147,10 +147,14 @@
 	net           *network
 	configService *standin.ConfigService
 	instances     map[string]*Server
-	names         []string
-	engines       []*standin.Engine
-	rate          float64
-	started       time.Time
+	// stop begins the stop of an instance.
+	stop map[string]context.CancelFunc
+	// beforeRun, if set, changes an instance before it runs.
+	beforeRun func(*Server)
+	names     []string
+	engines   []*standin.Engine
+	rate      float64
+	started   time.Time
 	// poisonPrompt, if set, makes an engine drop the connection of each request that
 	// contains it, like an engine that crashes and restarts at once.
 	poisonPrompt string
@@ -172,7 +176,13 @@
 // newClusterWithPeers is newCluster with the given peer settings.
 func newClusterWithPeers(t *testing.T, rate float64, regions map[string]int, peers settings.Peers) *cluster {
 	t.Helper()
-	c := &cluster{t: t, net: newNetwork(), configService: standin.NewConfigService(), instances: map[string]*Server{}, rate: rate, started: time.Now()}
+	return newClusterWithHook(t, rate, regions, peers, nil)
+}
+
+// newClusterWithHook is newClusterWithPeers with instances that beforeRun changes.
+func newClusterWithHook(t *testing.T, rate float64, regions map[string]int, peers settings.Peers, beforeRun func(*Server)) *cluster {
+	t.Helper()
+	c := &cluster{t: t, net: newNetwork(), configService: standin.NewConfigService(), instances: map[string]*Server{}, stop: map[string]context.CancelFunc{}, rate: rate, started: time.Now(), beforeRun: beforeRun}
 	var configText, instanceList strings.Builder
 	allSettings := map[string]*settings.Settings{}
 	for region, count := range regions {
@@ -273,7 +283,11 @@
 		c.t.Fatal(err)
 	}
 	c.instances[name] = srv
+	if c.beforeRun != nil {
+		c.beforeRun(srv)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
+	c.stop[name] = cancel
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -70,6 +70,7 @@
 
 	callersServer   *entry.Server
 	peersServer     *http.Server
+	peersPort       *intake.Port
 	operatorsServer *ops.Server
 
 	callersListener, peersListener net.Listener
@@ -265,11 +266,11 @@
 	}
 	// Connections of instances end by the timeouts of their server.
 	limits := intake.Limits{MaxConns: srv.settings.Bounds.MaxPeerConns, HeadTimeout: srv.settings.Bounds.ReadTimeout, BodyTimeout: srv.settings.Bounds.ReadTimeout}
-	peers := intake.NewPort("peers", func() intake.Limits { return limits }, srv.intakeBudget, srv.log)
-	peers.ReserveMessages(peerapi.CallBytes, peerapi.MessageFactor)
-	peers.Configure(srv.peersServer)
-	srv.peersListener = peers.Listen(srv.peersListener)
-	srv.metrics.MustRegister(intake.NewCollector(srv.intakeBudget, srv.callersServer.Port(), srv.operatorsServer.Port(), peers))
+	srv.peersPort = intake.NewPort("peers", func() intake.Limits { return limits }, srv.intakeBudget, srv.log)
+	srv.peersPort.ReserveMessages(peerapi.CallBytes, peerapi.MessageFactor)
+	srv.peersPort.Configure(srv.peersServer)
+	srv.peersListener = srv.peersPort.Listen(srv.peersListener)
+	srv.metrics.MustRegister(intake.NewCollector(srv.intakeBudget, srv.callersServer.Port(), srv.operatorsServer.Port(), srv.peersPort))
 	return nil
 }
 
@@ -378,9 +379,9 @@
 	return srv.callersServer.Serve(srv.callersListener)
 }
 
-// drain announces to the members that this instance leaves, then waits for
-// running requests to end, up to the shutdown timeout. The managers keep running
-// meanwhile, because the leases of running requests must still be renewed.
+// drain announces to the members that this instance leaves, then waits until every
+// request and call that has arrived is answered, up to the shutdown timeout. The managers
+// keep running meanwhile, because the leases of running requests must still be renewed.
 func (srv *Server) drain() {
 	srv.log.Emit(event.Stopping, zap.Int("running", srv.gate.Running()))
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
@@ -391,6 +392,11 @@
 	if err := srv.callersServer.Drain(ctx); err != nil {
 		srv.log.Emit(event.DrainTimedOut, zap.Int("running", srv.gate.Running()), zap.Error(err))
 	}
+	// Shutdown discards calls that it finds unread, and their senders cannot tell whether
+	// they have run.
+	if intake.AwaitNone(ctx, srv.peersPort.Unread) == nil {
+		_ = srv.peersServer.Shutdown(ctx) // Close follows if ctx ends first
+	}
 }
 
 // crashExchange implements membership.CrashExchange.
