Log the open connections when a drain of serve times out

A drain can time out with no request running, since it also waits for requests that have arrived and were not begun. Event 106 named only the requests that run; it now has the open connections of callers too, as event 102 of the platform's face does.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -390,7 +390,7 @@
 	ctx, cancel = context.WithTimeout(context.Background(), srv.settings.Bounds.ShutdownTimeout)
 	defer cancel()
 	if err := srv.callersServer.Drain(ctx); err != nil {
-		srv.log.Emit(event.DrainTimedOut, zap.Int("running", srv.gate.Running()), zap.Error(err))
+		srv.log.Emit(event.DrainTimedOut, zap.Int("running", srv.gate.Running()), zap.Int("connections", srv.callersServer.Port().Connections()), zap.Error(err))
 	}
 	// Shutdown discards calls that it finds unread, and their senders cannot tell whether
 	// they have run.
