Test that a drain of serve ends with its timeout

A drain waits for requests that have arrived in part. One that never arrives whole must not hold it beyond shutdown_timeout.

--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/wigeonhill/wigeonhill/internal/config"
 	"github.com/wigeonhill/wigeonhill/internal/result"
 )
@@ -93,6 +96,22 @@
 	}
 }
 
+// Guards against a drain that waits for a request that never arrives whole, beyond its
+// timeout.
+func TestDrainEndsWithItsContext(t *testing.T) {
+	n := newTestCluster(t).startInstance("n", "north")
+	conn, _ := n.dial(t)
+	writeText(t, conn, "GET /")
+	await(t, func() bool { return n.server.Port().Connections() == 1 })
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- n.server.Drain(ctx) }()
+	if err := recv(t, drained); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("%v", err)
+	}
+}
+
 // Guards against a drain that lasts as long as a caller sends requests that the gate does
 // not refuse.
 func TestResponsesCloseConnectionsDuringDrain(t *testing.T) {
