--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -23,11 +23,9 @@
 	// cutoffMargin is the time before the end of Drain at which requests that still
 	// run are ended, so that their callers get an answer.
 	cutoffMargin = 200 * time.Millisecond
-	// drainPollInterval is the interval at which the number of requests in progress
-	// is checked, and drainIdlePolls the number of checks in a row that must find
-	// none: a forwarded request that was just read is not counted yet.
-	drainPollInterval = 20 * time.Millisecond
-	drainIdlePolls    = 5
+	// lagInterval is the interval at which the lag of the process is measured while it
+	// still accepts requests.
+	lagInterval = 20 * time.Millisecond
 )
 
 // Ready reports whether callers should be sent here.
@@ -74,11 +72,11 @@
 	return refuse, max(end-cutoffMargin-lag, refuse), end
 }
 
-// sleepForPoll sleeps for drainPollInterval and returns by how much longer it took.
-func sleepForPoll() time.Duration {
+// overslept sleeps for lagInterval and returns by how much longer it took.
+func overslept() time.Duration {
 	begun := time.Now()
-	time.Sleep(drainPollInterval)
-	return time.Since(begun) - drainPollInterval
+	time.Sleep(lagInterval)
+	return time.Since(begun) - lagInterval
 }
 
 // Drained is what Drain ends.
@@ -98,32 +96,25 @@
 func (g *Gateway) Drain(grace time.Duration, d Drained) error {
 	start := time.Now()
 	var lag time.Duration
-	for {
-		if refuse, _, _ := drainTimes(grace, lag); time.Since(start) >= refuse {
-			break
-		}
-		lag = max(lag, sleepForPoll())
+	refuse, cutoff, end := drainTimes(grace, lag)
+	for time.Since(start) < refuse {
+		lag = max(lag, overslept())
+		refuse, cutoff, end = drainTimes(grace, lag)
 	}
 	g.refusing.Store(true)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-drainMargin))
+	cutoffTimer := time.AfterFunc(time.Until(start.Add(cutoff)), g.cutOff)
+	defer cutoffTimer.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(end))
 	defer cancel()
 	go func() { _ = d.Peers.Shutdown(ctx) }() // stops listening and closes idle connections
-	for idlePolls := 0; idlePolls < drainIdlePolls; {
-		lag = max(lag, sleepForPoll())
-		_, cutoff, end := drainTimes(grace, lag)
-		if time.Since(start) > cutoff {
-			g.cutOff()
-		}
-		if time.Since(start) > end {
-			return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), d.Callers.Connections())
-		}
-		left := d.Callers.Drain() + d.PeerPort.Unread() + g.RunningRequests()
-		if left == 0 {
-			left = d.Directory.Drain()
-		}
-		if idlePolls++; left > 0 {
-			idlePolls = 0
+	left := func() int {
+		if n := d.Callers.Drain() + d.PeerPort.Unread() + g.RunningRequests(); n > 0 {
+			return n
 		}
+		return d.Directory.Drain()
+	}
+	if intake.AwaitNone(ctx, left) != nil {
+		return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), d.Callers.Connections())
 	}
 	return nil
 }
