Leave running requests five sixths of the grace period

The grace is 8 s; requests may count on five sixths of it.

Cause: the time for the answers of a process that lags was taken from that of the requests without a bound.

Requests are not ended before five sixths of the grace period have passed since the signal was noticed, unless the process would be killed before.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -23,6 +23,9 @@
 	// cutoffMargin is the time before the end of Drain at which requests that still
 	// run are ended, so that their callers get an answer.
 	cutoffMargin = 200 * time.Millisecond
+	// uncutFraction is the fraction of the grace period for which running requests are not
+	// ended, as far as the process is not killed before.
+	uncutFraction = 5.0 / 6
 	// lagInterval is the interval at which the lag of the process is measured while it
 	// still accepts requests.
 	lagInterval = 20 * time.Millisecond
@@ -65,11 +68,12 @@
 // drainTimes returns the times after the start of a drain at which new requests are
 // refused, at which the requests that still run are ended, and at which those that are left
 // are given up. lag is by how much the process has woken up late at worst: the signal may
-// have been noticed that late, and the ends of requests take as long.
+// have been noticed that late, and the ends of requests take as long if there is room.
 func drainTimes(grace, lag time.Duration) (refuse, cutoff, end time.Duration) {
 	refuse = max(min(drainAcceptTime, grace/2)-lag, 0)
 	end = grace - drainMargin - lag
-	return refuse, max(end-cutoffMargin-lag, refuse), end
+	uncut := time.Duration(uncutFraction * float64(grace))
+	return refuse, max(end-cutoffMargin-lag, min(uncut, end-cutoffMargin), refuse), end
 }
 
 // overslept sleeps for lagInterval and returns by how much longer it took.
