--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -223,7 +223,7 @@
 	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, drained); err != nil {
 		i.log.Emit(event.DrainTimedOut, zap.Int("running", i.gateway.RunningRequests()), zap.Error(err))
 	}
-	i.log.Emit(event.Stopped, zap.Int("unanswered", i.intake.callers.LogUnanswered()), zap.Int("connections", i.intake.callers.Connections()))
+	i.log.Emit(event.Stopped, zap.Int("unanswered", i.intake.callers.LogUnanswered()), zap.Int("connections", i.intake.callers.Connections()), zap.Int("peer_connections", i.intake.control.Connections()))
 }
 
 // watchSettings applies the seeds in the settings file after a signal and when
