Shut the peers' server down once nothing is unread there

A forwarded request that waits to be read when the platform's drain refuses requests was discarded by the shutdown of the peers' server, so that its sender could not tell whether it has run. Found by reading in the review of serve, which has the same order.

The peers' server is shut down after the wait for what has arrived, no longer beside it.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -110,11 +110,6 @@
 	defer cutoffTimer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(end))
 	defer cancel()
-	peersClosed := make(chan struct{})
-	go func() {
-		defer close(peersClosed)
-		_ = d.Peers.Shutdown(ctx) // stops listening, and closes connections once their calls have ended
-	}()
 	left := func() int {
 		if n := d.Callers.Drain() + d.PeerPort.Unread() + g.RunningRequests(); n > 0 {
 			return n
@@ -124,7 +119,8 @@
 	if intake.AwaitNone(ctx, left) != nil {
 		return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), d.Callers.Connections())
 	}
-	// Other instances may still read responses, which a reset would take from them.
-	<-peersClosed
+	// This waits for other instances, which may still read responses: a reset would take
+	// the rest from them. It fails only at the end of ctx, when no request is left.
+	_ = d.Peers.Shutdown(ctx)
 	return nil
 }
