--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,14 +82,9 @@
 	return time.Since(begun) - lagInterval
 }
 
-// Drained is what Drain ends.
-type Drained struct {
-	// Callers and Directory are the ports of servers that are not shut down.
-	Callers, Directory *intake.Port
-	// Peers is the server of forwarded requests, and PeerPort its port.
-	Peers    *http.Server
-	PeerPort *intake.Port
-}
+// Drained is what Drain ends: the ports of callers, of the directory and of other instances.
+// Their servers are not shut down.
+type Drained struct{ Callers, Directory, Peers *intake.Port }
 
 // Drain keeps serving requests that still arrive. Then it refuses requests, stops
 // accepting connections and waits until every request that has arrived is answered. Those
@@ -111,7 +105,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(end))
 	defer cancel()
 	left := func() int {
-		if n := d.Callers.Drain() + d.PeerPort.Unread() + g.RunningRequests(); n > 0 {
+		if n := d.Callers.Drain() + d.Peers.Unread() + g.RunningRequests(); n > 0 {
 			return n
 		}
 		return d.Directory.Drain()
@@ -119,8 +113,5 @@
 	if intake.AwaitNone(ctx, left) != nil {
 		return errors.Newf("%d requests were still running, %d connections of callers open", g.RunningRequests(), d.Callers.Connections())
 	}
-	// This waits for other instances, which may still read responses: a reset would take
-	// the rest from them. It fails only at the end of ctx, when no request is left.
-	_ = d.Peers.Shutdown(ctx)
 	return nil
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -219,11 +219,11 @@
 	i.roster.Leave()
 	i.gateway.BeginDrain()
 	i.heartbeats.Announce()
-	drained := gateway.Drained{Callers: i.intake.callers, Directory: i.intake.directory, Peers: i.control, PeerPort: i.intake.control}
+	drained := gateway.Drained{Callers: i.intake.callers, Directory: i.intake.directory, Peers: i.intake.control}
 	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, drained); err != nil {
 		i.log.Emit(event.DrainTimedOut, zap.Int("running", i.gateway.RunningRequests()), zap.Error(err))
 	}
-	i.log.Emit(event.Stopped, zap.Int("unanswered", i.intake.callers.LogUnanswered()), zap.Int("connections", i.intake.callers.Connections()), zap.Int("peer_connections", i.intake.control.Connections()))
+	i.log.Emit(event.Stopped, zap.Int("unanswered", i.intake.callers.LogUnanswered()), zap.Int("connections", i.intake.callers.Connections()))
 }
 
 // watchSettings applies the seeds in the settings file after a signal and when
