Soak stops, reloads and configurations with clients on kept connections

TestSoak counted no request without an answer.

TestSoakOfStops runs the program (GOMAXPROCS=1, grace_s = 8) and clients in processes of their own. More than half of the instances are stopped at a time, never all of a failure domain; settings are reloaded and configurations change the idle time, timeouts and services. Bursts of 120 clients meet an instance, mostly one that stops, that runs 3 ms in each 50 ms (SIGSTOP and SIGCONT, in place of a quota). A request that was written whole must be answered unless its limit of 5 s passed (to within 10 ms); it crossed the close, that is no target saw it and the connection was closed within 200 ms of its last byte; or its target worked into the last sixth of the grace period and it was sent within 3 s of SIGTERM. The 200 ms are taken from TCP_INFO; after a reset from the client's clock, and what the client's own threads may have added is reported as open. Targets break nothing off.

--- a/internal/instance/harness_test.go
+++ b/internal/instance/harness_test.go
@@ -277,6 +277,8 @@
 	maxDescriptors int
 	// cpuShare is the fraction of a core in the settings of an instance.
 	cpuShare float64
+	// graceSeconds is the time to stop in the settings of an instance.
+	graceSeconds int
 }
 
 func (d *testDeployment) storeAddress() string {
@@ -291,7 +293,7 @@
 var deploymentCount atomic.Int32
 
 func newTestDeployment(t testing.TB) *testDeployment {
-	d := &testDeployment{t: t, store: newFakeStore(t), nextIP: 1, port: 21000 + 20*int(deploymentCount.Add(1)), memoryMB: 284, cpuShare: 0.4}
+	d := &testDeployment{t: t, store: newFakeStore(t), nextIP: 1, port: 21000 + 20*int(deploymentCount.Add(1)), memoryMB: 284, cpuShare: 0.4, graceSeconds: 2}
 	return d
 }
 
@@ -381,7 +383,7 @@
 [bounds]
 addr_reuse_s = 2
 drain_ms = 3000
-grace_s = 2
+grace_s = %d
 config_apply_ms = 3000
 budget_ratio = 0.2
 budget_window_s = 10
@@ -393,7 +395,7 @@
 [platform]
 address = %q
 `, domain, d.nextIP, ip, domain, regionByDomain[domain], d.port+8, d.port+15, seeds, ip, d.port, ip, d.port+1, control, ip, d.port+2,
-		d.cpuShare, d.memoryMB, d.maxDescriptors, d.storeAddress())
+		d.cpuShare, d.memoryMB, d.maxDescriptors, d.graceSeconds, d.storeAddress())
 	path = filepath.Join(d.t.TempDir(), "node.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
--- a/internal/instance/soak_process_test.go
+++ b/internal/instance/soak_process_test.go
@@ -34,12 +34,12 @@
 
 // instanceProcess is an instance that runs as a process of its own.
 type instanceProcess struct {
-	s                 *soak
-	path, ip, address string
-	capacity          soakCapacity
-	mu                sync.Mutex
-	cmd               *exec.Cmd
-	done              chan struct{}
+	s                         *soak
+	path, ip, address, domain string
+	capacity                  soakCapacity
+	mu                        sync.Mutex
+	cmd                       *exec.Cmd
+	done                      chan struct{}
 	// peakMemory, in bytes, and peakDescriptors are the largest figures of all
 	// processes that ran as this instance.
 	peakMemory      int64
@@ -48,13 +48,17 @@
 
 // command returns the command that runs the instance.
 func (p *instanceProcess) command() (*exec.Cmd, error) {
-	if !p.capacity.program {
+	if !p.capacity.program && !p.s.onlyProgram {
 		cmd := exec.Command(os.Args[0])
 		cmd.Env = append(os.Environ(), soakInstanceEnv+"="+p.path)
 		return cmd, nil
 	}
 	binary, err := buildProgram()
-	return exec.Command(binary, "platform", "--config", p.path), err
+	cmd := exec.Command(binary, "platform", "--config", p.path)
+	if p.s.onlyProgram {
+		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	}
+	return cmd, err
 }
 
 // recordUsage records what the process uses until ctx is done.
--- a/internal/instance/soak_test.go
+++ b/internal/instance/soak_test.go
@@ -52,6 +52,13 @@
 // TestMain runs an instance instead of the tests if soakInstanceEnv is set, so
 // that each instance of a soak test is a process of its own.
 func TestMain(m *testing.M) {
+	if parameters := os.Getenv(soakClientEnv); parameters != "" {
+		if err := runSoakClients(parameters); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	path := os.Getenv(soakInstanceEnv)
 	if path == "" {
 		code := m.Run()
@@ -93,14 +100,7 @@
 //   - once the faults have ended, every instance serves again;
 //   - the memory and the descriptors of a process stay within its settings.
 func TestSoak(t *testing.T) {
-	seeds, duration := ciSeeds, defaultSoakDuration
-	if from, to, ok := strings.Cut(os.Getenv(soakSeedsEnv), "-"); ok {
-		seeds = nil
-		lo, _ := strconv.ParseUint(from, 10, 64)
-		for hi, _ := strconv.ParseUint(to, 10, 64); lo <= hi; lo++ {
-			seeds = append(seeds, lo)
-		}
-	}
+	seeds, duration := soakSeeds(ciSeeds), defaultSoakDuration
 	if s, err := strconv.Atoi(os.Getenv(soakSecondsEnv)); err == nil {
 		duration = time.Duration(s) * time.Second
 	}
@@ -109,6 +109,19 @@
 	}
 }
 
+// soakSeeds returns the seeds to run; inCI if none are given.
+func soakSeeds(inCI []uint64) (seeds []uint64) {
+	from, to, ok := strings.Cut(os.Getenv(soakSeedsEnv), "-")
+	if !ok {
+		return inCI
+	}
+	lo, _ := strconv.ParseUint(from, 10, 64)
+	for hi, _ := strconv.ParseUint(to, 10, 64); lo <= hi; lo++ {
+		seeds = append(seeds, lo)
+	}
+	return seeds
+}
+
 // soak is one run of the soak test.
 type soak struct {
 	t          *testing.T
@@ -117,9 +130,14 @@
 	targets    []*soakTarget
 	storeProxy *proxy
 	processes  []*instanceProcess
-	mu         sync.Mutex // guards rng and responses
-	rng        *rand.Rand
-	responses  []soakResponse
+	// onlyProgram is set if all processes run the program, each on one core.
+	onlyProgram bool
+	// minDescriptors is what a process has at least, for bursts below the bound of its
+	// connections.
+	minDescriptors int
+	mu             sync.Mutex // guards rng and responses
+	rng            *rand.Rand
+	responses      []soakResponse
 	// bursts and crowds count those that were started.
 	bursts, crowds atomic.Int32
 }
@@ -130,8 +148,12 @@
 	callerResponse
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+// newSoak starts the processes of a soak. change modifies it first.
+func newSoak(t *testing.T, seed uint64, change ...func(*soak)) *soak {
 	s := &soak{t: t, deployment: newTestDeployment(t), dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 7))}
+	for _, f := range change {
+		f(s)
+	}
 	s.storeProxy = newProxy(t, s.deployment.store.Listener.Addr().String())
 	s.deployment.storeProxyAddress = s.storeProxy.Addr().String()
 	for domain := range regionByDomain {
@@ -150,10 +172,10 @@
 	}
 	for n := range perDomain {
 		capacity := soakCapacities[n%len(soakCapacities)]
-		s.deployment.cpuShare, s.deployment.memoryMB, s.deployment.maxDescriptors = capacity.cpuShare, capacity.memoryMB, capacity.maxDescriptors
+		s.deployment.cpuShare, s.deployment.memoryMB, s.deployment.maxDescriptors = capacity.cpuShare, capacity.memoryMB, max(capacity.maxDescriptors, s.minDescriptors)
 		for domain := range regionByDomain {
 			path, ip := s.deployment.writeSettings(domain)
-			p := &instanceProcess{s: s, path: path, ip: ip, address: net.JoinHostPort(ip, strconv.Itoa(s.deployment.port)), capacity: capacity}
+			p := &instanceProcess{s: s, path: path, ip: ip, domain: domain, address: net.JoinHostPort(ip, strconv.Itoa(s.deployment.port)), capacity: capacity}
 			p.start()
 			s.processes = append(s.processes, p)
 		}
