Bound the time for which a drained port accepts connections

Cause: the listener was closed only once no connection waited to be accepted.

It is closed after a second at the latest; what waits then is reset unread, and its clients may send it again.

Evidence: intake TestDrainStopsAcceptingWhileClientsConnect failed before (the listener was open after 10 s) and passes.

--- a/internal/intake/drain.go
+++ b/internal/intake/drain.go
@@ -11,6 +11,9 @@
 	// that was just accepted, or a request that was just read, is not counted yet.
 	drainPollInterval = 20 * time.Millisecond
 	drainIdlePolls    = 5
+	// maxAcceptTime bounds how long a port that is drained accepts connections while more
+	// of them arrive.
+	maxAcceptTime = time.Second
 )
 
 // AwaitNone waits until left, which it calls again and again, has returned 0 several times
@@ -29,18 +32,19 @@
 }
 
 // Drain is called again and again while the process stops. It stops accepting connections
-// once none waits to be accepted, and closes those on which no request is arriving; a
+// once none waits to be accepted, at the latest after maxAcceptTime, and closes those on which no request is arriving; a
 // client that has just connected gets stallTime to send one. It returns the number of
 // connections that are left. The server must not be shut down meanwhile: net/http drops
 // requests that it reads from then on.
 func (p *Port) Drain() (left int) {
-	waiting := 0
+	now, waiting := time.Since(p.start), 0
+	p.drainBegan.CompareAndSwap(0, int64(now))
 	if l := p.listener.Load(); l != nil && !l.closed.Load() {
-		if waiting = l.waiting(); waiting == 0 {
+		if waiting = l.waiting(); waiting == 0 || now-time.Duration(p.drainBegan.Load()) > maxAcceptTime {
+			waiting = 0
 			_ = l.Close() // fails only if it is closed already
 		}
 	}
-	now := time.Since(p.start)
 	var quiet []*conn
 	p.connMu.Lock()
 	for c := range p.conns {
--- a/internal/intake/kept_test.go
+++ b/internal/intake/kept_test.go
@@ -145,3 +145,35 @@
 		t.Errorf("%q, %v", body.Bytes, err)
 	}
 }
+
+// unacceptingListener accepts nothing until it is closed.
+type unacceptingListener struct {
+	*net.TCPListener
+	closed chan struct{}
+}
+
+func (l *unacceptingListener) Accept() (net.Conn, error) {
+	<-l.closed
+	return nil, net.ErrClosed
+}
+
+func (l *unacceptingListener) Close() error {
+	close(l.closed)
+	return l.TCPListener.Close()
+}
+
+// Guards against a drain that lasts as long as clients connect.
+func TestDrainStopsAcceptingWhileClientsConnect(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPort("test", func() Limits { return Limits{} }, nil, nil)
+	l := p.Listen(&unacceptingListener{inner.(*net.TCPListener), make(chan struct{})})
+	go func() { _, _ = l.Accept() }()
+	dial(t, inner.Addr().String(), get)
+	if p.Drain() == 0 {
+		t.Error("a connection that waits to be accepted is not counted")
+	}
+	waitFor(t, func() bool { return p.Drain() == 0 })
+}
--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -81,6 +81,9 @@
 	requestBytes, messageFactor int64
 
 	listener atomic.Pointer[listener]
+	// drainBegan is the time since the start of the port at which Drain was first called;
+	// 0 before.
+	drainBegan atomic.Int64
 
 	connMu sync.Mutex
 	conns  map[*conn]struct{}
