End running requests a twelfth of the grace period before the drain ends

Requests that still run are ended a twelfth of the grace period before the end of the drain: 0.67 s of 8 s, which is still in the last sixth of the grace period.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -19,9 +19,9 @@
 	// drainMargin is the part of the grace period that is left for the process to
 	// exit before it is killed.
 	drainMargin = 300 * time.Millisecond
-	// cutoffMargin is the time before the end of Drain at which requests that still
-	// run are ended, so that their callers get an answer.
-	cutoffMargin = 200 * time.Millisecond
+	// cutoffMarginFraction is the fraction of the grace period before the end of Drain at
+	// which requests that still run are ended, so that their callers get an answer.
+	cutoffMarginFraction = 1.0 / 12
 	// uncutFraction is the fraction of the grace period for which running requests are not
 	// ended, as far as the process is not killed before.
 	uncutFraction = 5.0 / 6
@@ -71,8 +71,9 @@
 func drainTimes(grace, lag time.Duration) (refuse, cutoff, end time.Duration) {
 	refuse = max(min(drainAcceptTime, grace/2)-lag, 0)
 	end = grace - drainMargin - lag
+	latest := end - time.Duration(cutoffMarginFraction*float64(grace))
 	uncut := time.Duration(uncutFraction * float64(grace))
-	return refuse, max(end-cutoffMargin-lag, min(uncut, end-cutoffMargin), refuse), end
+	return refuse, max(latest-lag, min(latest, uncut), refuse), end
 }
 
 // overslept sleeps for lagInterval and returns by how much longer it took.
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -15,7 +15,8 @@
 		if refuse+lag > max(drainAcceptTime, lag) {
 			t.Errorf("lag %s: new requests are refused at %s", lag, refuse)
 		}
-		if killed := grace - lag; end > killed-drainMargin || cutoff > end-cutoffMargin || cutoff < min(uncut, end-cutoffMargin) {
+		latest := end - grace/12
+		if killed := grace - lag; end > killed-drainMargin || cutoff > latest || cutoff < min(uncut, latest) {
 			t.Errorf("lag %s: requests are ended at %s, the drain at %s, the process is killed at %s", lag, cutoff, end, killed)
 		}
 	}
