Compare errno values directly when reading from callers

Each read that waits compared its error by errors.Is of the errors library, which builds the marks of both errors: processor time for each request, found by reading the change. syscall.Read returns plain errno values.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -84,7 +84,7 @@
 	var err error
 	if waitErr := c.raw.Read(func(fd uintptr) bool {
 		n, err = c.take(int(fd), q)
-		return !errors.Is(err, syscall.EAGAIN)
+		return err != syscall.EAGAIN
 	}); waitErr != nil {
 		return 0, c.readError(waitErr)
 	}
@@ -110,11 +110,11 @@
 		return 0, net.ErrClosed
 	}
 	for {
-		if n, err = syscall.Read(fd, q); !errors.Is(err, syscall.EINTR) {
+		if n, err = syscall.Read(fd, q); err != syscall.EINTR {
 			break
 		}
 	}
-	c.waiting = errors.Is(err, syscall.EAGAIN)
+	c.waiting = err == syscall.EAGAIN
 	if n <= 0 || err != nil || c.port.http2Only {
 		return max(n, 0), err
 	}
