--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -20,10 +20,12 @@
 	// exit before it is killed.
 	drainMargin = 300 * time.Millisecond
 	// cutoffMarginFraction is the fraction of the grace period before the end of Drain at
-	// which requests that still run are ended, so that their callers get an answer.
+	// which requests that still run are ended, so that their callers get an answer, and
+	// minCutoffMargin the least such time.
 	cutoffMarginFraction = 1.0 / 12
+	minCutoffMargin      = 200 * time.Millisecond
 	// uncutFraction is the fraction of the grace period for which running requests are not
-	// ended, as far as the process is not killed before.
+	// ended, unless the drain ends within minCutoffMargin of it.
 	uncutFraction = 5.0 / 6
 	// lagInterval is the interval at which the lag of the process is measured while it
 	// still accepts requests.
@@ -71,9 +73,9 @@
 func drainTimes(grace, lag time.Duration) (refuse, cutoff, end time.Duration) {
 	refuse = max(min(drainAcceptTime, grace/2)-lag, 0)
 	end = grace - drainMargin - lag
-	latest := end - time.Duration(cutoffMarginFraction*float64(grace))
-	uncut := time.Duration(uncutFraction * float64(grace))
-	return refuse, max(latest-lag, min(latest, uncut), refuse), end
+	cutoff = end - time.Duration(cutoffMarginFraction*float64(grace)) - lag
+	uncut := min(time.Duration(uncutFraction*float64(grace)), end-minCutoffMargin)
+	return refuse, max(cutoff, uncut, refuse), end
 }
 
 // overslept sleeps for lagInterval and returns by how much longer it took.
