--- a/internal/intake/port.go
+++ b/internal/intake/port.go
@@ -358,8 +358,9 @@
 func (p *Port) forgive(pause time.Duration) {
 	p.connMu.Lock()
 	defer p.connMu.Unlock()
+	now := int64(time.Since(p.start))
 	for c := range p.conns {
-		c.since.Add(int64(pause))
+		c.since.Store(min(c.since.Load()+int64(pause), now)) // some began after the pause
 	}
 	p.bodyMu.Lock()
 	defer p.bodyMu.Unlock()
