Read from callers without allocating

The function is made once for a connection; the head is read again only if bytes are unread. Reads of a connection do not overlap.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -46,6 +46,12 @@
 	*net.TCPConn
 	port *Port
 	raw  syscall.RawConn
+	// takeNow calls take with the buffer of the read in progress and keeps what it
+	// returns. Reads of a connection do not overlap.
+	takeNow func(fd uintptr) bool
+	buffer  []byte
+	taken   int
+	takeErr error
 	// closeMu is held while bytes are taken from the socket and while the connection is
 	// marked as closed, so that no byte of a request is read and then dropped.
 	closeMu sync.Mutex
@@ -71,6 +77,10 @@
 		return nil, err
 	}
 	c := &conn{TCPConn: tcp, port: p, raw: raw}
+	c.takeNow = func(fd uintptr) bool {
+		c.taken, c.takeErr = c.take(int(fd), c.buffer)
+		return c.takeErr != syscall.EAGAIN
+	}
 	c.since.Store(int64(time.Since(p.start)))
 	return c, nil
 }
@@ -80,17 +90,15 @@
 	if len(q) == 0 {
 		return 0, nil
 	}
-	var n int
-	var err error
-	if waitErr := c.raw.Read(func(fd uintptr) bool {
-		n, err = c.take(int(fd), q)
-		return err != syscall.EAGAIN
-	}); waitErr != nil {
-		return 0, c.readError(waitErr)
-	}
+	c.buffer = q
+	waitErr := c.raw.Read(c.takeNow)
+	c.buffer = nil
+	n := c.taken
 	switch {
-	case err != nil:
-		return 0, c.readError(err)
+	case waitErr != nil:
+		return 0, c.readError(waitErr)
+	case c.takeErr != nil:
+		return 0, c.readError(c.takeErr)
 	case n == 0:
 		return 0, io.EOF
 	}
--- a/internal/intake/unanswered.go
+++ b/internal/intake/unanswered.go
@@ -57,11 +57,12 @@
 // logUnanswered logs a request that is lost if the connection is closed now, and reports
 // whether there is one.
 func (c *conn) logUnanswered(cause closeCause) bool {
-	phase, head := c.phase.Load(), c.unread()
+	phase := c.phase.Load()
 	inProgress := cause == closedByEnd && (phase == phaseBody || phase == phaseServing)
-	if len(head) == 0 && !inProgress || c.port.http2Only {
+	if c.port.http2Only || !inProgress && !c.hasUnread() {
 		return false
 	}
+	head := c.unread()
 	c.port.unanswered[cause].Add(1)
 	c.port.log.Emit(event.IntakeRequestUnanswered, zap.String("port", c.port.name), zap.Stringer("cause", cause), zap.String("phase", phaseNames[phase]),
 		zap.Int("unread", len(head)), zap.String("request", headerValue(head, c.port.idHeader)), zap.String("client", c.RemoteAddr().String()))
