Count the time to stop from when the signal can have been sent

Cause: how late the signal had been noticed was estimated by how long sleeps took after it. That is another quantity: a process can notice the signal at once and be short of processor time afterwards.

The instance checks ten times a second that it has not noticed a signal; the time to stop counts from the check before the last one. Nothing else depends on a lag.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -20,16 +20,8 @@
 	// exit before it is killed.
 	drainMargin = 300 * time.Millisecond
 	// cutoffMarginFraction is the fraction of the grace period before the end of Drain at
-	// which requests that still run are ended, so that their callers get an answer, and
-	// minCutoffMargin the least such time.
+	// which requests that still run are ended, so that their callers get an answer.
 	cutoffMarginFraction = 1.0 / 12
-	minCutoffMargin      = 200 * time.Millisecond
-	// uncutFraction is the fraction of the grace period for which running requests are not
-	// ended, unless the drain ends within minCutoffMargin of it.
-	uncutFraction = 5.0 / 6
-	// lagInterval is the interval at which the lag of the process is measured while it
-	// still accepts requests.
-	lagInterval = 20 * time.Millisecond
 )
 
 // Ready reports whether callers should be sent here.
@@ -66,23 +58,11 @@
 // connections.
 func (g *Gateway) BeginDrain() { g.draining.Store(true) }
 
-// drainTimes returns the times after the start of a drain at which new requests are
-// refused, at which the requests that still run are ended, and at which those that are left
-// are given up. lag is by how much the process has woken up late at worst: the signal may
-// have been noticed that late, and the ends of requests take as long if there is room.
-func drainTimes(grace, lag time.Duration) (refuse, cutoff, end time.Duration) {
-	refuse = max(min(drainAcceptTime, grace/2)-lag, 0)
-	end = grace - drainMargin - lag
-	cutoff = end - time.Duration(cutoffMarginFraction*float64(grace)) - lag
-	uncut := min(time.Duration(uncutFraction*float64(grace)), end-minCutoffMargin)
-	return refuse, max(cutoff, uncut, refuse), end
-}
-
-// overslept sleeps for lagInterval and returns by how much longer it took.
-func overslept() time.Duration {
-	begun := time.Now()
-	time.Sleep(lagInterval)
-	return time.Since(begun) - lagInterval
+// drainTimes returns the times after the signal at which new requests are refused, at which
+// the requests that still run are ended, and at which those that are left are given up.
+func drainTimes(grace time.Duration) (refuse, cutoff, end time.Duration) {
+	end = grace - drainMargin
+	return min(drainAcceptTime, grace/2), end - time.Duration(cutoffMarginFraction*float64(grace)), end
 }
 
 // Drained is what Drain ends: the ports of callers, of the directory and of other instances.
@@ -93,20 +73,15 @@
 // accepting connections and waits until every request that has arrived is answered. Those
 // that still run near the end of grace end with an error; see drainTimes. Drain returns an
 // error if some are left at the end. It does not wait for connections without a
-// request. The directory answers until no request is left.
-func (g *Gateway) Drain(grace time.Duration, d Drained) error {
-	start := time.Now()
-	var lag time.Duration
-	refuse, cutoff, end := drainTimes(grace, lag)
-	for time.Since(start) < refuse {
-		lag = max(lag, overslept())
-		refuse, cutoff, end = drainTimes(grace, lag)
-	}
-	g.refusing.Store(true)
+// request. The directory answers until no request is left. start is when grace began.
+func (g *Gateway) Drain(start time.Time, grace time.Duration, d Drained) error {
+	refuse, cutoff, end := drainTimes(grace)
 	cutoffTimer := time.AfterFunc(time.Until(start.Add(cutoff)), g.cutOff)
 	defer cutoffTimer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(end))
 	defer cancel()
+	time.Sleep(time.Until(start.Add(refuse)))
+	g.refusing.Store(true)
 	left := func() int {
 		if n := d.Callers.Drain() + d.Peers.Unread() + g.RunningRequests(); n > 0 {
 			return n
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -43,6 +43,9 @@
 	// settingsPollInterval is the interval between checks of the settings file,
 	// which may change without a signal.
 	settingsPollInterval = 2 * time.Second
+	// signalCheckInterval is the interval at which it is noted that no signal has been
+	// noticed.
+	signalCheckInterval = 100 * time.Millisecond
 )
 
 // Instance is one gateway process on the platform.
@@ -193,8 +196,7 @@
 	}
 	stopCtx, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
-		<-stopCtx.Done()
-		i.drain()
+		i.drain(awaitSignal(stopCtx))
 		return nil
 	}, func(error) { cancel() })
 	return g.Run()
@@ -212,15 +214,43 @@
 	return nil
 }
 
-// drain takes the instance out of the directories, then waits for running
-// requests to end.
-func (i *Instance) drain() {
-	i.log.Emit(event.Stopping, zap.Int("running", i.gateway.RunningRequests()))
+// signalWatch tells when a signal was sent that the process has noticed late.
+type signalWatch struct{ checked, before time.Time }
+
+// check notes that the signal had not been noticed at now.
+func (w *signalWatch) check(now time.Time) { w.before, w.checked = w.checked, now }
+
+// earliest returns the time at which the signal can have been sent at the earliest. It may
+// have been on its way at the last check.
+func (w *signalWatch) earliest() time.Time { return w.before }
+
+// awaitSignal waits until ctx, which a signal ends, is done and returns when the signal can
+// have been sent at the earliest.
+func awaitSignal(ctx context.Context) time.Time {
+	tick := time.NewTicker(signalCheckInterval)
+	defer tick.Stop()
+	w := signalWatch{checked: time.Now(), before: time.Now()}
+	for {
+		select {
+		case <-ctx.Done():
+			return w.earliest()
+		case <-tick.C:
+			if ctx.Err() == nil {
+				w.check(time.Now())
+			}
+		}
+	}
+}
+
+// drain takes the instance out of the directories, then waits for running requests to end.
+// signaled is when the time to stop began.
+func (i *Instance) drain(signaled time.Time) {
+	i.log.Emit(event.Stopping, zap.Int("running", i.gateway.RunningRequests()), zap.Duration("noticed_after", time.Since(signaled)))
 	i.roster.Leave()
 	i.gateway.BeginDrain()
 	i.heartbeats.Announce()
 	drained := gateway.Drained{Callers: i.intake.callers, Directory: i.intake.directory, Peers: i.intake.control}
-	if err := i.gateway.Drain(i.settings.Bounds.TerminationGrace, drained); err != nil {
+	if err := i.gateway.Drain(signaled, i.settings.Bounds.TerminationGrace, drained); err != nil {
 		i.log.Emit(event.DrainTimedOut, zap.Int("running", i.gateway.RunningRequests()), zap.Error(err))
 	}
 	i.log.Emit(event.Stopped, zap.Int("unanswered", i.intake.callers.LogUnanswered()), zap.Int("connections", i.intake.callers.Connections()))
--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -146,6 +146,20 @@
 	}
 }
 
+// Guards against a process that notices the signal late and is killed while its requests
+// have no answer.
+func TestTimeToStopBeginsBeforeSignalIsNoticed(t *testing.T) {
+	began := time.Now()
+	w := signalWatch{checked: began, before: began}
+	for n := range 10 {
+		w.check(began.Add(time.Duration(n) * signalCheckInterval))
+	}
+	sent := began.Add(9*signalCheckInterval - time.Millisecond) // noticed any time later
+	if e := w.earliest(); e.After(sent) || sent.Sub(e) > 2*signalCheckInterval {
+		t.Errorf("sent %s, taken for sent %s after the start", sent.Sub(began), e.Sub(began))
+	}
+}
+
 func rawRequest(id string) string {
 	return fmt.Sprintf("GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 6000\r\nApi-Key: key-of-the-hotel\r\n\r\n", id)
 }
