--- a/internal/intake/drain.go
+++ b/internal/intake/drain.go
@@ -32,10 +32,10 @@
 }
 
 // Drain is called again and again while the process stops. It stops accepting connections
-// once none waits to be accepted, at the latest after maxAcceptTime, and closes those on which no request is arriving; a
-// client that has just connected gets stallTime to send one. It returns the number of
-// connections that are left. The server must not be shut down meanwhile: net/http drops
-// requests that it reads from then on.
+// once none waits to be accepted, at the latest after maxAcceptTime, and closes those on
+// which no request is arriving; a client that has just connected gets stallTime to send
+// one. It returns the number of connections that are left. The server must not be shut down
+// meanwhile: net/http drops requests that it reads from then on.
 func (p *Port) Drain() (left int) {
 	now, waiting := time.Since(p.start), 0
 	p.drainBegan.CompareAndSwap(0, int64(now))
